--- /dev/null
+++ b/crates/core/src/outcome.rs
@@ -0,0 +1,92 @@
+//! What a caller is told about a request: one of three outcomes, never a guess.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Whether a request ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// The request ran and the whole answer is known.
+    #[display("done")]
+    Done,
+    /// No byte of the request reached a backend server, or the server refused it before running.
+    #[display("not-run")]
+    NotRun,
+    /// The request may have run.
+    #[display("unknown")]
+    Unknown,
+}
+
+/// Stable error codes; part of the interface towards callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
+#[serde(rename_all = "kebab-case")]
+pub enum ErrorCode {
+    /// The request could not be read: bad JSON, bad header, unknown model or path.
+    #[display("bad-request")]
+    BadRequest,
+    /// The bearer key is missing or belongs to no client account.
+    #[display("unauthenticated")]
+    Unauthenticated,
+    /// No route serves this path or model.
+    #[display("no-route")]
+    NoRoute,
+    /// The body or the headers exceed a size limit.
+    #[display("too-large")]
+    TooLarge,
+    /// The account's queue is full.
+    #[display("queue-full")]
+    QueueFull,
+    /// The deadline passed while the request waited.
+    #[display("deadline")]
+    Deadline,
+    /// The router is shutting down.
+    #[display("shutting-down")]
+    ShuttingDown,
+    /// The idempotency key is required by the route and missing.
+    #[display("key-required")]
+    KeyRequired,
+    /// The idempotency key was used with another body.
+    #[display("key-reused")]
+    KeyReused,
+    /// Another attempt with the same idempotency key is under way.
+    #[display("in-progress")]
+    InProgress,
+    /// The claim could not be recorded because the key-value service does not answer.
+    #[display("claims-unavailable")]
+    ClaimsUnavailable,
+    /// The request crashed backend servers and is refused for a time.
+    #[display("poison")]
+    Poison,
+    /// The backend server went away during the request.
+    #[display("server-lost")]
+    ServerLost,
+    /// The backend server refused the request before running it.
+    #[display("server-refused")]
+    ServerRefused,
+    /// The server stopped answering within the route's deadline.
+    #[display("timeout")]
+    Timeout,
+    /// A fault in the router.
+    #[display("internal")]
+    Internal,
+}
+
+impl ErrorCode {
+    /// Returns the HTTP status that goes with the code.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::BadRequest => 400,
+            Self::Unauthenticated => 401,
+            Self::NoRoute => 404,
+            Self::InProgress => 409,
+            Self::TooLarge => 413,
+            Self::KeyRequired | Self::KeyReused | Self::Poison => 422,
+            Self::QueueFull => 429,
+            Self::Internal => 500,
+            Self::ServerLost | Self::ServerRefused => 502,
+            Self::ShuttingDown | Self::ClaimsUnavailable => 503,
+            Self::Deadline | Self::Timeout => 504,
+        }
+    }
+}
--- /dev/null
+++ b/crates/primrosectl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/primrosed/src/main.rs
@@ -0,0 +1,3 @@
+//! The router daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Part of the router fleet; filled in by its first change.
--- /dev/null
+++ b/crates/support/src/lib.rs
@@ -0,0 +1,6 @@
+//! Builders and fakes for tests: a clock that is set by hand, and small tables.
+//!
+//! Test code of every crate shares this; no shipped program depends on it.
+
+pub mod clock;
+pub mod tables;
