--- /dev/null
+++ b/crates/retry/tests/testsuite/backoff.rs
@@ -0,0 +1,66 @@
+//! Delays grow, stay under their ceiling and spread evenly.
+
+use std::time::Duration;
+
+use primrose_retry::Backoff;
+use primrose_retry::BackoffConfig;
+use quickcheck::quickcheck;
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+
+/// Clients that lose the same service at the same moment.
+const CLIENTS: usize = 10_000;
+/// Parts into which the interval of the delays is cut.
+const SLICES: usize = 10;
+
+#[test]
+fn ceiling_doubles_up_to_the_cap() {
+    let config = BackoffConfig {
+        base: Duration::from_millis(100),
+        cap: Duration::from_millis(1500),
+    };
+    let mut backoff = Backoff::new(config);
+    let mut rng = StdRng::seed_from_u64(1);
+    for millis in [100, 200, 400, 800, 1500, 1500] {
+        assert_eq!(backoff.ceiling(), Duration::from_millis(millis));
+        backoff.next_delay(&mut rng);
+    }
+    backoff.reset();
+    assert_eq!(backoff.ceiling(), config.base);
+}
+
+#[test]
+fn no_herd_after_an_outage() {
+    let config = BackoffConfig::default();
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut slices = [0_usize; SLICES];
+    for _ in 0..CLIENTS {
+        let mut backoff = Backoff::new(config);
+        for _ in 0..10 {
+            backoff.next_delay(&mut rng);
+        }
+        let delay = backoff.next_delay(&mut rng);
+        let at = delay.as_nanos() * SLICES as u128 / (config.cap.as_nanos() + 1);
+        slices[at as usize] += 1;
+    }
+    // An even spread puts a tenth in each slice; a fifth more or less is far beyond chance.
+    let even = CLIENTS / SLICES;
+    for count in slices {
+        assert!(count.abs_diff(even) < even / 5, "{slices:?}");
+    }
+}
+
+quickcheck! {
+    fn delay_never_exceeds_its_ceiling(base: u32, cap: u32, failures: u8, seed: u64) -> bool {
+        let config = BackoffConfig {
+            base: Duration::from_micros(u64::from(base)),
+            cap: Duration::from_micros(u64::from(cap)),
+        };
+        let mut backoff = Backoff::new(config);
+        let mut rng = StdRng::seed_from_u64(seed);
+        (0..=failures).all(|_| {
+            let ceiling = backoff.ceiling();
+            ceiling <= config.cap && backoff.next_delay(&mut rng) <= ceiling
+        })
+    }
+}
--- /dev/null
+++ b/crates/retry/tests/testsuite/budget.rs
@@ -0,0 +1,89 @@
+//! The budget keeps retries within their share of the traffic.
+
+use primrose_retry::Budget;
+use primrose_retry::BudgetConfig;
+use quickcheck::quickcheck;
+
+struct Case {
+    name: &'static str,
+    config: BudgetConfig,
+    attempts: u32,
+    retries: u64,
+}
+
+#[test]
+fn allows_the_stated_share() {
+    let cases = [
+        Case {
+            name: "a tenth",
+            config: BudgetConfig {
+                permille: 100,
+                burst: 100,
+            },
+            attempts: 95,
+            retries: 9,
+        },
+        Case {
+            name: "capped after a long quiet time",
+            config: BudgetConfig {
+                permille: 100,
+                burst: 3,
+            },
+            attempts: 100_000,
+            retries: 3,
+        },
+        Case {
+            name: "no share, no retry",
+            config: BudgetConfig {
+                permille: 0,
+                burst: 3,
+            },
+            attempts: 1000,
+            retries: 0,
+        },
+        Case {
+            name: "empty at the start",
+            config: BudgetConfig::default(),
+            attempts: 0,
+            retries: 0,
+        },
+    ];
+    for case in cases {
+        let mut budget = Budget::new(case.config);
+        for _ in 0..case.attempts {
+            budget.record_attempt();
+        }
+        assert_eq!(budget.available(), case.retries, "{}", case.name);
+        let taken = (0..200).filter(|_| budget.try_retry()).count();
+        assert_eq!(taken as u64, case.retries, "{}", case.name);
+    }
+}
+
+quickcheck! {
+    /// Over any interleaving, and any stretch of it, retries stay within the share plus the burst;
+    /// from the start they stay within the share alone.
+    fn share_holds_over_any_stretch(steps: Vec<bool>, permille: u16, burst: u8) -> bool {
+        let config = BudgetConfig { permille: u32::from(permille), burst: u32::from(burst) };
+        let mut budget = Budget::new(config);
+        let mut counts = vec![(0_u64, 0_u64)];
+        let mut attempts = 0;
+        let mut retries = 0;
+        for retry in steps {
+            if !retry {
+                budget.record_attempt();
+                attempts += 1;
+            } else if budget.try_retry() {
+                retries += 1;
+            }
+            counts.push((attempts, retries));
+        }
+        let share = u64::from(permille);
+        let prefix = counts.iter().all(|(a, r)| r * 1000 <= a * share);
+        let stretch = counts.iter().enumerate().all(|(i, (a0, r0))| {
+            counts[i..].iter().all(|(a, r)| {
+                (r - r0) * 1000 <= (a - a0) * share + u64::from(burst) * 1000
+            })
+        });
+        prefix && stretch
+    }
+}
--- /dev/null
+++ b/crates/retry/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the retry budget and the backoff.
+
+mod backoff;
+mod budget;
