--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -49,6 +49,12 @@
     /// The idempotency key was used with another body.
     #[display("key-reused")]
     KeyReused,
+    /// It is not known whether an earlier request with the idempotency key ran.
+    #[display("outcome-unknown")]
+    OutcomeUnknown,
+    /// The idempotency key was closed without a run.
+    #[display("key-closed")]
+    KeyClosed,
     /// Another attempt with the same idempotency key is under way.
     #[display("in-progress")]
     InProgress,
@@ -79,7 +85,7 @@
             Self::BadRequest => 400,
             Self::Unauthenticated => 401,
             Self::NoRoute => 404,
-            Self::InProgress => 409,
+            Self::InProgress | Self::OutcomeUnknown | Self::KeyClosed => 409,
             Self::TooLarge => 413,
             Self::KeyRequired | Self::KeyReused | Self::Poison => 422,
             Self::QueueFull => 429,
