Add the borders towards the key-value service and the host list

The fleet sees the platform only through two trait objects. The border tells a call that was surely not applied from one whose reply was lost, because claims and table changes settle the second by reading back. The in-memory store plans faults by call number, so that a test can cause any of them at any step.

--- /dev/null
+++ b/crates/platform/src/memory/mod.rs
@@ -0,0 +1,15 @@
+//! A key-value service in memory, for tests that need no sockets.
+//!
+//! [`State`] is the plain state of such a service: what [`MemoryStore`] keeps, and what the HTTP
+//! stand-in of the `primrose-standin` crate serves. [`MemoryStore`] adds faults, each of them set by
+//! hand for a numbered call, so that a test can cause any fault at any step.
+
+mod faults;
+mod hosts;
+mod state;
+mod store;
+
+pub use faults::Fault;
+pub use hosts::MemoryHosts;
+pub use state::State;
+pub use store::MemoryStore;
--- /dev/null
+++ b/crates/platform/src/memory/store.rs
@@ -0,0 +1,251 @@
+//! The in-memory store: plain state, faults by call number, and counters.
+
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use primrose_core::clock::Clock;
+
+use super::faults::Plan;
+use super::Fault;
+use super::State;
+use crate::store::check_key;
+use crate::store::check_ops;
+use crate::store::CommitResult;
+use crate::store::Entry;
+use crate::store::LeaseEndedSnafu;
+use crate::store::LeaseId;
+use crate::store::LostSnafu;
+use crate::store::Op;
+use crate::store::Result;
+use crate::store::Store;
+use crate::store::UnavailableSnafu;
+use crate::store::Version;
+
+/// How often a waiting watch looks whether a lease has ended by the passed-in clock.
+const EXPIRY_CHECK: Duration = Duration::from_millis(10);
+
+/// A write that the service applies late.
+#[derive(Debug)]
+struct LateWrite {
+    due: u64,
+    write: Write,
+}
+
+#[derive(Debug, Clone)]
+enum Write {
+    Commit(Vec<Op>),
+    Lease(Duration),
+    Renew(LeaseId),
+    Revoke(LeaseId),
+}
+
+/// What a write gave.
+enum Effect {
+    Commit(CommitResult),
+    Lease(LeaseId),
+    Renewed(bool),
+    Revoked,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    state: State,
+    plan: Plan,
+    late: Vec<LateWrite>,
+    calls: u64,
+}
+
+/// A [`Store`] in memory whose faults a test sets by hand.
+pub struct MemoryStore {
+    clock: Arc<dyn Clock>,
+    inner: Mutex<Inner>,
+    changed: Condvar,
+}
+
+impl MemoryStore {
+    /// Makes an empty store; leases end by this clock.
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        Self {
+            clock,
+            inner: Mutex::default(),
+            changed: Condvar::new(),
+        }
+    }
+
+    /// Returns how many calls have arrived; a waiting watch counts as one, a refused call as one.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// Refuses every call from now on, or ends that.
+    pub fn set_down(&self, down: bool) {
+        self.lock().plan.set_down(down);
+        self.changed.notify_all();
+    }
+
+    /// Plans a fault for a call that is yet to come: 1 is the next one.
+    pub fn fault_in(&self, calls: u64, fault: Fault) {
+        let mut inner = self.lock();
+        let call = inner.calls + calls;
+        inner.plan.add(call, fault);
+    }
+
+    /// Returns a copy of everything the service holds.
+    pub fn copy(&self) -> State {
+        self.lock().state.clone()
+    }
+
+    /// Puts an earlier copy in the place of what the service holds.
+    pub fn restore(&self, copy: State) {
+        self.lock().state = copy;
+        self.changed.notify_all();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("store lock poisoned")
+    }
+
+    /// Counts a call, applies what is due, and returns the call's fault.
+    fn enter(&self) -> (MutexGuard<'_, Inner>, Option<Fault>) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner.calls += 1;
+        let calls = inner.calls;
+        let mut changed = inner.state.expire(now);
+        let (due, waiting) = inner.late.drain(..).partition(|late| late.due < calls);
+        inner.late = waiting;
+        let due: Vec<LateWrite> = due;
+        for late in due {
+            inner.state.run(&late.write, now);
+            changed = true;
+        }
+        if changed {
+            self.changed.notify_all();
+        }
+        let fault = inner.plan.take(calls);
+        (inner, fault)
+    }
+
+    fn read<T>(&self, read: impl FnOnce(&State) -> T) -> Result<T> {
+        let (inner, fault) = self.enter();
+        match fault {
+            None => Ok(read(&inner.state)),
+            Some(fault) => unavailable(fault),
+        }
+    }
+
+    fn write(&self, write: &Write) -> Result<Effect> {
+        let (mut inner, fault) = self.enter();
+        let now = self.clock.now();
+        match fault {
+            None => {
+                let effect = inner.state.run(write, now);
+                self.changed.notify_all();
+                Ok(effect)
+            }
+            Some(Fault::Refused) => unavailable(Fault::Refused),
+            Some(Fault::LostBefore) => lost(),
+            Some(Fault::LostAfter) => {
+                inner.state.run(write, now);
+                self.changed.notify_all();
+                lost()
+            }
+            Some(Fault::Late(calls)) => {
+                let due = inner.calls + calls;
+                let write = write.clone();
+                inner.late.push(LateWrite { due, write });
+                lost()
+            }
+        }
+    }
+}
+
+impl State {
+    fn run(&mut self, write: &Write, now: Duration) -> Effect {
+        match write {
+            Write::Commit(ops) => Effect::Commit(self.commit(ops)),
+            Write::Lease(ttl) => Effect::Lease(self.lease(*ttl, now)),
+            Write::Renew(lease) => Effect::Renewed(self.renew(lease, now)),
+            Write::Revoke(lease) => {
+                self.revoke(lease);
+                Effect::Revoked
+            }
+        }
+    }
+}
+
+impl Store for MemoryStore {
+    fn get(&self, key: &str) -> Result<Option<Entry>> {
+        check_key(key)?;
+        self.read(|state| state.get(key).cloned())
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<Entry>> {
+        self.read(|state| state.list(prefix))
+    }
+
+    fn commit(&self, ops: &[Op]) -> Result<CommitResult> {
+        check_ops(ops)?;
+        match self.write(&Write::Commit(ops.to_vec()))? {
+            Effect::Commit(result) => Ok(result),
+            _ => unreachable!("a commit gives a commit's result"),
+        }
+    }
+
+    fn watch(&self, key: &str, after: Version, wait: Duration) -> Result<Option<Entry>> {
+        check_key(key)?;
+        let (mut inner, fault) = self.enter();
+        if let Some(fault) = fault {
+            return unavailable(fault);
+        }
+        let end = Instant::now() + wait;
+        loop {
+            if inner.plan.is_down() {
+                return unavailable(Fault::Refused);
+            }
+            inner.state.expire(self.clock.now());
+            let entry = inner.state.get(key).cloned();
+            let version = entry.as_ref().map_or(0, |found| found.version);
+            let left = end.saturating_duration_since(Instant::now());
+            if version != after || left.is_zero() {
+                return Ok(entry);
+            }
+            let pause = left.min(EXPIRY_CHECK);
+            let woken = self.changed.wait_timeout(inner, pause);
+            inner = woken.expect("store lock poisoned").0;
+        }
+    }
+
+    fn lease(&self, ttl: Duration) -> Result<LeaseId> {
+        match self.write(&Write::Lease(ttl))? {
+            Effect::Lease(lease) => Ok(lease),
+            _ => unreachable!("a lease gives its id"),
+        }
+    }
+
+    fn renew(&self, lease: &str) -> Result<()> {
+        match self.write(&Write::Renew(lease.to_owned()))? {
+            Effect::Renewed(true) => Ok(()),
+            _ => LeaseEndedSnafu { lease }.fail(),
+        }
+    }
+
+    fn revoke(&self, lease: &str) -> Result<()> {
+        self.write(&Write::Revoke(lease.to_owned()))?;
+        Ok(())
+    }
+}
+
+fn unavailable<T>(fault: Fault) -> Result<T> {
+    let detail = format!("fault set by the test: {fault:?}");
+    UnavailableSnafu { detail }.fail()
+}
+
+fn lost<T>() -> Result<T> {
+    let detail = "fault set by the test";
+    LostSnafu { detail }.fail()
+}
--- /dev/null
+++ b/crates/platform/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the platform's borders.
+
+mod memory;
--- /dev/null
+++ b/crates/platform/tests/testsuite/memory.rs
@@ -0,0 +1,183 @@
+//! The in-memory store keeps the border's promises, faults included.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use primrose_platform::memory::Fault;
+use primrose_platform::memory::MemoryStore;
+use primrose_platform::store::CommitResult;
+use primrose_platform::store::Op;
+use primrose_platform::store::Store;
+use primrose_platform::store::StoreError;
+use primrose_support::clock::FakeClock;
+
+const TTL: Duration = Duration::from_secs(10);
+const LONG_WAIT: Duration = Duration::from_secs(20);
+
+fn store() -> (Arc<FakeClock>, Arc<MemoryStore>) {
+    let clock = Arc::new(FakeClock::new());
+    (clock.clone(), Arc::new(MemoryStore::new(clock)))
+}
+
+fn conflict(result: CommitResult) -> usize {
+    match result {
+        CommitResult::Conflict(conflict) => conflict.op,
+        CommitResult::Applied(written) => panic!("applied: {written:?}"),
+    }
+}
+
+fn applied(result: CommitResult) -> u64 {
+    match result {
+        CommitResult::Applied(written) => written.first().map_or(0, |first| first.version),
+        CommitResult::Conflict(conflict) => panic!("conflict: {conflict}"),
+    }
+}
+
+#[test]
+fn a_commit_names_its_failing_operation_and_changes_nothing() {
+    let (_, store) = store();
+    let version = applied(store.commit(&[Op::create("a", vec![1])]).unwrap());
+    struct Case {
+        name: &'static str,
+        ops: Vec<Op>,
+        failing: usize,
+    }
+    let cases = [
+        Case {
+            name: "create of an existing key",
+            ops: vec![Op::create("b", vec![]), Op::create("a", vec![])],
+            failing: 1,
+        },
+        Case {
+            name: "swap at an old version",
+            ops: vec![
+                Op::create("b", vec![]),
+                Op::create("c", vec![]),
+                Op::swap("a", vec![2], version + 1),
+            ],
+            failing: 2,
+        },
+        Case {
+            name: "delete of an absent key",
+            ops: vec![Op::Delete {
+                key: "x".into(),
+                version: 3,
+            }],
+            failing: 0,
+        },
+        Case {
+            name: "hold under an unknown lease",
+            ops: vec![Op::create("b", vec![]), Op::hold("h", vec![], "none")],
+            failing: 1,
+        },
+        Case {
+            name: "check of an absent key",
+            ops: vec![
+                Op::create("b", vec![]),
+                Op::Check {
+                    key: "x".into(),
+                    version: 1,
+                },
+            ],
+            failing: 1,
+        },
+    ];
+    for case in cases {
+        let result = store.commit(&case.ops).unwrap();
+        assert_eq!(conflict(result), case.failing, "{}", case.name);
+        assert_eq!(store.list("").unwrap().len(), 1, "{}", case.name);
+    }
+}
+
+#[test]
+fn faults_have_the_effect_they_name() {
+    struct Case {
+        fault: Fault,
+        lost: bool,
+        there: bool,
+    }
+    let cases = [
+        Case {
+            fault: Fault::Refused,
+            lost: false,
+            there: false,
+        },
+        Case {
+            fault: Fault::LostBefore,
+            lost: true,
+            there: false,
+        },
+        Case {
+            fault: Fault::LostAfter,
+            lost: true,
+            there: true,
+        },
+        Case {
+            fault: Fault::Late(1),
+            lost: true,
+            there: false,
+        },
+    ];
+    for case in cases {
+        let (_, store) = store();
+        store.fault_in(1, case.fault);
+        let error = store.commit(&[Op::create("a", vec![1])]).unwrap_err();
+        let lost = matches!(error, StoreError::Lost { .. });
+        assert_eq!(lost, case.lost, "{:?}", case.fault);
+        let there = store.get("a").unwrap().is_some();
+        assert_eq!(there, case.there, "{:?}", case.fault);
+        assert_eq!(store.calls(), 2, "{:?}", case.fault);
+    }
+}
+
+#[test]
+fn a_late_write_takes_effect_after_the_calls_it_names() {
+    let (_, store) = store();
+    store.fault_in(1, Fault::Late(1));
+    store.commit(&[Op::create("a", vec![1])]).unwrap_err();
+    assert!(store.get("a").unwrap().is_none());
+    assert!(store.get("a").unwrap().is_some());
+}
+
+#[test]
+fn a_lease_that_ends_frees_its_key_and_the_fence_grows_with_each_holder() {
+    let (clock, store) = store();
+    let first = store.lease(TTL).unwrap();
+    let second = store.lease(TTL).unwrap();
+    store
+        .commit(&[Op::hold("h", vec![1], first.as_str())])
+        .unwrap();
+    let taken = store.commit(&[Op::hold("h", vec![2], second.as_str())]);
+    assert_eq!(conflict(taken.unwrap()), 0);
+    assert_eq!(store.get("h").unwrap().unwrap().fence, 1);
+
+    clock.advance(TTL / 2);
+    store.renew(&second).unwrap();
+    clock.advance(TTL / 2);
+    let ended = store.renew(&first).unwrap_err();
+    assert!(matches!(ended, StoreError::LeaseEnded { .. }));
+    let taken = store.commit(&[Op::hold("h", vec![2], second.as_str())]);
+    applied(taken.unwrap());
+    let entry = store.get("h").unwrap().unwrap();
+    assert_eq!((entry.fence, entry.lease), (2, Some(second)));
+}
+
+#[test]
+fn a_watch_returns_on_change_on_deletion_and_on_a_restored_copy() {
+    let (_, store) = store();
+    let empty = store.copy();
+    let waiting = {
+        let store = store.clone();
+        thread::spawn(move || store.watch("a", 0, LONG_WAIT))
+    };
+    let version = applied(store.commit(&[Op::create("a", vec![1])]).unwrap());
+    let seen = waiting.join().unwrap().unwrap();
+    assert_eq!(seen.unwrap().version, version);
+
+    store.restore(empty);
+    assert_eq!(store.watch("a", version, LONG_WAIT).unwrap(), None);
+    store.set_down(true);
+    let down = store.watch("a", 0, LONG_WAIT).unwrap_err();
+    assert!(matches!(down, StoreError::Unavailable { .. }));
+}
