Serve callers and drive request lifecycles over hyper

Cause: the whole path needs a listener whose token streams leave event by event and that notices a caller going away while its request waits. Conclusion: the daemon can now put a broker behind it.

--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -4,75 +4,57 @@
 //! its timers at once, hands each event to the lifecycle and carries out what comes back. It takes
 //! no decision about outcomes itself.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
-use bytes::Bytes;
 use http::Response;
 use primrose_core::clock::Mono;
-use primrose_core::outcome::Outcome;
-use primrose_request::Action;
 use primrose_request::ClaimReply;
 use primrose_request::ConnEvent;
 use primrose_request::ConnId;
 use primrose_request::Event;
 use primrose_request::Lifecycle;
-use primrose_request::Part;
-use primrose_request::Verdict;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use crate::attempt;
 use crate::attempt::Call;
-use crate::attempt::Load;
 use crate::attempt::Note;
 use crate::broker::Ask;
-use crate::broker::Ended;
 use crate::broker::Inbox;
-use crate::broker::Overloaded;
-use crate::broker::Report;
 use crate::broker::StoredAnswer;
 use crate::broker::Told;
 use crate::caller::Caller;
 use crate::hold::Answer;
 use crate::job::Job;
 use crate::meter::Meter;
-use crate::reply;
 use crate::reply::Body;
-use crate::reply::Failure;
 use crate::shared::ActiveGuard;
 use crate::shared::Shared;
 
 /// Messages of the broker that may wait for one request.
 const INBOX: usize = 16;
 /// Notes of a connection that may wait for one request; a slow caller stops the reading here.
-const NOTES: usize = 16;
-/// Pause before an ask that found no room is made again.
-const ASK_PAUSE: Duration = Duration::from_millis(1);
-/// Retry hint of a request that the router has no room to queue.
-const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
-/// Longest time for the call that stops a run at a server.
-const CANCEL_TIME: Duration = Duration::from_secs(2);
+pub(crate) const NOTES: usize = 16;
 
 /// A connection task in use.
-struct Open {
-    conn: ConnId,
-    task: tokio::task::AbortHandle,
+pub(crate) struct Open {
+    pub(crate) conn: ConnId,
+    pub(crate) task: tokio::task::AbortHandle,
     /// Lets the task send the request.
-    go: Option<oneshot::Sender<()>>,
+    pub(crate) go: Option<oneshot::Sender<()>>,
 }
 
 /// Something to do after a wait.
-enum Later {
+pub(crate) enum Later {
     Enqueue(Box<Ask>),
     Connect(Box<Call>),
 }
 
-struct Delayed {
-    due: Mono,
-    what: Later,
+pub(crate) struct Delayed {
+    pub(crate) due: Mono,
+    pub(crate) what: Later,
 }
 
 /// What woke the driver.
@@ -88,23 +70,25 @@
 
 /// One request under way.
 pub(crate) struct Driver {
-    life: Lifecycle,
-    job: Job,
-    shared: Arc<Shared>,
-    caller: Caller,
-    answer: Answer,
-    meter: Meter,
-    inbox_end: Inbox,
-    inbox: mpsc::Receiver<Told>,
-    notes_end: mpsc::Sender<Note>,
-    notes: mpsc::Receiver<Note>,
-    open: Option<Open>,
-    delayed: Option<Delayed>,
-    stored: Option<StoredAnswer>,
-    deadline: Option<Mono>,
-    run_limit: Option<Mono>,
-    cut: watch::Receiver<bool>,
-    caller_left: bool,
+    pub(crate) life: Lifecycle,
+    pub(crate) job: Job,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) caller: Caller,
+    pub(crate) answer: Answer,
+    pub(crate) meter: Meter,
+    pub(crate) inbox_end: Inbox,
+    pub(crate) inbox: mpsc::Receiver<Told>,
+    pub(crate) notes_end: mpsc::Sender<Note>,
+    pub(crate) notes: mpsc::Receiver<Note>,
+    pub(crate) open: Option<Open>,
+    /// Server of the latest connection.
+    pub(crate) addr: Option<SocketAddr>,
+    pub(crate) delayed: Option<Delayed>,
+    pub(crate) stored: Option<StoredAnswer>,
+    pub(crate) deadline: Option<Mono>,
+    pub(crate) run_limit: Option<Mono>,
+    pub(crate) cut: watch::Receiver<bool>,
+    pub(crate) caller_left: bool,
     _active: ActiveGuard,
 }
 
@@ -127,6 +111,7 @@
             notes_end,
             notes,
             open: None,
+            addr: None,
             delayed: None,
             stored: None,
             deadline: Some(job.arrived + job.spec.route.deadline),
@@ -147,7 +132,7 @@
             self.take(wake).await;
         }
         self.drain_inbox().await;
-        self.close();
+        self.disconnect();
     }
 
     /// Answers for grants that were on their way while the request ended.
@@ -259,206 +244,6 @@
             }
         }
     }
-
-    async fn act(&mut self, action: Action) {
-        match action {
-            Action::Claim => self.ask_claim().await,
-            Action::ReleaseClaim => self.release().await,
-            Action::Settle(settlement) => self.settle(settlement).await,
-            Action::Enqueue {
-                attempt,
-                delay,
-                suspect,
-                avoid,
-            } => {
-                let mut waiting = self.job.waiting(attempt, self.shared.clock.now());
-                waiting.suspect = suspect;
-                waiting.avoid = avoid;
-                let inbox = self.inbox_end.clone();
-                self.later(delay, Later::Enqueue(Box::new(Ask::Enqueue { waiting, inbox })))
-                    .await;
-            }
-            Action::Withdraw { attempt } => {
-                self.delayed = None;
-                let pool = self.job.pool.name.clone();
-                self.deliver(Ask::Withdraw { attempt, pool }).await;
-            }
-            Action::Open { conn, addr, .. } => {
-                let call = self.job.call(conn, addr, self.shared.limits.idle_time);
-                self.connect(call);
-            }
-            Action::Send { conn } => self.send(conn),
-            Action::Resume {
-                conn,
-                addr,
-                after,
-                delay,
-                ..
-            } => {
-                let idle = self.shared.limits.idle_time;
-                let call = self.job.resume_call(conn, addr, after, idle);
-                self.later(delay, Later::Connect(Box::new(call))).await;
-            }
-            Action::Disconnect { .. } => self.disconnect(),
-            Action::Cancel { conn } => self.cancel(conn),
-            Action::AskRetry { attempt, stage } => {
-                let ask = Ask::Retry {
-                    attempt,
-                    pool: self.job.pool.name.clone(),
-                    fingerprint: self.job.spec.fingerprint,
-                    stage,
-                    inbox: self.inbox_end.clone(),
-                };
-                self.deliver(ask).await;
-            }
-            Action::Hold { .. } => self.answer.hold(),
-            Action::DropHeld => self.answer.drop_held(),
-            Action::Forward(part) => self.forward(part),
-            Action::Report {
-                attempt,
-                server,
-                result,
-            } => {
-                self.run_limit = None;
-                let report = Report {
-                    attempt,
-                    pool: self.job.pool.name.clone(),
-                    server,
-                    account: self.job.spec.account.clone(),
-                    fingerprint: self.job.spec.fingerprint,
-                    result,
-                    tokens: self.meter.tokens(),
-                    first_token: self.meter.first_token(),
-                    inter_token: self.meter.inter_token(),
-                };
-                self.deliver(Ask::Report(report)).await;
-            }
-            Action::Finish(verdict) => self.finish(verdict).await,
-        }
-    }
-
-    async fn later(&mut self, delay: Duration, what: Later) {
-        if !delay.is_zero() {
-            let due = self.shared.clock.now() + delay;
-            self.delayed = Some(Delayed { due, what });
-            return;
-        }
-        match what {
-            Later::Enqueue(ask) => self.enqueue(*ask).await,
-            Later::Connect(call) => self.connect(*call),
-        }
-    }
-
-    async fn enqueue(&mut self, ask: Ask) {
-        self.meter.queued(self.shared.clock.now());
-        let Err(Overloaded { ask }) = self.shared.broker.ask(ask) else {
-            return;
-        };
-        if let Ask::Enqueue { waiting, inbox } = *ask {
-            let refused = Event::QueueRefused {
-                attempt: waiting.attempt,
-                code: primrose_core::outcome::ErrorCode::QueueFull,
-                retry_after: Some(OVERLOAD_RETRY),
-            };
-            // The inbox has room: nothing has been granted to this attempt.
-            let _ = inbox.try_send(Told::Event(refused));
-        }
-    }
-
-    /// Hands over an ask that must not be lost.
-    async fn deliver(&self, ask: Ask) {
-        let mut ask = ask;
-        while let Err(overloaded) = self.shared.broker.ask(ask) {
-            ask = *overloaded.ask;
-            sleep(ASK_PAUSE).await;
-        }
-    }
-
-    async fn ask_claim(&mut self) {
-        if let Some(name) = self.job.claim() {
-            let inbox = self.inbox_end.clone();
-            self.deliver(Ask::Claim { name, inbox }).await;
-        }
-    }
-
-    async fn release(&mut self) {
-        if let Some(name) = self.job.claim() {
-            self.deliver(Ask::Release { name }).await;
-        }
-    }
-
-    async fn settle(&mut self, settlement: primrose_request::Settlement) {
-        if let Some(name) = self.job.claim() {
-            let answer = self.answer.stored(settlement);
-            self.deliver(Ask::Settle {
-                name,
-                settlement,
-                answer,
-            })
-            .await;
-        }
-    }
-
-    fn connect(&mut self, call: Call) {
-        self.disconnect();
-        let conn = call.conn;
-        let (go, wait) = oneshot::channel();
-        let task = tokio::spawn(attempt::run(
-            call,
-            Arc::clone(&self.shared.connections),
-            self.notes_end.clone(),
-            wait,
-        ));
-        self.open = Some(Open {
-            conn,
-            task: task.abort_handle(),
-            go: Some(go),
-        });
-    }
-
-    fn send(&mut self, conn: ConnId) {
-        let now = self.shared.clock.now();
-        self.meter.sent(now);
-        self.run_limit = Some(now + self.job.pool.longest_run);
-        let open = self.open.as_mut().filter(|open| open.conn == conn);
-        if let Some(go) = open.and_then(|open| open.go.take()) {
-            // If the task has just failed, its note says so.
-            let _ = go.send(());
-        }
-    }
-
-    fn disconnect(&mut self) {
-        if let Some(open) = self.open.take() {
-            open.task.abort();
-        }
-        if matches!(
-            &self.delayed,
-            Some(Delayed {
-                what: Later::Connect(_),
-                ..
-            })
-        ) {
-            self.delayed = None;
-        }
-    }
-
-    /// Closes the connection, and tells an engine to stop in case it goes on without one.
-    fn cancel(&mut self, conn: ConnId) {
-        self.disconnect();
-        let Some(grant) = self.life_addr() else {
-            return;
-        };
-        let call = self.job.cancel_call(conn, grant);
-        let connections = Arc::clone(&self.shared.connections);
-        tokio::spawn(async move {
-            let (notes, _ignored) = mpsc::channel(NOTES);
-            let (go, wait) = oneshot::channel();
-            let _ = go.send(());
-            let stopped = attempt::run(call, connections, notes, wait);
-            // Engines also stop by the closed connection; this call only makes sure.
-            let _ = tokio::time::timeout(CANCEL_TIME, stopped).await;
-        });
-    }
 }
 
 async fn until(due: Option<Mono>, now: Mono) {
--- /dev/null
+++ b/crates/front/src/hold.rs
@@ -0,0 +1,150 @@
+//! The answer as it has come from the backend server: its head, what is held, what is kept.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use primrose_request::ConnEvent;
+use primrose_request::Seq;
+use primrose_request::Settlement;
+
+use crate::attempt::Load;
+use crate::attempt::EVENT_STREAM;
+use crate::attempt::STREAM_END;
+use crate::broker::StoredAnswer;
+use crate::caller::Head;
+
+/// Largest answer that is stored with a claim, in bytes.
+const STORED_BYTES: usize = 64 << 10;
+
+/// What has come of the answer.
+#[derive(Debug, Default)]
+pub(crate) struct Answer {
+    media: String,
+    /// The part that the latest event brought.
+    latest: Bytes,
+    /// Parts that the lifecycle holds back.
+    held: Vec<Bytes>,
+    held_bytes: usize,
+    /// Everything so far, as it would be stored with a claim; `None` once too large.
+    kept: Kept,
+    /// Head that is to go out with the next part.
+    pub(crate) head: Option<Head>,
+    /// Parts that are to go out.
+    pub(crate) ready: Vec<Bytes>,
+    /// The caller does not read any more.
+    pub(crate) unread: bool,
+}
+
+#[derive(Debug, Default)]
+struct Kept {
+    bytes: BytesMut,
+    overflow: bool,
+}
+
+impl Kept {
+    fn push(&mut self, part: &Bytes) {
+        if self.bytes.len() + part.len() > STORED_BYTES {
+            self.overflow = true;
+        }
+        if !self.overflow {
+            self.bytes.extend_from_slice(part);
+        }
+    }
+}
+
+impl Answer {
+    /// Takes in what came with an event.
+    pub(crate) fn receive(&mut self, event: ConnEvent, load: Load) {
+        self.latest = match load {
+            Load::None => return,
+            Load::Type(media) => {
+                self.media = media;
+                return;
+            }
+            Load::Event(data) => render_event(event, &data),
+            Load::Block(block) => block,
+        };
+    }
+
+    /// Whether the answer is a token stream.
+    pub(crate) fn streams(&self) -> bool {
+        self.media.starts_with(EVENT_STREAM)
+    }
+
+    /// Whether more is held than the limit allows.
+    pub(crate) fn exceeds(&self, limit: usize) -> bool {
+        self.held_bytes > limit
+    }
+
+    pub(crate) fn set_head(&mut self, status: u16) {
+        self.head = Some(Head {
+            status,
+            media: self.media.clone(),
+        });
+    }
+
+    pub(crate) fn hold(&mut self) {
+        let part = std::mem::take(&mut self.latest);
+        self.kept.push(&part);
+        self.held_bytes += part.len();
+        self.held.push(part);
+    }
+
+    pub(crate) fn drop_held(&mut self) {
+        self.held.clear();
+        self.held_bytes = 0;
+        self.kept = Kept::default();
+    }
+
+    pub(crate) fn release_latest(&mut self) {
+        let part = std::mem::take(&mut self.latest);
+        self.kept.push(&part);
+        self.ready.push(part);
+    }
+
+    pub(crate) fn release_held(&mut self) {
+        self.held_bytes = 0;
+        self.ready.append(&mut self.held);
+    }
+
+    /// Returns the answer as it is stored with a claim.
+    pub(crate) fn stored(&self, settlement: Settlement) -> Option<StoredAnswer> {
+        let Settlement::Done { status } = settlement else {
+            return None;
+        };
+        let mut body = self.kept.bytes.clone();
+        if self.streams() {
+            body.extend_from_slice(&stream_end());
+        }
+        Some(StoredAnswer {
+            status,
+            content_type: self.media.clone(),
+            body: (!self.kept.overflow).then(|| body.freeze()),
+        })
+    }
+}
+
+/// Renders one event of a token stream with its number, by which a caller can ask for the rest.
+fn render_event(event: ConnEvent, data: &str) -> Bytes {
+    let seq: Seq = match event {
+        ConnEvent::Item { seq } => seq,
+        _ => 0,
+    };
+    let mut text = format!("id: {seq}\n");
+    for line in data.split('\n') {
+        text.push_str("data: ");
+        text.push_str(line);
+        text.push('\n');
+    }
+    text.push('\n');
+    Bytes::from(text)
+}
+
+/// Renders the event that ends a whole token stream.
+pub(crate) fn stream_end() -> Bytes {
+    Bytes::from(format!("data: {STREAM_END}\n\n"))
+}
+
+/// Renders the event that ends a token stream which is not whole.
+pub(crate) fn stream_error(json: &str) -> Bytes {
+    Bytes::from(format!("event: error\ndata: {json}\n\n"))
+}
--- a/crates/front/src/listen.rs
+++ b/crates/front/src/listen.rs
@@ -42,7 +42,7 @@
         };
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|drained| *drained) => return,
+            () = turned(&mut stop) => return,
         };
         match accepted {
             Ok((stream, peer)) => {
@@ -91,7 +91,7 @@
         tokio::pin!(served);
         let ended = tokio::select! {
             ended = served.as_mut() => ended,
-            _ = drain.wait_for(|drained| *drained) => {
+            () = turned(&mut drain) => {
                 // Lets the request in flight end, then closes.
                 served.as_mut().graceful_shutdown();
                 served.await
@@ -102,3 +102,9 @@
         }
     }
 }
+
+/// Returns when the flag is true or its owner is gone.
+async fn turned(flag: &mut watch::Receiver<bool>) {
+    // The guard must not be held across the caller's next wait.
+    let _ = flag.wait_for(|set| *set).await.map(|_| ());
+}
--- /dev/null
+++ b/crates/front/src/meter.rs
@@ -0,0 +1,146 @@
+//! Times and token counts of one request: its hops in the trace, and what the dispatcher is told.
+
+use std::time::Duration;
+
+use primrose_core::clock::Mono;
+use primrose_core::cost::Tokens;
+use primrose_core::id::RequestId;
+use primrose_request::ConnEvent;
+use primrose_request::Event;
+
+use crate::trace::Trace;
+
+/// Time between two reports of progress.
+const PROGRESS_TIME: Duration = Duration::from_millis(250);
+
+/// Measures one request.
+#[derive(Debug)]
+pub(crate) struct Meter {
+    trace: Trace,
+    request: RequestId,
+    arrived: Mono,
+    queued: Option<Mono>,
+    granted: Option<Mono>,
+    sent: Option<Mono>,
+    first: Option<Mono>,
+    last: Option<Mono>,
+    items: u32,
+    reported: Mono,
+    tokens: Tokens,
+    /// Time from arrival to the first item of any attempt.
+    first_part: Option<Duration>,
+}
+
+impl Meter {
+    pub(crate) fn new(trace: Trace, request: RequestId, arrived: Mono) -> Self {
+        Self {
+            trace,
+            request,
+            arrived,
+            queued: None,
+            granted: None,
+            sent: None,
+            first: None,
+            last: None,
+            items: 0,
+            reported: arrived,
+            tokens: Tokens::default(),
+            first_part: None,
+        }
+    }
+
+    /// A new attempt waits for a slot; what was measured of an earlier one is forgotten.
+    pub(crate) fn queued(&mut self, now: Mono) {
+        self.queued = Some(now);
+        self.sent = None;
+        self.first = None;
+        self.last = None;
+        self.items = 0;
+        self.tokens = Tokens::default();
+    }
+
+    /// Notes events that begin or end a hop.
+    pub(crate) fn lifecycle(&mut self, event: &Event, now: Mono) {
+        match event {
+            Event::Granted(_) => {
+                if let Some(start) = self.queued.take() {
+                    self.hop("queue", start, now);
+                    metrics::histogram!("primrose_queue_seconds")
+                        .record(now.saturating_sub(start).as_secs_f64());
+                    self.granted = Some(now);
+                }
+            }
+            Event::Claim(_) => self.hop("claim", self.arrived, now),
+            _ => {}
+        }
+    }
+
+    /// The request goes out on an open connection.
+    pub(crate) fn sent(&mut self, now: Mono) {
+        if let Some(start) = self.granted.take() {
+            self.hop("connect", start, now);
+        }
+        self.sent = Some(now);
+    }
+
+    /// Notes what a connection brought.
+    pub(crate) fn observe(&mut self, event: ConnEvent, tokens: Tokens, now: Mono) {
+        self.tokens = tokens;
+        if !matches!(event, ConnEvent::Item { .. }) {
+            return;
+        }
+        self.items += 1;
+        self.last = Some(now);
+        if self.first.is_some() {
+            return;
+        }
+        self.first = Some(now);
+        if let Some(start) = self.sent {
+            self.hop("first-token", start, now);
+        }
+        let part = now.saturating_sub(self.arrived);
+        if self.first_part.is_none() {
+            metrics::histogram!("primrose_first_token_seconds").record(part.as_secs_f64());
+        }
+        self.first_part.get_or_insert(part);
+    }
+
+    /// The request ended.
+    pub(crate) fn ended(&self, now: Mono) -> Duration {
+        self.hop("request", self.arrived, now);
+        now.saturating_sub(self.arrived)
+    }
+
+    /// Returns the tokens so far, if a report of progress is due.
+    pub(crate) fn progress(&mut self, now: Mono) -> Option<Tokens> {
+        let due = self.items > 0 && now.saturating_sub(self.reported) >= PROGRESS_TIME;
+        due.then(|| {
+            self.reported = now;
+            self.tokens
+        })
+    }
+
+    pub(crate) fn tokens(&self) -> Tokens {
+        self.tokens
+    }
+
+    /// Time from sending to the first token.
+    pub(crate) fn first_token(&self) -> Option<Duration> {
+        Some(self.first?.saturating_sub(self.sent?))
+    }
+
+    /// Mean time between tokens.
+    pub(crate) fn inter_token(&self) -> Option<Duration> {
+        let gaps = self.items.checked_sub(1).filter(|gaps| *gaps > 0)?;
+        Some(self.last?.saturating_sub(self.first?) / gaps)
+    }
+
+    pub(crate) fn first_part(&self) -> Option<Duration> {
+        self.first_part
+    }
+
+    fn hop(&self, name: &str, start: Mono, now: Mono) {
+        let took = now.saturating_sub(start);
+        self.trace.hop(self.request, name, start, took);
+    }
+}
--- a/crates/front/src/reply.rs
+++ b/crates/front/src/reply.rs
@@ -73,7 +73,10 @@
 
 /// Rounds up, so that a caller never comes back too early.
 fn whole_seconds(time: Duration) -> u64 {
-    time.as_millis().div_ceil(1000).try_into().unwrap_or(u64::MAX)
+    time.as_millis()
+        .div_ceil(1000)
+        .try_into()
+        .unwrap_or(u64::MAX)
 }
 
 /// Says what a code means and what the caller can do.
--- /dev/null
+++ b/crates/front/src/serve.rs
@@ -0,0 +1,254 @@
+//! Reads a caller's request, finds its account and route, and starts its driver.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::AUTHORIZATION;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use primrose_core::cost::service;
+use primrose_core::cost::Tokens;
+use primrose_core::fingerprint::fingerprint;
+use primrose_core::id::AccountId;
+use primrose_core::id::RequestId;
+use primrose_core::outcome::ErrorCode;
+use primrose_core::outcome::Outcome;
+use primrose_core::table::Matcher;
+use primrose_core::table::Route;
+use primrose_core::table::Table;
+use primrose_request::IdempotencyKey;
+use primrose_request::Spec;
+use rand::Rng;
+use sha2::Digest;
+use sha2::Sha256;
+use tokio::sync::oneshot;
+
+use crate::broker::Standing;
+use crate::drive::Driver;
+use crate::job::forwarded;
+use crate::job::Job;
+use crate::parse;
+use crate::parse::Completion;
+use crate::reply;
+use crate::reply::Body;
+use crate::reply::Failure;
+use crate::shared::Shared;
+use crate::trace::Trace;
+use crate::trace::TRACEPARENT;
+
+/// Path of chat completions.
+pub const COMPLETIONS_PATH: &str = "/v1/chat/completions";
+/// Path that tells whether the process is alive.
+const HEALTH_PATH: &str = "/healthz";
+/// Path that tells whether the balancer may send new requests.
+const READY_PATH: &str = "/readyz";
+/// Header of a caller's idempotency key.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Scheme of a bearer key.
+const BEARER: &str = "Bearer ";
+
+/// Answers callers' requests.
+pub(crate) struct Service {
+    shared: Arc<Shared>,
+}
+
+/// A request whose body has been read.
+struct Read {
+    id: RequestId,
+    account: AccountId,
+    parts: http::request::Parts,
+    body: Bytes,
+}
+
+impl Service {
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    /// Answers one request; dropping the future tells that the caller has left.
+    pub(crate) async fn answer(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, std::convert::Infallible> {
+        match request.uri().path() {
+            HEALTH_PATH => return Ok(reply::text(StatusCode::OK, "ok\n")),
+            READY_PATH => return Ok(self.ready()),
+            _ => {}
+        }
+        let id = rand::rng().random();
+        Ok(match self.start(id, request).await {
+            Ok(response) => response,
+            Err(failure) => reply::error(id, &failure),
+        })
+    }
+
+    fn ready(&self) -> Response<Body> {
+        if self.shared.broker.ready() && !*self.shared.drain.borrow() {
+            reply::text(StatusCode::OK, "ready\n")
+        } else {
+            reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+        }
+    }
+
+    async fn start(
+        &self,
+        id: RequestId,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Failure> {
+        if *self.shared.drain.borrow() {
+            let code = ErrorCode::ShuttingDown;
+            return Err(Failure::new(Outcome::NotRun, code, None));
+        }
+        let account = self.authenticate(request.headers())?;
+        let (parts, body) = request.into_parts();
+        let body = self.read_body(body).await?;
+        let job = self.job(Read {
+            id,
+            account,
+            parts,
+            body,
+        })?;
+        let (head, answered) = oneshot::channel();
+        let driver = Driver::new(job, Arc::clone(&self.shared), head);
+        tokio::spawn(driver.run());
+        answered
+            .await
+            .map_err(|_| Failure::new(Outcome::Unknown, ErrorCode::Internal, None))
+    }
+
+    fn authenticate(&self, headers: &HeaderMap) -> Result<AccountId, Failure> {
+        let value = headers.get(AUTHORIZATION);
+        let text = value.and_then(|value| value.to_str().ok());
+        let bearer = text.and_then(|text| text.strip_prefix(BEARER));
+        bearer
+            .and_then(|bearer| self.shared.broker.account(bearer.trim()))
+            .ok_or_else(|| Failure::new(Outcome::NotRun, ErrorCode::Unauthenticated, None))
+    }
+
+    async fn read_body(&self, body: Incoming) -> Result<Bytes, Failure> {
+        let limits = &self.shared.limits;
+        let collect = Limited::new(body, limits.body_bytes).collect();
+        let collected = tokio::time::timeout(limits.body_time, collect)
+            .await
+            .map_err(|_| bad("the body took too long to arrive"))?;
+        match collected {
+            Ok(body) => Ok(body.to_bytes()),
+            Err(error) if error.is::<LengthLimitError>() => {
+                Err(Failure::new(Outcome::NotRun, ErrorCode::TooLarge, None))
+            }
+            Err(_) => Err(bad("the body broke off")),
+        }
+    }
+
+    fn job(&self, read: Read) -> Result<Job, Failure> {
+        let table = self.shared.broker.table();
+        let arrived = self.shared.clock.now();
+        let completion = completion_of(&read)?;
+        let route = find_route(&table, &read.parts, completion.as_ref())
+            .ok_or_else(|| Failure::new(Outcome::NotRun, ErrorCode::NoRoute, None))?;
+        let pool = table
+            .pools
+            .get(&route.pool)
+            .ok_or_else(|| Failure::new(Outcome::NotRun, ErrorCode::NoRoute, None))?;
+        let key = key_of(&read.parts.headers)?;
+        let print = fingerprint(&read.account, &route.name, &read.body);
+        let suspect = match self.shared.broker.standing(print) {
+            Standing::Clear => false,
+            Standing::Suspect => true,
+            Standing::Refused(left) => {
+                return Err(Failure::new(Outcome::NotRun, ErrorCode::Poison, Some(left)));
+            }
+        };
+        let header = read.parts.headers.get(TRACEPARENT);
+        let header = header.and_then(|value| value.to_str().ok());
+        let trace = Trace::begin(header, &mut rand::rng());
+        let spec = Spec {
+            id: read.id,
+            account: read.account,
+            route: route.clone(),
+            kind: pool.kind,
+            stream: completion.as_ref().is_some_and(|chat| chat.stream),
+            key,
+            body: Sha256::digest(&read.body).into(),
+            fingerprint: print,
+            suspect,
+        };
+        Ok(Job {
+            spec,
+            pool: pool.clone(),
+            method: read.parts.method.clone(),
+            path: path_of(&read.parts),
+            headers: forwarded(&read.parts.headers, &trace),
+            body: read.body,
+            hint: completion.as_ref().and_then(hint),
+            prefixes: completion.map(|chat| chat.prefixes).unwrap_or_default(),
+            trace,
+            arrived,
+        })
+    }
+}
+
+fn bad(message: &str) -> Failure {
+    Failure::not_run(ErrorCode::BadRequest, message)
+}
+
+/// Reads the body of a completion request; `None` for a plain service.
+fn completion_of(read: &Read) -> Result<Option<Completion>, Failure> {
+    if read.parts.uri.path() != COMPLETIONS_PATH {
+        return Ok(None);
+    }
+    if read.parts.method != Method::POST {
+        return Err(bad("chat completions are requested with POST"));
+    }
+    match parse::completion(&read.body) {
+        Ok(completion) => Ok(Some(completion)),
+        Err(error) => Err(bad(&snafu::Report::from_error(error).to_string())),
+    }
+}
+
+fn find_route<'a>(
+    table: &'a Table,
+    parts: &http::request::Parts,
+    completion: Option<&Completion>,
+) -> Option<&'a Route> {
+    table.routes.values().find(|route| match &route.matcher {
+        Matcher::Path(path) => completion.is_none() && path == parts.uri.path(),
+        Matcher::Model(model) => completion.is_some_and(|chat| chat.model == *model),
+    })
+}
+
+fn key_of(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, Failure> {
+    let Some(value) = headers.get(IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    let text = value
+        .to_str()
+        .map_err(|_| bad("an idempotency key holds only printable ASCII characters"))?;
+    match IdempotencyKey::parse(text) {
+        Ok(key) => Ok(Some(key)),
+        Err(error) => Err(bad(&error.to_string())),
+    }
+}
+
+fn path_of(parts: &http::request::Parts) -> String {
+    match parts.uri.path_and_query() {
+        Some(path) => path.as_str().to_owned(),
+        None => parts.uri.path().to_owned(),
+    }
+}
+
+/// Bounds the cost by what the caller itself allows.
+fn hint(chat: &Completion) -> Option<u64> {
+    let output = chat.max_tokens?;
+    Some(service(Tokens {
+        input: chat.input_tokens,
+        output,
+    }))
+}
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::Condvar;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use primrose_core::clock::Clock;
 use primrose_core::id::AccountId;
@@ -30,6 +32,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Active {
     requests: Mutex<BTreeMap<RequestId, AccountId>>,
+    left: Condvar,
 }
 
 impl Active {
@@ -50,6 +53,15 @@
             .collect()
     }
 
+    /// Waits until a request ends or the time has passed.
+    pub(crate) fn wait(&self, time: Duration) {
+        let requests = self.requests.lock().expect("active requests lock poisoned");
+        if !requests.is_empty() {
+            // Woken early or late, the caller looks again.
+            drop(self.left.wait_timeout(requests, time));
+        }
+    }
+
     pub(crate) fn len(&self) -> usize {
         let requests = self.requests.lock().expect("active requests lock poisoned");
         requests.len()
@@ -66,6 +78,7 @@
     fn drop(&mut self) {
         if let Ok(mut requests) = self.active.requests.lock() {
             requests.remove(&self.id);
+            self.active.left.notify_all();
         }
     }
 }
