Read the two tables and the process settings from INI

Operators edit routes and pools in one document; a fault anywhere must name its place, and all faults at once, or mending a document takes as many rounds as it has faults. The reader gathers faults in a reporter, hands out typed values by key, and reports keys that nobody asked for.

--- /dev/null
+++ b/crates/table/src/ini/fields.rs
@@ -0,0 +1,156 @@
+//! Hands out the typed values of one section and gathers its faults.
+
+use super::Entry;
+use super::FaultKind;
+use super::Place;
+use super::Reporter;
+use super::Section;
+
+/// Reads a value; the error says what was expected.
+pub type Parse<T> = fn(&str) -> Result<T, String>;
+
+/// The values of one section, asked for by key.
+#[derive(Debug)]
+pub struct Fields<'a, 'r> {
+    section: &'r Section<'a>,
+    header: String,
+    known: Vec<&'static str>,
+    out: &'r mut Reporter,
+}
+
+impl<'a, 'r> Fields<'a, 'r> {
+    /// Starts to read a section.
+    pub fn new(section: &'r Section<'a>, out: &'r mut Reporter) -> Self {
+        Self {
+            section,
+            header: section.header(),
+            known: Vec::new(),
+            out,
+        }
+    }
+
+    /// Returns a value that must be there; `None` once its absence or fault has been reported.
+    pub fn required<T>(&mut self, key: &'static str, parse: Parse<T>) -> Option<T> {
+        match self.find(key) {
+            Some(entry) => self.parse(entry, entry.value, parse),
+            None => {
+                self.missing(key, "a value");
+                None
+            }
+        }
+    }
+
+    /// Returns a value or its default; `None` once a fault has been reported.
+    pub fn or<T>(&mut self, key: &'static str, default: T, parse: Parse<T>) -> Option<T> {
+        match self.find(key) {
+            Some(entry) => self.parse(entry, entry.value, parse),
+            None => Some(default),
+        }
+    }
+
+    /// Returns a value if the key is there.
+    pub fn optional<T>(&mut self, key: &'static str, parse: Parse<T>) -> Option<T> {
+        let entry = self.find(key)?;
+        self.parse(entry, entry.value, parse)
+    }
+
+    /// Returns whether the key is there; does not ask for it.
+    pub fn has(&self, key: &str) -> bool {
+        self.section.entries.iter().any(|entry| entry.key == key)
+    }
+
+    /// Returns the entries whose key begins with a prefix, with the rest of the key.
+    ///
+    /// `shown` is how such a key is named to an operator, such as `weight.ACCOUNT`.
+    pub fn prefixed(&mut self, prefix: &str, shown: &'static str) -> Vec<(&'a str, Entry<'a>)> {
+        self.known.push(shown);
+        let entries = self.section.entries.iter();
+        entries
+            .filter_map(|entry| Some((entry.key.strip_prefix(prefix)?, *entry)))
+            .collect()
+    }
+
+    /// Reads part of an entry; `None` once a fault has been reported.
+    pub fn parse<T>(&mut self, entry: Entry<'_>, text: &str, parse: Parse<T>) -> Option<T> {
+        match parse(text) {
+            Ok(value) => Some(value),
+            Err(expected) => {
+                self.bad(entry.line, entry.key, &expected, &quoted(text));
+                None
+            }
+        }
+    }
+
+    /// Returns the line of a key, or of the header if the key is not there.
+    pub fn line(&self, key: &str) -> u32 {
+        let entry = self.section.entries.iter().find(|entry| entry.key == key);
+        entry.map_or(self.section.line, |entry| entry.line)
+    }
+
+    /// Reports a value that is out of bounds.
+    pub fn bad(&mut self, line: u32, key: &str, expected: &str, found: &str) {
+        self.report(FaultKind::BadValue, line, key, expected, found);
+    }
+
+    /// Reports a key that must be there.
+    pub fn missing(&mut self, key: &str, expected: &str) {
+        let line = self.section.line;
+        self.report(FaultKind::MissingKey, line, key, expected, "none");
+    }
+
+    /// Reports any fault of this section.
+    pub fn report(&mut self, kind: FaultKind, line: u32, key: &str, expected: &str, found: &str) {
+        let section = &self.header;
+        let place = Place { line, section, key };
+        self.out.report(kind, place, expected, found);
+    }
+
+    /// Reports every key that nobody asked for.
+    pub fn finish(mut self) {
+        let expected = format!("one of {}", self.known.join(", "));
+        let strange: Vec<Entry<'a>> = self
+            .section
+            .entries
+            .iter()
+            .filter(|entry| !self.knows(entry.key))
+            .copied()
+            .collect();
+        for entry in strange {
+            let found = "an unknown key";
+            self.report(
+                FaultKind::UnknownKey,
+                entry.line,
+                entry.key,
+                &expected,
+                found,
+            );
+        }
+    }
+
+    fn knows(&self, key: &str) -> bool {
+        self.known.iter().any(|known| {
+            let family = known.split_once('.').map(|(prefix, _)| prefix);
+            match (family, key.split_once('.')) {
+                (Some(prefix), Some((given, _))) => prefix == given,
+                _ => *known == key,
+            }
+        })
+    }
+
+    fn find(&mut self, key: &'static str) -> Option<Entry<'a>> {
+        self.known.push(key);
+        let mut entries = self.section.entries.iter();
+        entries.find(|entry| entry.key == key).copied()
+    }
+}
+
+/// Quotes a value for a message, cut to a readable length.
+pub(crate) fn quoted(text: &str) -> String {
+    /// Longest part of a value that a message repeats, in characters.
+    const MAX_SHOWN: usize = 80;
+    if text.chars().count() <= MAX_SHOWN {
+        return format!("{text:?}");
+    }
+    let start: String = text.chars().take(MAX_SHOWN).collect();
+    format!("{start:?}...")
+}
--- /dev/null
+++ b/crates/table/src/ini/mod.rs
@@ -0,0 +1,211 @@
+//! Reads INI text into sections, and names every fault by its place.
+//!
+//! The text is split by `ini_core`. This module adds what an operator needs to mend a document:
+//! line numbers, refusal of duplicates, and [`Fields`], which hands out typed values, gathers
+//! faults as it goes, and at the end reports the keys that nobody asked for.
+//!
+//! A section is written `[kind]` or `[kind name]`. A comment is a line that begins with `;`. There
+//! are no comments behind a value, because values may hold a `;`.
+
+mod fault;
+mod fields;
+
+use ini_core::Item;
+use ini_core::Parser;
+
+pub use fault::Fault;
+pub use fault::FaultKind;
+pub use fault::Faults;
+pub use fields::Fields;
+pub use fields::Parse;
+
+/// One `key = value` line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Entry<'a> {
+    /// Line number, from 1.
+    pub line: u32,
+    /// Key, without white space around it.
+    pub key: &'a str,
+    /// Value, without white space around it.
+    pub value: &'a str,
+}
+
+/// One section with its entries.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Section<'a> {
+    /// Line number of the header, from 1.
+    pub line: u32,
+    /// First word of the header.
+    pub kind: &'a str,
+    /// Rest of the header; empty if there is none.
+    pub name: &'a str,
+    /// Entries in the order of the text; no key stands twice.
+    pub entries: Vec<Entry<'a>>,
+}
+
+impl Section<'_> {
+    /// Returns the header as it is written between the brackets.
+    pub fn header(&self) -> String {
+        if self.name.is_empty() {
+            self.kind.to_owned()
+        } else {
+            format!("{} {}", self.kind, self.name)
+        }
+    }
+}
+
+/// Gathers the faults of one document.
+#[derive(Debug)]
+pub struct Reporter {
+    file: String,
+    faults: Vec<Fault>,
+}
+
+impl Reporter {
+    /// Starts with no faults; `file` is named in each.
+    pub fn new(file: &str) -> Self {
+        Self {
+            file: file.to_owned(),
+            faults: Vec::new(),
+        }
+    }
+
+    /// Records a fault.
+    pub fn report(&mut self, kind: FaultKind, place: Place<'_>, expected: &str, found: &str) {
+        self.faults.push(Fault {
+            kind,
+            file: self.file.clone(),
+            line: place.line,
+            section: place.section.to_owned(),
+            key: place.key.to_owned(),
+            expected: expected.to_owned(),
+            found: found.to_owned(),
+        });
+    }
+
+    /// Returns the value if there is one and no fault was recorded, else all faults by line.
+    pub fn finish<T>(mut self, value: Option<T>) -> Result<T, Faults> {
+        match value {
+            Some(value) if self.faults.is_empty() => Ok(value),
+            _ => {
+                self.faults.sort_by_key(|fault| fault.line);
+                Err(Faults(self.faults))
+            }
+        }
+    }
+}
+
+/// Where in a document a fault is.
+#[derive(Debug, Clone, Copy)]
+pub struct Place<'a> {
+    /// Line number, from 1; 0 for the document as a whole.
+    pub line: u32,
+    /// Header of the section; empty outside of any.
+    pub section: &'a str,
+    /// Key; empty if the fault is not about one key.
+    pub key: &'a str,
+}
+
+/// Splits a text into sections; what cannot be read is reported and left out.
+pub fn read<'a>(text: &'a str, out: &mut Reporter) -> Vec<Section<'a>> {
+    let mut sections: Vec<Section<'a>> = Vec::new();
+    let mut parser = Parser::new(text).auto_trim(true);
+    // Entries below a header that cannot be read belong to no section and were reported with it.
+    let mut skip = false;
+    loop {
+        let line = parser.line() + 1;
+        let Some(item) = parser.next() else {
+            return sections;
+        };
+        match item {
+            Item::Blank | Item::Comment(_) | Item::SectionEnd => {}
+            Item::Error(found) => {
+                skip = true;
+                report_syntax(
+                    out,
+                    line,
+                    "",
+                    "a section header such as [route chat]",
+                    found,
+                );
+            }
+            Item::Section(header) => skip = !open(&mut sections, header, line, out),
+            Item::Property(_, _) if skip => {}
+            Item::Property(key, value) => add(sections.last_mut(), key, value, line, out),
+        }
+    }
+}
+
+fn report_syntax(out: &mut Reporter, line: u32, section: &str, expected: &str, found: &str) {
+    let key = "";
+    let place = Place { line, section, key };
+    out.report(FaultKind::Syntax, place, expected, found);
+}
+
+/// Opens a section; returns whether entries below it count.
+fn open<'a>(
+    sections: &mut Vec<Section<'a>>,
+    header: &'a str,
+    line: u32,
+    out: &mut Reporter,
+) -> bool {
+    let (kind, name) = header
+        .split_once(|letter: char| letter.is_ascii_whitespace())
+        .unwrap_or((header, ""));
+    let name = name.trim();
+    if kind.is_empty() {
+        report_syntax(out, line, "", "a section header such as [route chat]", "[]");
+        return false;
+    }
+    let earlier = sections
+        .iter()
+        .find(|section| section.kind == kind && section.name == name);
+    if let Some(earlier) = earlier {
+        let place = Place {
+            line,
+            section: header,
+            key: "",
+        };
+        let found = format!("it again; it stands on line {}", earlier.line);
+        out.report(FaultKind::Duplicate, place, "each section once", &found);
+        return false;
+    }
+    sections.push(Section {
+        line,
+        kind,
+        name,
+        entries: Vec::new(),
+    });
+    true
+}
+
+fn add<'a>(
+    section: Option<&mut Section<'a>>,
+    key: &'a str,
+    value: Option<&'a str>,
+    line: u32,
+    out: &mut Reporter,
+) {
+    let Some(section) = section else {
+        let expected = "a section header before the first key";
+        report_syntax(out, line, "", expected, key);
+        return;
+    };
+    let header = section.header();
+    let Some(value) = value.filter(|_| !key.is_empty()) else {
+        let expected = "key = value, or a comment that begins with ;";
+        report_syntax(out, line, &header, expected, key);
+        return;
+    };
+    if let Some(earlier) = section.entries.iter().find(|entry| entry.key == key) {
+        let place = Place {
+            line,
+            section: &header,
+            key,
+        };
+        let found = format!("it again; it stands on line {}", earlier.line);
+        out.report(FaultKind::Duplicate, place, "each key once", &found);
+        return;
+    }
+    section.entries.push(Entry { line, key, value });
+}
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -1,1 +1,47 @@
-//! Part of the router fleet; filled in by its first change.
+//! The operators' documents: parsing, checking, comparing, and which one is in force.
+//!
+//! Operators drive the fleet by two tables, routes and pools, which stand in one INI document at
+//! one key of the platform's key-value service. One key, because then one compare-and-swap changes
+//! both tables and the join between them is always checked whole. A second document holds the
+//! hashes of the client accounts' keys ([`accounts`]); it changes at another pace and by other
+//! hands.
+//!
+//! [`Document::parse`](document::Document::parse) turns a text into a checked
+//! [`Table`](primrose_core::table::Table) or into every [`Fault`](ini::Fault) that it has, not only
+//! the first. [`render`](document::Document::render) is its inverse. [`diff`] compares two tables row by
+//! row. [`force`] is the state machine by which a router decides which generation it serves.
+//!
+//! Nothing here reads a file, a socket or a clock.
+//!
+//! ```
+//! use primrose_table::document::Document;
+//! let text = "\
+//! [document]
+//! generation = 1
+//! [route chat]
+//! model = small
+//! pool = engines
+//! deadline = 30s
+//! idempotent = yes
+//! cost = 500
+//! [pool engines]
+//! kind = engine
+//! service = engine
+//! min-slots = 1
+//! max-slots = 8
+//! longest-run = 60s
+//! ";
+//! let document = Document::parse("tables.ini", text).unwrap();
+//! assert_eq!(document.table.routes["chat"].pool, "engines");
+//! let faults = Document::parse("tables.ini", &text.replace("30s", "soon")).unwrap_err();
+//! assert_eq!(faults.0[0].line, 6);
+//! ```
+
+pub mod check;
+pub mod diff;
+pub mod document;
+pub mod ini;
+pub mod pool;
+pub mod route;
+pub mod row;
+pub mod value;
--- /dev/null
+++ b/crates/table/src/pool.rs
@@ -0,0 +1,216 @@
+//! One row of the pools table: reading it and writing it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use primrose_core::id::AccountId;
+use primrose_core::table::Pool;
+use primrose_core::table::QueueBounds;
+use primrose_core::table::Selector;
+use primrose_core::table::Server;
+use primrose_core::table::SlotBounds;
+use primrose_core::table::Weight;
+
+use crate::ini::Fields;
+use crate::ini::Reporter;
+use crate::ini::Section;
+use crate::route::parse_name;
+use crate::row::Row;
+use crate::value;
+
+/// Kind of the section.
+pub const KIND: &str = "pool";
+
+/// Target for the time to the first token, if the pool states none.
+const FIRST_TOKEN: Duration = Duration::from_millis(1300);
+/// Target for the time between tokens, if the pool states none.
+const INTER_TOKEN: Duration = Duration::from_millis(36);
+/// What may wait at one router, if the pool does not state it.
+const QUEUE: QueueBounds = QueueBounds {
+    account_requests: 256,
+    account_bytes: 8 << 20,
+    total_requests: 4096,
+    total_bytes: 64 << 20,
+};
+/// Weight of accounts that are not listed, if the pool states none.
+const DEFAULT_WEIGHT: Weight = 1;
+/// Highest weight of an account.
+const MAX_WEIGHT: Weight = 10_000;
+/// Highest slot limit of one server.
+const MAX_SLOTS: u32 = 65_536;
+
+/// Reads a `[pool NAME]` section; `None` once its faults have been reported.
+pub fn parse(section: &Section<'_>, out: &mut Reporter) -> Option<Pool> {
+    let mut fields = Fields::new(section, out);
+    let name = parse_name(section, &mut fields);
+    let kind = fields.required("kind", value::kind);
+    let servers = parse_servers(&mut fields);
+    let slots = parse_slots(&mut fields);
+    let first_token = fields.or("first-token", FIRST_TOKEN, value::duration);
+    let inter_token = fields.or("inter-token", INTER_TOKEN, value::duration);
+    let longest_run = fields.required("longest-run", value::duration);
+    let default_weight = fields.or("default-weight", DEFAULT_WEIGHT, parse_weight);
+    let weights = parse_weights(&mut fields);
+    let queue = parse_queue(&mut fields);
+    let checks_orders = fields.or("checks-orders", false, value::yes_no);
+    let model_version = fields.or("model-version", String::new(), value::word);
+    fields.finish();
+    Some(Pool {
+        name: name?,
+        kind: kind?,
+        servers: servers?,
+        slots: slots?,
+        first_token: first_token?,
+        inter_token: inter_token?,
+        longest_run: longest_run?,
+        weights,
+        default_weight: default_weight?,
+        queue: queue?,
+        checks_orders: checks_orders?,
+        model_version: model_version?,
+    })
+}
+
+fn parse_servers(fields: &mut Fields<'_, '_>) -> Option<Selector> {
+    let service = fields.optional("service", value::name);
+    let listed = fields.prefixed("server.", "server.NAME");
+    if fields.has("service") {
+        if let Some((_, entry)) = listed.first() {
+            let expected = "either service or server.NAME lines";
+            fields.bad(entry.line, entry.key, expected, "both");
+        }
+        return service.map(Selector::Service);
+    }
+    if listed.is_empty() {
+        fields.missing("service", "service or server.NAME lines");
+        return None;
+    }
+    let mut servers = Vec::new();
+    for (rest, entry) in listed {
+        let id = fields.parse(entry, rest, value::name);
+        let place = fields.parse(entry, entry.value, value::located);
+        if let (Some(id), Some(place)) = (id, place) {
+            let value::Located { zone, addr } = place;
+            servers.push(Server { id, zone, addr });
+        }
+    }
+    Some(Selector::Listed(servers))
+}
+
+fn parse_slots(fields: &mut Fields<'_, '_>) -> Option<SlotBounds> {
+    let min = fields.required("min-slots", parse_limit);
+    let max = fields.required("max-slots", parse_limit);
+    let (min, max) = (min?, max?);
+    if min > max {
+        let line = fields.line("max-slots");
+        let expected = format!("at least min-slots, {min}");
+        fields.bad(line, "max-slots", &expected, &max.to_string());
+        return None;
+    }
+    Some(SlotBounds { min, max })
+}
+
+fn parse_limit(text: &str) -> Result<u32, String> {
+    value::count(text)
+        .ok()
+        .filter(|limit| *limit <= MAX_SLOTS)
+        .ok_or_else(|| format!("a whole number from 1 to {MAX_SLOTS}"))
+}
+
+fn parse_weight(text: &str) -> Result<Weight, String> {
+    value::count(text)
+        .ok()
+        .filter(|weight| *weight <= MAX_WEIGHT)
+        .ok_or_else(|| format!("a whole number from 1 to {MAX_WEIGHT}"))
+}
+
+fn parse_weights(fields: &mut Fields<'_, '_>) -> BTreeMap<AccountId, Weight> {
+    let mut weights = BTreeMap::new();
+    for (rest, entry) in fields.prefixed("weight.", "weight.ACCOUNT") {
+        let account = fields.parse(entry, rest, value::name);
+        let weight = fields.parse(entry, entry.value, parse_weight);
+        if let (Some(account), Some(weight)) = (account, weight) {
+            weights.insert(account, weight);
+        }
+    }
+    weights
+}
+
+fn parse_queue(fields: &mut Fields<'_, '_>) -> Option<QueueBounds> {
+    let account_requests = fields.or(
+        "queue-account-requests",
+        QUEUE.account_requests,
+        value::items,
+    );
+    let account_bytes = fields.or("queue-account-size", QUEUE.account_bytes, value::size);
+    let total_requests = fields.or("queue-total-requests", QUEUE.total_requests, value::items);
+    let total_bytes = fields.or("queue-total-size", QUEUE.total_bytes, value::size);
+    let queue = QueueBounds {
+        account_requests: account_requests?,
+        account_bytes: account_bytes?,
+        total_requests: total_requests?,
+        total_bytes: total_bytes?,
+    };
+    if queue.account_requests > queue.total_requests {
+        let key = "queue-total-requests";
+        let expected = "at least what one account may queue";
+        fields.bad(
+            fields.line(key),
+            key,
+            expected,
+            &queue.total_requests.to_string(),
+        );
+    }
+    if queue.account_bytes > queue.total_bytes {
+        let key = "queue-total-size";
+        let expected = "at least what one account may queue";
+        fields.bad(
+            fields.line(key),
+            key,
+            expected,
+            &value::write_size(queue.total_bytes),
+        );
+    }
+    Some(queue)
+}
+
+/// Writes a pool as rows.
+pub fn rows(pool: &Pool) -> Vec<Row> {
+    let mut rows = vec![Row::new("kind", pool.kind.to_string())];
+    match &pool.servers {
+        Selector::Service(service) => rows.push(Row::new("service", service)),
+        Selector::Listed(servers) => rows.extend(servers.iter().map(server_row)),
+    }
+    rows.extend([
+        Row::new("min-slots", pool.slots.min.to_string()),
+        Row::new("max-slots", pool.slots.max.to_string()),
+        Row::new("first-token", value::write_duration(pool.first_token)),
+        Row::new("inter-token", value::write_duration(pool.inter_token)),
+        Row::new("longest-run", value::write_duration(pool.longest_run)),
+        Row::new("default-weight", pool.default_weight.to_string()),
+    ]);
+    for (account, weight) in &pool.weights {
+        rows.push(Row::new(format!("weight.{account}"), weight.to_string()));
+    }
+    rows.extend(queue_rows(&pool.queue));
+    let checks = value::write_yes_no(pool.checks_orders);
+    rows.push(Row::new("checks-orders", checks));
+    if !pool.model_version.is_empty() {
+        rows.push(Row::new("model-version", &pool.model_version));
+    }
+    rows
+}
+
+fn server_row(server: &Server) -> Row {
+    let place = format!("{}@{}", server.zone, server.addr);
+    Row::new(format!("server.{}", server.id), place)
+}
+
+fn queue_rows(queue: &QueueBounds) -> [Row; 4] {
+    [
+        Row::new("queue-account-requests", queue.account_requests.to_string()),
+        Row::new("queue-account-size", value::write_size(queue.account_bytes)),
+        Row::new("queue-total-requests", queue.total_requests.to_string()),
+        Row::new("queue-total-size", value::write_size(queue.total_bytes)),
+    ]
+}
--- /dev/null
+++ b/crates/table/src/route.rs
@@ -0,0 +1,93 @@
+//! One row of the routes table: reading it and writing it.
+
+use std::time::Duration;
+
+use primrose_core::cost::Service;
+use primrose_core::table::Matcher;
+use primrose_core::table::Route;
+
+use crate::ini::Fields;
+use crate::ini::Reporter;
+use crate::ini::Section;
+use crate::row::Row;
+use crate::value;
+
+/// Kind of the section.
+pub const KIND: &str = "route";
+
+/// Paths that the router itself answers.
+const RESERVED_PATHS: [&str; 3] = ["/v1/chat/completions", "/healthz", "/readyz"];
+
+/// Reads a `[route NAME]` section; `None` once its faults have been reported.
+pub fn parse(section: &Section<'_>, out: &mut Reporter) -> Option<Route> {
+    let mut fields = Fields::new(section, out);
+    let name = parse_name(section, &mut fields);
+    let matcher = parse_matcher(&mut fields);
+    let pool = fields.required("pool", value::name);
+    let deadline: Option<Duration> = fields.required("deadline", value::duration);
+    let idempotent = fields.required("idempotent", value::yes_no);
+    let cost: Option<Service> = fields.required("cost", value::number);
+    if cost == Some(0) {
+        let line = fields.line("cost");
+        fields.bad(line, "cost", "a whole number from 1", "0");
+    }
+    fields.finish();
+    Some(Route {
+        name: name?,
+        matcher: matcher?,
+        pool: pool?,
+        deadline: deadline?,
+        idempotent: idempotent?,
+        cost: cost?,
+    })
+}
+
+/// Reads the name behind the kind of a section.
+pub(crate) fn parse_name(section: &Section<'_>, fields: &mut Fields<'_, '_>) -> Option<String> {
+    match value::name(section.name) {
+        Ok(name) => Some(name),
+        Err(expected) => {
+            let found = format!("{:?}", section.name);
+            fields.bad(section.line, "", &expected, &found);
+            None
+        }
+    }
+}
+
+fn parse_matcher(fields: &mut Fields<'_, '_>) -> Option<Matcher> {
+    let both = fields.has("model") && fields.has("path");
+    let model = fields.optional("model", value::word);
+    let path = fields.optional("path", parse_path);
+    if both {
+        let line = fields.line("path");
+        fields.bad(line, "path", "either model or path", "both");
+        return None;
+    }
+    if !fields.has("model") && !fields.has("path") {
+        fields.missing("model", "either model or path");
+    }
+    model.map(Matcher::Model).or(path.map(Matcher::Path))
+}
+
+fn parse_path(text: &str) -> Result<String, String> {
+    let path = value::path(text)?;
+    if RESERVED_PATHS.contains(&path.as_str()) {
+        return Err("a path that the router does not answer itself".into());
+    }
+    Ok(path)
+}
+
+/// Writes a route as rows.
+pub fn rows(route: &Route) -> Vec<Row> {
+    let matcher = match &route.matcher {
+        Matcher::Model(model) => Row::new("model", model),
+        Matcher::Path(path) => Row::new("path", path),
+    };
+    vec![
+        matcher,
+        Row::new("pool", &route.pool),
+        Row::new("deadline", value::write_duration(route.deadline)),
+        Row::new("idempotent", value::write_yes_no(route.idempotent)),
+        Row::new("cost", route.cost.to_string()),
+    ]
+}
--- /dev/null
+++ b/crates/table/src/value.rs
@@ -0,0 +1,192 @@
+//! Reads and writes single values: durations, sizes, numbers, names, addresses.
+//!
+//! Every reader returns what it expected as its error, so that the caller can add file, line and
+//! key. Every writer is the inverse of its reader.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use primrose_core::table::PoolKind;
+
+/// Longest name of a route, pool, account, server, host or zone, in bytes.
+pub const MAX_NAME: usize = 64;
+/// Longest duration that a document may state.
+pub const MAX_DURATION: Duration = Duration::from_secs(366 * 24 * 60 * 60);
+
+/// Units of durations, the largest first, with their length in microseconds.
+const TIME_UNITS: [(&str, u64); 5] = [
+    ("h", 3_600_000_000),
+    ("m", 60_000_000),
+    ("s", 1_000_000),
+    ("ms", 1_000),
+    ("us", 1),
+];
+
+/// Units of sizes, the largest first, with their length in bytes.
+const SIZE_UNITS: [(&str, u64); 4] = [
+    ("GiB", 1 << 30),
+    ("MiB", 1 << 20),
+    ("KiB", 1 << 10),
+    ("B", 1),
+];
+
+/// Splits a number from the unit behind it.
+fn split(text: &str) -> Option<(u64, &str)> {
+    let end = text
+        .find(|letter: char| !letter.is_ascii_digit())
+        .unwrap_or(text.len());
+    let number = text[..end].parse().ok()?;
+    Some((number, text[end..].trim_start()))
+}
+
+fn scale(text: &str, units: &[(&str, u64)]) -> Option<u64> {
+    let (number, unit) = split(text)?;
+    let (_, length) = units.iter().find(|(name, _)| *name == unit)?;
+    number.checked_mul(*length)
+}
+
+/// Reads a duration above zero, such as `1300ms` or `30s`.
+pub fn duration(text: &str) -> Result<Duration, String> {
+    let micros = scale(text, &TIME_UNITS).unwrap_or(0);
+    let value = Duration::from_micros(micros);
+    if value.is_zero() || value > MAX_DURATION {
+        return Err("a duration above 0 and up to a year, such as 1300ms, 30s or 5m".into());
+    }
+    Ok(value)
+}
+
+/// Writes a duration in the largest unit that states it whole.
+pub fn write_duration(value: Duration) -> String {
+    let micros = u64::try_from(value.as_micros()).unwrap_or(u64::MAX);
+    write_scaled(micros, &TIME_UNITS)
+}
+
+/// Reads a size above zero, such as `64KiB`.
+pub fn size(text: &str) -> Result<usize, String> {
+    let bytes = scale(text, &SIZE_UNITS).unwrap_or(0);
+    match usize::try_from(bytes) {
+        Ok(bytes) if bytes > 0 => Ok(bytes),
+        _ => Err("a size above 0, such as 512B, 64KiB or 4MiB".into()),
+    }
+}
+
+/// Writes a size in the largest unit that states it whole.
+pub fn write_size(value: usize) -> String {
+    write_scaled(u64::try_from(value).unwrap_or(u64::MAX), &SIZE_UNITS)
+}
+
+fn write_scaled(value: u64, units: &[(&str, u64)]) -> String {
+    let fits = units.iter().find(|(_, length)| value % length == 0);
+    match fits {
+        Some((unit, length)) => format!("{}{unit}", value / length),
+        None => value.to_string(),
+    }
+}
+
+/// Reads `yes` or `no`.
+pub fn yes_no(text: &str) -> Result<bool, String> {
+    match text {
+        "yes" => Ok(true),
+        "no" => Ok(false),
+        _ => Err("yes or no".into()),
+    }
+}
+
+/// Writes `yes` or `no`.
+pub fn write_yes_no(value: bool) -> &'static str {
+    if value {
+        "yes"
+    } else {
+        "no"
+    }
+}
+
+/// Reads a whole number, zero included.
+pub fn number(text: &str) -> Result<u64, String> {
+    text.parse().map_err(|_| "a whole number".into())
+}
+
+/// Reads a whole number from 1 that fits 32 bits.
+pub fn count(text: &str) -> Result<u32, String> {
+    match text.parse() {
+        Ok(value) if value > 0 => Ok(value),
+        _ => Err("a whole number from 1".into()),
+    }
+}
+
+/// Reads a whole number of things from 1.
+pub fn items(text: &str) -> Result<usize, String> {
+    match text.parse() {
+        Ok(value) if value > 0 => Ok(value),
+        _ => Err("a whole number from 1".into()),
+    }
+}
+
+/// Reads a name: letters, digits, `.`, `_` and `-`.
+pub fn name(text: &str) -> Result<String, String> {
+    let fits = |letter: char| letter.is_ascii_alphanumeric() || "._-".contains(letter);
+    if text.is_empty() || text.len() > MAX_NAME || !text.chars().all(fits) {
+        return Err(format!(
+            "a name of up to {MAX_NAME} letters, digits, '.', '_' and '-'"
+        ));
+    }
+    Ok(text.to_owned())
+}
+
+/// Reads a word: printable, without white space, such as a model's name.
+pub fn word(text: &str) -> Result<String, String> {
+    let strange = |letter: char| letter.is_whitespace() || letter.is_control();
+    if text.is_empty() || text.len() > MAX_NAME || text.contains(strange) {
+        return Err(format!(
+            "a word of up to {MAX_NAME} bytes without white space"
+        ));
+    }
+    Ok(text.to_owned())
+}
+
+/// Reads the exact path of a plain service.
+pub fn path(text: &str) -> Result<String, String> {
+    /// Longest path, in bytes.
+    const MAX_PATH: usize = 512;
+    let fits = |letter: char| letter.is_ascii_graphic() && !"?#".contains(letter);
+    if !text.starts_with('/') || text.len() > MAX_PATH || !text.chars().all(fits) {
+        return Err("a path that begins with / and holds no white space, ? or #".into());
+    }
+    Ok(text.to_owned())
+}
+
+/// Reads a socket address by IP number.
+pub fn addr(text: &str) -> Result<SocketAddr, String> {
+    text.parse()
+        .map_err(|_| "an address by IP number with a port, such as 10.0.1.4:8000".into())
+}
+
+/// Reads the kind of a pool.
+pub fn kind(text: &str) -> Result<PoolKind, String> {
+    match text {
+        "engine" => Ok(PoolKind::Engine),
+        "plain" => Ok(PoolKind::Plain),
+        _ => Err("engine or plain".into()),
+    }
+}
+
+/// An address with its availability zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Located {
+    /// Availability zone.
+    pub zone: String,
+    /// Address by IP number.
+    pub addr: SocketAddr,
+}
+
+/// Reads `ZONE@IP:PORT`.
+pub fn located(text: &str) -> Result<Located, String> {
+    let parts = text.split_once('@');
+    let read = parts.and_then(|(zone, place)| {
+        Some(Located {
+            zone: name(zone.trim()).ok()?,
+            addr: addr(place.trim()).ok()?,
+        })
+    });
+    read.ok_or_else(|| "ZONE@IP:PORT, such as barasat@10.0.1.4:8000".into())
+}
