--- /dev/null
+++ b/crates/table/tests/testsuite/garbage.rs
@@ -0,0 +1,52 @@
+//! Whatever bytes arrive, reading gives a value or faults, never a panic.
+
+use primrose_support::seeded::checker;
+use primrose_table::document::Document;
+use primrose_table::ini::Faults;
+
+use crate::support::VALID;
+
+fn has_faults(result: Result<Document, Faults>) -> bool {
+    result.map_or_else(|faults| !faults.0.is_empty(), |_| true)
+}
+
+#[test]
+fn any_text() {
+    fn holds(text: String) -> bool {
+        has_faults(Document::parse("t.ini", &text))
+    }
+    checker().quickcheck(holds as fn(String) -> bool);
+}
+
+#[test]
+fn any_value_of_any_line() {
+    fn holds(line: usize, value: String) -> bool {
+        let count = VALID.lines().count();
+        let mut lines: Vec<String> = VALID.lines().map(str::to_owned).collect();
+        let target = &mut lines[line % count];
+        let key = target.split('=').next().unwrap_or_default();
+        *target = format!("{key}={value}");
+        has_faults(Document::parse("t.ini", &lines.join("\n")))
+    }
+    checker().quickcheck(holds as fn(usize, String) -> bool);
+}
+
+#[test]
+fn any_byte_changed() {
+    fn holds(at: usize, byte: u8) -> bool {
+        let mut bytes = VALID.as_bytes().to_vec();
+        let at = at % bytes.len();
+        bytes[at] = byte;
+        let text = String::from_utf8_lossy(&bytes);
+        has_faults(Document::parse("t.ini", &text))
+    }
+    checker().quickcheck(holds as fn(usize, u8) -> bool);
+}
+
+#[test]
+fn any_part_cut_off() {
+    fn holds(at: usize) -> bool {
+        has_faults(Document::parse("t.ini", &VALID[..at % VALID.len()]))
+    }
+    checker().quickcheck(holds as fn(usize) -> bool);
+}
--- /dev/null
+++ b/crates/table/tests/testsuite/stamp.rs
@@ -0,0 +1,38 @@
+//! A new header leaves the operator's text alone.
+
+use primrose_support::seeded::checker;
+use primrose_table::document::stamp;
+use primrose_table::document::Document;
+use primrose_table::document::Header;
+
+use crate::roundtrip::AnyDocument;
+use crate::support::VALID;
+
+#[test]
+fn comments_stay() {
+    let text = format!("; ours\n\n{VALID}; end\n").replace("change = 00000000000000aa\n", "");
+    let header = Header {
+        generation: 8,
+        change: 0xbb,
+    };
+    let stamped = stamp(&text, header);
+    assert!(stamped.starts_with(
+        "; ours\n\n[document]\ngeneration = 8\nchange = 00000000000000bb\n[route chat]\n"
+    ));
+    assert!(stamped.ends_with("; end\n"));
+    let document = Document::parse("t.ini", &stamped).expect("stamped");
+    assert_eq!(document.header(), header);
+}
+
+#[test]
+fn only_the_header_changes() {
+    fn holds(document: AnyDocument, generation: u64, change: u64) -> bool {
+        let header = Header { generation, change };
+        let stamped = stamp(&document.0.render(), header);
+        let mut wanted = document.0;
+        wanted.change = change;
+        wanted.table.generation = generation;
+        Document::parse("t.ini", &stamped) == Ok(wanted)
+    }
+    checker().quickcheck(holds as fn(AnyDocument, u64, u64) -> bool);
+}
