Test the front against stand-ins and a fake broker

Cause: the front's promises (event by event, resume, truthful outcomes, caps) had no test. Change: a fake broker, and one module of tests for each behaviour.

--- /dev/null
+++ b/crates/front/tests/testsuite/fixture.rs
@@ -0,0 +1,295 @@
+//! A front with a fake broker behind it, and small HTTP clients.
+
+use std::collections::VecDeque;
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use primrose_core::fingerprint::Fingerprint;
+use primrose_core::id::AccountId;
+use primrose_core::table::Table;
+use primrose_front::broker::Ask;
+use primrose_front::broker::Inbox;
+use primrose_front::broker::Overloaded;
+use primrose_front::broker::Standing;
+use primrose_front::broker::Told;
+use primrose_front::broker::Waiting;
+use primrose_front::Broker;
+use primrose_front::Front;
+use primrose_front::Limits;
+use primrose_request::ClaimReply;
+use primrose_request::Event;
+use primrose_request::Grant;
+use primrose_request::RetryVerdict;
+use primrose_support::tables;
+use primrose_util::clock::SystemClock;
+
+/// Bearer key that the fake broker knows.
+pub(crate) const KEY: &str = "parish-key";
+/// Longest wait for something that must happen.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What the front asked, in order.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Seen {
+    Enqueue { suspect: bool },
+    Withdraw,
+    Report(primrose_request::AttemptResult),
+    Claim,
+    Release,
+    Settle(primrose_request::Settlement),
+    Retry(primrose_request::Stage),
+    Ended(Option<primrose_core::outcome::ErrorCode>),
+}
+
+#[derive(Default)]
+struct State {
+    seen: Vec<Seen>,
+    servers: VecDeque<SocketAddr>,
+    claims: VecDeque<Told>,
+    waiting: Vec<(Waiting, Inbox)>,
+    full: bool,
+    standing: Option<Standing>,
+}
+
+/// Grants every request the next planned server.
+#[derive(Default)]
+pub(crate) struct FakeBroker {
+    state: Mutex<State>,
+    changed: Condvar,
+    table: Arc<Table>,
+}
+
+impl FakeBroker {
+    /// Plans the server of the next grant.
+    pub(crate) fn grant(&self, addr: SocketAddr) {
+        self.state.lock().unwrap().servers.push_back(addr);
+    }
+
+    pub(crate) fn claim(&self, told: Told) {
+        self.state.lock().unwrap().claims.push_back(told);
+    }
+
+    pub(crate) fn refuse(&self, full: bool) {
+        self.state.lock().unwrap().full = full;
+    }
+
+    pub(crate) fn stand(&self, standing: Standing) {
+        self.state.lock().unwrap().standing = Some(standing);
+    }
+
+    /// Waits until the front has asked for what `wanted` describes.
+    pub(crate) fn wait(&self, wanted: impl Fn(&Seen) -> bool) {
+        let state = self.state.lock().unwrap();
+        let missing = |state: &mut State| !state.seen.iter().any(&wanted);
+        let (state, waited) = self
+            .changed
+            .wait_timeout_while(state, PATIENCE, missing)
+            .unwrap();
+        assert!(!waited.timed_out(), "only saw {:?}", state.seen);
+    }
+
+    pub(crate) fn seen(&self) -> Vec<Seen> {
+        self.state.lock().unwrap().seen.clone()
+    }
+
+    fn note(&self, state: &mut State, seen: Seen) {
+        state.seen.push(seen);
+        self.changed.notify_all();
+    }
+}
+
+fn tell(inbox: &Inbox, told: Told) {
+    inbox.try_send(told).expect("a request's inbox has room");
+}
+
+impl Broker for FakeBroker {
+    fn table(&self) -> Arc<Table> {
+        Arc::clone(&self.table)
+    }
+
+    fn account(&self, bearer: &str) -> Option<AccountId> {
+        (bearer == KEY).then(|| "parish-1".to_owned())
+    }
+
+    fn ready(&self) -> bool {
+        true
+    }
+
+    fn standing(&self, _: Fingerprint) -> Standing {
+        let state = self.state.lock().unwrap();
+        state.standing.unwrap_or(Standing::Clear)
+    }
+
+    fn ask(&self, ask: Ask) -> Result<(), Overloaded> {
+        let mut state = self.state.lock().unwrap();
+        match ask {
+            Ask::Enqueue { .. } if state.full => {
+                return Err(Overloaded { ask: Box::new(ask) });
+            }
+            Ask::Enqueue { waiting, inbox } => {
+                let suspect = waiting.suspect;
+                match state.servers.pop_front() {
+                    Some(addr) => tell(
+                        &inbox,
+                        Told::Event(Event::Granted(Grant {
+                            attempt: waiting.attempt,
+                            server: addr.to_string(),
+                            addr,
+                            valid_until: Duration::MAX,
+                        })),
+                    ),
+                    None => state.waiting.push((waiting, inbox)),
+                }
+                self.note(&mut state, Seen::Enqueue { suspect });
+            }
+            Ask::Withdraw { .. } => self.note(&mut state, Seen::Withdraw),
+            Ask::Progress { .. } => {}
+            Ask::Report(report) => self.note(&mut state, Seen::Report(report.result)),
+            Ask::Claim { inbox, .. } => {
+                let told = state.claims.pop_front();
+                tell(
+                    &inbox,
+                    told.unwrap_or(Told::Event(Event::Claim(ClaimReply::Made))),
+                );
+                self.note(&mut state, Seen::Claim);
+            }
+            Ask::Release { .. } => self.note(&mut state, Seen::Release),
+            Ask::Settle { settlement, .. } => self.note(&mut state, Seen::Settle(settlement)),
+            Ask::Retry { stage, inbox, .. } => {
+                let allowed = RetryVerdict::Allowed {
+                    delay: Duration::ZERO,
+                    suspect: false,
+                };
+                tell(&inbox, Told::Event(Event::Retry(allowed)));
+                self.note(&mut state, Seen::Retry(stage));
+            }
+            Ask::Ended(ended) => self.note(&mut state, Seen::Ended(ended.code)),
+        }
+        Ok(())
+    }
+}
+
+/// A front on a free port.
+pub(crate) struct Fixture {
+    pub(crate) front: Front,
+    pub(crate) broker: Arc<FakeBroker>,
+}
+
+/// Starts a front with a model route `draft` and an order route `/dispatch`.
+pub(crate) fn start(limits: Limits) -> Fixture {
+    let mut table = Table::default();
+    let routes = [
+        tables::model_route("drafts", "draft", "engines"),
+        tables::order_route("orders", "/dispatch", "services"),
+    ];
+    for route in routes {
+        table.routes.insert(route.name.clone(), route);
+    }
+    let pools = [
+        tables::engine_pool("engines"),
+        tables::plain_pool("services"),
+    ];
+    for pool in pools {
+        table.pools.insert(pool.name.clone(), pool);
+    }
+    let broker = Arc::new(FakeBroker {
+        table: Arc::new(table),
+        ..FakeBroker::default()
+    });
+    let front = Front::start(
+        SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        limits,
+        Arc::clone(&broker) as Arc<dyn Broker>,
+        Arc::new(SystemClock::new()),
+    )
+    .unwrap();
+    Fixture { front, broker }
+}
+
+/// A response as text.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
+    /// Whether the body came to its end.
+    pub(crate) whole: bool,
+}
+
+impl Reply {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines();
+        let mut fields = lines.filter_map(|line| line.split_once(": "));
+        let found = fields.find(|(field, _)| field.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value)
+    }
+}
+
+/// Opens a connection and sends the text.
+pub(crate) fn open(addr: SocketAddr, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(text.as_bytes()).unwrap();
+    stream
+}
+
+/// Makes the text of a request that closes its connection.
+pub(crate) fn request(path: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: {length}\r\n{headers}\r\n{body}"
+    )
+}
+
+/// Makes a completion request.
+pub(crate) fn chat(stream: bool, tokens: u64) -> String {
+    let body = format!(
+        "{{\"model\":\"draft\",\"stream\":{stream},\"metadata\":{{\"tokens\":\"{tokens}\"}},\
+         \"messages\":[{{\"role\":\"user\",\"content\":\"linen\"}}]}}"
+    );
+    request("/v1/chat/completions", "", &body)
+}
+
+/// Sends a request and reads the whole response.
+pub(crate) fn send(addr: SocketAddr, text: &str) -> Reply {
+    let mut stream = open(addr, text);
+    let mut bytes = Vec::new();
+    // A connection that is cut still leaves what came before.
+    let _ = stream.read_to_end(&mut bytes);
+    let text = String::from_utf8(bytes).unwrap();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+    let status = head.split(' ').nth(1).and_then(|code| code.parse().ok());
+    let mut reply = Reply {
+        status: status.unwrap_or(0),
+        head: head.to_owned(),
+        body: body.to_owned(),
+        whole: true,
+    };
+    if reply.header("transfer-encoding") == Some("chunked") {
+        reply.whole = body.ends_with("0\r\n\r\n");
+        reply.body = unchunk(body);
+    }
+    reply
+}
+
+fn unchunk(body: &str) -> String {
+    let mut rest = body;
+    let mut out = String::new();
+    while let Some((size, after)) = rest.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).unwrap_or(0);
+        if size == 0 || after.len() < size {
+            break;
+        }
+        out.push_str(&after[..size]);
+        rest = after[size..].trim_start_matches("\r\n");
+    }
+    out
+}
--- /dev/null
+++ b/crates/front/tests/testsuite/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the front against stand-in servers and a fake broker.
+
+mod caller_gone;
+mod errors;
+mod fixture;
+mod limits;
+mod outcomes;
+mod parse;
+mod stream;
--- /dev/null
+++ b/crates/front/tests/testsuite/outcomes.rs
@@ -0,0 +1,172 @@
+//! Orders at plain services: what the caller is told, against the service's own record.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use primrose_front::broker::StoredAnswer;
+use primrose_front::broker::Told;
+use primrose_front::Limits;
+use primrose_request::ClaimReply;
+use primrose_request::Event;
+use primrose_request::Settlement;
+use primrose_standin::plain::Plain;
+use primrose_standin::plain::PlainConfig;
+use primrose_standin::plain::PlainFault;
+use primrose_standin::runtime::Runtime;
+
+use crate::fixture;
+use crate::fixture::Seen;
+
+struct Case {
+    name: &'static str,
+    faults: Vec<Option<PlainFault>>,
+    status: u16,
+    outcome: &'static str,
+    runs: usize,
+    settled: Option<Settlement>,
+}
+
+#[test]
+fn an_order_is_told_truthfully() {
+    let cases = [
+        Case {
+            name: "served",
+            faults: vec![],
+            status: 200,
+            outcome: "done",
+            runs: 1,
+            settled: Some(Settlement::Done { status: 200 }),
+        },
+        Case {
+            name: "reply lost",
+            faults: vec![Some(PlainFault::LoseReply)],
+            status: 502,
+            outcome: "unknown",
+            runs: 1,
+            settled: Some(Settlement::Unknown),
+        },
+        Case {
+            name: "refused once, then served",
+            faults: vec![Some(PlainFault::Refuse)],
+            status: 200,
+            outcome: "done",
+            runs: 1,
+            settled: Some(Settlement::Done { status: 200 }),
+        },
+        Case {
+            name: "dropped before it ran, which the router cannot know",
+            faults: vec![Some(PlainFault::Drop)],
+            status: 502,
+            outcome: "unknown",
+            runs: 0,
+            settled: Some(Settlement::Unknown),
+        },
+        Case {
+            name: "always refused",
+            faults: vec![Some(PlainFault::Refuse); 3],
+            status: 502,
+            outcome: "not-run",
+            runs: 0,
+            settled: None,
+        },
+    ];
+    let runtime = Runtime::new().unwrap();
+    for case in cases {
+        let plain = Plain::start(&runtime, PlainConfig::default()).unwrap();
+        let fixture = fixture::start(Limits::default());
+        plain.plan(case.faults);
+        for _ in 0..3 {
+            fixture.broker.grant(plain.addr());
+        }
+        let text = fixture::request("/dispatch", "idempotency-key: order-7\r\n", "{\"vans\":1}");
+        let reply = fixture::send(fixture.front.addr(), &text);
+        assert_eq!(reply.status, case.status, "{}: {reply:?}", case.name);
+        assert_eq!(
+            reply.header("x-outcome"),
+            Some(case.outcome),
+            "{}",
+            case.name
+        );
+        assert_eq!(plain.runs_of("order-7"), case.runs, "{}", case.name);
+        fixture.broker.wait(|seen| matches!(seen, Seen::Ended(_)));
+        let seen = fixture.broker.seen();
+        let settled = seen.iter().find_map(|seen| match seen {
+            Seen::Settle(settlement) => Some(*settlement),
+            _ => None,
+        });
+        assert_eq!(settled, case.settled, "{}", case.name);
+        assert_eq!(
+            seen.contains(&Seen::Release),
+            case.settled.is_none(),
+            "{}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn a_resend_gets_the_stored_answer() {
+    let fixture = fixture::start(Limits::default());
+    fixture.broker.claim(Told::Stored(StoredAnswer {
+        status: 201,
+        content_type: "application/json".to_owned(),
+        body: Some(Bytes::from_static(b"{\"van\":4}")),
+    }));
+    let text = fixture::request("/dispatch", "idempotency-key: order-7\r\n", "{}");
+    let reply = fixture::send(fixture.front.addr(), &text);
+    assert_eq!(reply.status, 201);
+    assert_eq!(reply.body, "{\"van\":4}");
+    assert_eq!(reply.header("x-outcome"), Some("done"));
+}
+
+#[test]
+fn claims_that_cannot_be_made_are_not_run() {
+    struct Case {
+        reply: ClaimReply,
+        status: u16,
+        outcome: &'static str,
+        code: &'static str,
+    }
+    let cases = [
+        Case {
+            reply: ClaimReply::Unavailable {
+                retry_after: Duration::from_secs(3),
+            },
+            status: 503,
+            outcome: "not-run",
+            code: "claims-unavailable",
+        },
+        Case {
+            reply: ClaimReply::Conflict,
+            status: 422,
+            outcome: "not-run",
+            code: "key-reused",
+        },
+        Case {
+            reply: ClaimReply::Busy,
+            status: 409,
+            outcome: "unknown",
+            code: "in-progress",
+        },
+        Case {
+            reply: ClaimReply::Unknown,
+            status: 409,
+            outcome: "unknown",
+            code: "outcome-unknown",
+        },
+    ];
+    let fixture = fixture::start(Limits::default());
+    for case in cases {
+        fixture.broker.claim(Told::Event(Event::Claim(case.reply)));
+        let text = fixture::request("/dispatch", "idempotency-key: order-7\r\n", "{}");
+        let reply = fixture::send(fixture.front.addr(), &text);
+        assert_eq!(reply.status, case.status, "{}", case.code);
+        assert_eq!(
+            reply.header("x-outcome"),
+            Some(case.outcome),
+            "{}",
+            case.code
+        );
+        assert_eq!(reply.header("x-error-code"), Some(case.code));
+    }
+}
--- /dev/null
+++ b/crates/front/tests/testsuite/stream.rs
@@ -0,0 +1,137 @@
+//! Token streams: whole, event by event, resumed after a break.
+
+use std::io::BufRead;
+use std::io::BufReader;
+
+use primrose_front::Limits;
+use primrose_request::AttemptResult;
+use primrose_standin::engine::Engine;
+use primrose_standin::engine::EngineConfig;
+use primrose_standin::engine::Pace;
+use primrose_standin::runtime::Runtime;
+
+use crate::fixture;
+use crate::fixture::Seen;
+
+fn manual() -> EngineConfig {
+    EngineConfig {
+        model: "draft".to_owned(),
+        pace: Pace::Manual,
+        ..EngineConfig::default()
+    }
+}
+
+fn timed() -> EngineConfig {
+    EngineConfig {
+        model: "draft".to_owned(),
+        ..EngineConfig::default()
+    }
+}
+
+/// Numbers of the events in a stream, in order.
+fn numbers(body: &str) -> Vec<u64> {
+    let lines = body.lines();
+    lines
+        .filter_map(|line| line.strip_prefix("id: "))
+        .map(|id| id.parse().unwrap())
+        .collect()
+}
+
+#[test]
+fn each_event_leaves_before_the_next_is_generated() {
+    let runtime = Runtime::new().unwrap();
+    let engine = Engine::start(&runtime, manual()).unwrap();
+    let fixture = fixture::start(Limits::default());
+    fixture.broker.grant(engine.addr());
+    let stream = fixture::open(fixture.front.addr(), &fixture::chat(true, 5));
+    let mut lines = BufReader::new(stream).lines();
+    for number in 1..=5 {
+        // The engine makes no further token until this one has been read here.
+        while engine.runs().iter().all(|run| run.produced < number) {
+            engine.step();
+        }
+        let wanted = format!("id: {number}");
+        let read = lines
+            .by_ref()
+            .map(Result::unwrap)
+            .find(|line| *line == wanted);
+        assert_eq!(read, Some(wanted));
+    }
+    let ends = lines.map(Result::unwrap).any(|line| line == "data: [DONE]");
+    assert!(ends);
+}
+
+#[test]
+fn a_whole_stream_ends_with_its_mark() {
+    let runtime = Runtime::new().unwrap();
+    let engine = Engine::start(&runtime, timed()).unwrap();
+    let fixture = fixture::start(Limits::default());
+    fixture.broker.grant(engine.addr());
+    let reply = fixture::send(fixture.front.addr(), &fixture::chat(true, 20));
+    assert_eq!(reply.status, 200);
+    assert!(
+        reply.whole && reply.body.ends_with("data: [DONE]\n\n"),
+        "{reply:?}"
+    );
+    assert!(reply.header("x-request-id").is_some());
+    fixture
+        .broker
+        .wait(|seen| *seen == Seen::Report(AttemptResult::Done));
+}
+
+#[test]
+fn a_broken_stream_goes_on_without_gap_or_repeat() {
+    let runtime = Runtime::new().unwrap();
+    for cut in [0, 1, 7, 19] {
+        let engine = Engine::start(&runtime, timed()).unwrap();
+        let fixture = fixture::start(Limits::default());
+        fixture.broker.grant(engine.addr());
+        engine.cut_next(cut);
+        let reply = fixture::send(fixture.front.addr(), &fixture::chat(true, 20));
+        let numbers = numbers(&reply.body);
+        let wanted: Vec<u64> = (1..=numbers.len() as u64).collect();
+        assert_eq!(numbers, wanted, "cut after {cut}");
+        assert!(numbers.len() >= 20, "cut after {cut}: {reply:?}");
+        assert!(reply.body.ends_with("data: [DONE]\n\n"), "cut after {cut}");
+    }
+}
+
+#[test]
+fn a_stream_whose_server_dies_ends_with_an_error_event() {
+    let runtime = Runtime::new().unwrap();
+    let engine = Engine::start(&runtime, manual()).unwrap();
+    let fixture = fixture::start(Limits::default());
+    fixture.broker.grant(engine.addr());
+    let addr = fixture.front.addr();
+    let caller = std::thread::spawn(move || fixture::send(addr, &fixture::chat(true, 5)));
+    fixture
+        .broker
+        .wait(|seen| matches!(seen, Seen::Enqueue { .. }));
+    while engine.runs().iter().all(|run| run.produced < 2) {
+        engine.step();
+    }
+    // The router must have read an event before the crash for the answer to be a part.
+    engine.crash();
+    let reply = caller.join().unwrap();
+    if numbers(&reply.body).is_empty() {
+        assert_eq!(reply.status, 502);
+        return;
+    }
+    assert!(reply.body.contains("event: error"), "{reply:?}");
+    assert!(reply.body.contains("\"outcome\":\"unknown\""), "{reply:?}");
+    assert!(!reply.body.contains("[DONE]"));
+}
+
+#[test]
+fn a_whole_answer_carries_its_outcome() {
+    let runtime = Runtime::new().unwrap();
+    let engine = Engine::start(&runtime, timed()).unwrap();
+    let fixture = fixture::start(Limits::default());
+    fixture.broker.grant(engine.addr());
+    let reply = fixture::send(fixture.front.addr(), &fixture::chat(false, 8));
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.header("x-outcome"), Some("done"));
+    assert!(reply.header("content-length").is_some());
+    let json: serde_json::Value = serde_json::from_str(&reply.body).unwrap();
+    assert_eq!(json["usage"]["completion_tokens"], 8);
+}
