--- /dev/null
+++ b/crates/standin/src/runtime.rs
@@ -0,0 +1,50 @@
+//! The one thread on which all stand-ins of a test run.
+
+use std::io;
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+
+use tokio::runtime::Builder;
+use tokio::runtime::Handle;
+use tokio::sync::Notify;
+
+/// A thread that runs stand-ins; ends when dropped, and with it all that runs on it.
+#[derive(Debug)]
+pub struct Runtime {
+    handle: Handle,
+    stop: Arc<Notify>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Runtime {
+    /// Starts the thread.
+    pub fn new() -> io::Result<Self> {
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let handle = runtime.handle().clone();
+        let stop = Arc::new(Notify::new());
+        let stopped = stop.clone();
+        let thread = thread::Builder::new()
+            .name("standin".into())
+            .spawn(move || runtime.block_on(stopped.notified()))?;
+        Ok(Self {
+            handle,
+            stop,
+            thread: Some(thread),
+        })
+    }
+
+    pub(crate) fn handle(&self) -> &Handle {
+        &self.handle
+    }
+}
+
+impl Drop for Runtime {
+    fn drop(&mut self) {
+        self.stop.notify_one();
+        if let Some(thread) = self.thread.take() {
+            // A panic of the thread has been printed; a drop must not panic again.
+            let _ = thread.join();
+        }
+    }
+}
