--- /dev/null
+++ b/crates/link/src/codec.rs
@@ -0,0 +1,72 @@
+//! Messages in a frame: CBOR values, one after the other.
+//!
+//! A frame carries a CBOR sequence (RFC 8742): as many messages as were waiting when it was
+//! written. That saves the header, the tag and the system call of every message but the first,
+//! which is most of the bytes when messages are as short as a grant. An empty sequence is the
+//! keepalive.
+
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use snafu::ensure;
+use snafu::Snafu;
+
+/// Most messages in one frame; bounds what a decoder allocates for short ones.
+pub const MAX_FRAME_MESSAGES: usize = 1024;
+
+/// Why messages could not be encoded or decoded.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum CodecError {
+    /// The value cannot be written as CBOR.
+    #[snafu(display("failed to encode a message: {cause}"))]
+    Encode {
+        /// What the encoder said.
+        cause: String,
+    },
+    /// The bytes are no message.
+    #[snafu(display("failed to decode message {index} of a frame: {cause}"))]
+    Decode {
+        /// Position in the frame, from 0.
+        index: usize,
+        /// What the decoder said.
+        cause: String,
+    },
+    /// More messages than a frame may hold.
+    #[snafu(display("more than {MAX_FRAME_MESSAGES} messages in a frame"))]
+    TooMany,
+}
+
+/// Encodes one message.
+///
+/// # Errors
+/// [`CodecError::Encode`] if the value cannot be written as CBOR.
+pub fn encode<M: Serialize>(message: &M) -> Result<Vec<u8>, CodecError> {
+    let mut bytes = Vec::new();
+    match ciborium::into_writer(message, &mut bytes) {
+        Ok(()) => Ok(bytes),
+        Err(e) => EncodeSnafu {
+            cause: e.to_string(),
+        }
+        .fail(),
+    }
+}
+
+/// Decodes all messages of a frame.
+///
+/// # Errors
+/// [`CodecError::Decode`] for bytes that are no message, [`CodecError::TooMany`].
+pub fn decode_all<M: DeserializeOwned>(payload: &[u8]) -> Result<Vec<M>, CodecError> {
+    let mut rest = payload;
+    let mut messages = Vec::new();
+    while !rest.is_empty() {
+        let index = messages.len();
+        ensure!(index < MAX_FRAME_MESSAGES, TooManySnafu);
+        match ciborium::from_reader(&mut rest) {
+            Ok(message) => messages.push(message),
+            Err(e) => {
+                let cause = e.to_string();
+                return DecodeSnafu { index, cause }.fail();
+            }
+        }
+    }
+    Ok(messages)
+}
--- /dev/null
+++ b/crates/link/src/connection.rs
@@ -0,0 +1,195 @@
+//! One established link: a writer and a reader over the same connection.
+
+use std::time::Duration;
+
+use futures_util::stream::SplitSink;
+use futures_util::stream::SplitStream;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use primrose_core::id::Member;
+use serde::de::DeserializeOwned;
+use tokio::sync::mpsc::Sender;
+use tokio::time::timeout;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::WebSocketStream;
+
+use crate::codec::decode_all;
+use crate::counted::Counted;
+use crate::event::DownReason;
+use crate::event::LinkEvent;
+use crate::frame::Opener;
+use crate::frame::Sealer;
+use crate::handshake::Identity;
+use crate::handshake::Session;
+use crate::queue::Batch;
+use crate::registry::Admitted;
+use crate::shared::Shared;
+use crate::stats::add;
+use crate::stats::Counters;
+
+/// A WebSocket over a counted stream.
+pub(crate) type Socket = WebSocketStream<Counted>;
+
+/// Longest time to say goodbye on a connection that is given up.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// A link and what it works with.
+pub(crate) struct Connection<'a, M> {
+    pub(crate) shared: &'a Shared,
+    pub(crate) events: &'a Sender<LinkEvent<M>>,
+    pub(crate) counters: &'a Counters,
+    pub(crate) admitted: Admitted,
+}
+
+impl<M: DeserializeOwned> Connection<'_, M> {
+    /// Carries messages both ways until the link ends, and records its end.
+    pub(crate) async fn run(&self, socket: Socket, session: Session) {
+        let (mut sink, mut stream) = socket.split();
+        let peer = session.peer;
+        let mut sealer = session.sealer;
+        let reason = tokio::select! {
+            reason = self.write(&peer, &mut sink, &mut sealer) => Some(reason),
+            reason = self.read(&peer, &mut stream, session.opener) => Some(reason),
+            () = self.admitted.closing.notified() => None,
+        };
+        if reason.is_none() && self.shared.is_stopping() {
+            self.flush(&mut sink, &mut sealer).await;
+        }
+        let _ = timeout(CLOSE_TIMEOUT, sink.close()).await;
+        if let Some(reason) = reason {
+            let host = &peer.member.host;
+            self.shared.registry.end(host, self.admitted.serial, reason);
+        }
+    }
+
+    /// Writes what waits, and keepalives when nothing does.
+    async fn write(
+        &self,
+        peer: &Identity,
+        sink: &mut SplitSink<Socket, Message>,
+        sealer: &mut Sealer,
+    ) -> DownReason {
+        let queue = &self.admitted.queue;
+        let keepalive = self.shared.limits.keepalive;
+        loop {
+            let mut batch = queue.take();
+            if batch.messages == 0 && timeout(keepalive, queue.pushed()).await.is_ok() {
+                batch = queue.take();
+            }
+            if self.shared.blocks.peer(peer) {
+                continue;
+            }
+            if let Err(reason) = self.write_batch(sink, sealer, batch).await {
+                return reason;
+            }
+        }
+    }
+
+    /// Writes one frame.
+    async fn write_batch(
+        &self,
+        sink: &mut SplitSink<Socket, Message>,
+        sealer: &mut Sealer,
+        batch: Batch,
+    ) -> Result<(), DownReason> {
+        let frame = Message::binary(sealer.seal(&batch.payload));
+        match timeout(self.shared.limits.write, sink.send(frame)).await {
+            Err(_) => return Err(DownReason::Slow),
+            Ok(Err(e)) => return Err(DownReason::Failed(e.to_string())),
+            Ok(Ok(())) => {}
+        }
+        for counters in [self.counters, &self.shared.total] {
+            add(&counters.frames_out, 1);
+            add(&counters.messages_out, batch.messages);
+        }
+        Ok(())
+    }
+
+    /// Writes what still waits before the endpoint stops.
+    async fn flush(&self, sink: &mut SplitSink<Socket, Message>, sealer: &mut Sealer) {
+        loop {
+            let batch = self.admitted.queue.take();
+            if batch.messages == 0 {
+                return;
+            }
+            if self.write_batch(sink, sealer, batch).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Reads frames and delivers their messages.
+    async fn read(
+        &self,
+        peer: &Identity,
+        stream: &mut SplitStream<Socket>,
+        mut opener: Opener,
+    ) -> DownReason {
+        let mut silence = Silence::new(self.shared.limits.idle);
+        loop {
+            let frame = match timeout(silence.left(), stream.next()).await {
+                Err(_) => return DownReason::Silent,
+                Ok(None | Some(Ok(Message::Close(_)))) => return DownReason::Closed,
+                Ok(Some(Err(e))) => return DownReason::Failed(e.to_string()),
+                Ok(Some(Ok(Message::Binary(frame)))) => frame,
+                Ok(Some(Ok(_))) => continue,
+            };
+            let payload = match opener.open(&frame) {
+                Ok(payload) => payload,
+                Err(e) => return DownReason::Frame(e),
+            };
+            if self.shared.blocks.peer(peer) {
+                continue;
+            }
+            let messages = match decode_all(payload) {
+                Ok(messages) => messages,
+                Err(e) => return DownReason::Codec(e),
+            };
+            self.deliver(&peer.member, messages).await;
+            silence.end();
+        }
+    }
+
+    /// Hands messages to the deciding thread; waits while its ring is full.
+    async fn deliver(&self, from: &Member, messages: Vec<M>) {
+        for counters in [self.counters, &self.shared.total] {
+            add(&counters.frames_in, 1);
+            add(&counters.messages_in, messages.len());
+        }
+        for message in messages {
+            let serial = self.admitted.serial;
+            if !self.shared.registry.is_current(&from.host, serial) {
+                return;
+            }
+            let from = from.clone();
+            let event = LinkEvent::Message { from, message };
+            if self.events.send(event).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Measures how long a peer has been silent.
+struct Silence {
+    limit: Duration,
+    since: tokio::time::Instant,
+}
+
+impl Silence {
+    /// Starts now.
+    fn new(limit: Duration) -> Self {
+        let since = tokio::time::Instant::now();
+        Self { limit, since }
+    }
+
+    /// The peer was heard.
+    fn end(&mut self) {
+        self.since = tokio::time::Instant::now();
+    }
+
+    /// Time left before the limit.
+    fn left(&self) -> Duration {
+        self.limit.saturating_sub(self.since.elapsed())
+    }
+}
--- /dev/null
+++ b/crates/link/src/endpoint.rs
@@ -0,0 +1,329 @@
+//! The handle of the link thread.
+
+use std::collections::HashMap;
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use crossbeam_channel::Sender;
+use crossbeam_channel::TrySendError;
+use log::info;
+use primrose_core::id::HostId;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use snafu::ensure;
+use snafu::OptionExt;
+use snafu::ResultExt;
+use tokio::runtime::Builder;
+use tokio::runtime::Handle;
+use tokio::runtime::Runtime;
+use tokio::sync::mpsc;
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+use tokio::time::sleep;
+
+use crate::accept::accept_loop;
+use crate::block::Blocks;
+use crate::block::Scope;
+use crate::codec::encode;
+use crate::config::LinkConfig;
+use crate::dial::dial_loop;
+use crate::dial::Target;
+use crate::error::EncodeSnafu;
+use crate::error::FullSnafu;
+use crate::error::ListenSnafu;
+use crate::error::NoLinkSnafu;
+use crate::error::SendError;
+use crate::error::StartError;
+use crate::error::ThreadSnafu;
+use crate::error::TooLargeSnafu;
+use crate::event::LinkEvent;
+use crate::handshake::Identity;
+use crate::log_limit::LogLimit;
+use crate::registry::Change;
+use crate::registry::Registry;
+use crate::shared::Shared;
+use crate::stats::add;
+use crate::stats::Counters;
+use crate::stats::Stats;
+
+/// Messages between the connections and the task that fills the ring.
+const RELAY_MESSAGES: usize = 256;
+/// Pause while the ring of the deciding thread is full.
+const RING_PAUSE: Duration = Duration::from_millis(1);
+/// Time that a stopping endpoint gives its connections to flush.
+const STOP_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The links of one router; runs one thread until [`Endpoint::stop`] or drop.
+#[derive(Debug)]
+pub struct Endpoint<M> {
+    shared: Arc<Shared>,
+    runtime: Handle,
+    relay: mpsc::Sender<LinkEvent<M>>,
+    dials: Mutex<HashMap<SocketAddr, Dial>>,
+    stop: Arc<Notify>,
+    thread: Mutex<Option<JoinHandle<()>>>,
+    kind: PhantomData<fn(M)>,
+}
+
+/// A task that dials one address.
+#[derive(Debug)]
+struct Dial {
+    host: Option<HostId>,
+    task: AbortHandle,
+}
+
+impl<M: Serialize + DeserializeOwned + Send + 'static> Endpoint<M> {
+    /// Listens and starts the link thread; events go into the ring.
+    ///
+    /// # Errors
+    /// [`StartError`] if the address cannot be listened on, or for lack of system resources.
+    pub fn start(config: LinkConfig, events: Sender<LinkEvent<M>>) -> Result<Self, StartError> {
+        let addr = config.listen;
+        let listener = TcpListener::bind(addr).context(ListenSnafu { addr })?;
+        listener
+            .set_nonblocking(true)
+            .context(ListenSnafu { addr })?;
+        let local = listener.local_addr().context(ListenSnafu { addr })?;
+        let (changes, changed) = mpsc::unbounded_channel();
+        let (relay, relayed) = mpsc::channel(RELAY_MESSAGES);
+        let shared = Arc::new(share(config, local, changes));
+        let runtime = Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .context(ThreadSnafu)?;
+        let handle = runtime.handle().clone();
+        let stop = Arc::new(Notify::new());
+        handle.spawn(forward(changed, relayed, events));
+        let accepting = Arc::clone(&shared);
+        let accepted = relay.clone();
+        handle.spawn(async move {
+            match tokio::net::TcpListener::from_std(listener) {
+                Ok(listener) => accept_loop(listener, accepting, accepted).await,
+                Err(e) => log::error!("failed to listen for peers: {e}"),
+            }
+        });
+        let thread = spawn_thread(runtime, Arc::clone(&shared), Arc::clone(&stop))?;
+        info!(addr:% = shared.me.addr; "listening for peers");
+        Ok(Self {
+            shared,
+            runtime: handle,
+            relay,
+            dials: Mutex::default(),
+            stop,
+            thread: Mutex::new(Some(thread)),
+            kind: PhantomData,
+        })
+    }
+
+    /// Keeps dialing a host until [`Endpoint::disconnect`]; does nothing if it is being dialed.
+    pub fn connect(&self, host: &HostId, addr: SocketAddr) {
+        self.dial(Some(host.clone()), addr);
+    }
+
+    /// Keeps dialing an address whose host is not known yet; stops if it is this router's own.
+    pub fn connect_seed(&self, addr: SocketAddr) {
+        self.dial(None, addr);
+    }
+
+    /// Stops dialing an address that was given as a seed; a link that came of it is closed.
+    pub fn disconnect_seed(&self, addr: SocketAddr) {
+        let mut dials = self.dials.lock().expect("dial lock poisoned");
+        if dials.get(&addr).is_some_and(|d| d.host.is_none()) {
+            if let Some(dial) = dials.remove(&addr) {
+                dial.task.abort();
+            }
+        }
+    }
+
+    /// Stops dialing a host and closes the link to it.
+    pub fn disconnect(&self, host: &HostId) {
+        let mut dials = self.dials.lock().expect("dial lock poisoned");
+        dials.retain(|_, dial| {
+            let keep = dial.host.as_ref() != Some(host);
+            if !keep {
+                dial.task.abort();
+            }
+            keep
+        });
+        drop(dials);
+        self.shared.registry.close(host);
+    }
+
+    /// Queues a message without waiting.
+    ///
+    /// # Errors
+    /// [`SendError`]; the message is then not sent.
+    pub fn send(&self, host: &HostId, message: &M) -> Result<(), SendError> {
+        let bytes = match encode(message) {
+            Ok(bytes) => bytes,
+            Err(e) => {
+                let cause = e.to_string();
+                return EncodeSnafu { cause }.fail();
+            }
+        };
+        let limit = self.shared.limits.frame_bytes;
+        let size = bytes.len();
+        ensure!(size <= limit, TooLargeSnafu { bytes: size, limit });
+        let outlet = self.shared.registry.outlet(host);
+        let (queue, counters) = outlet.context(NoLinkSnafu { host })?;
+        if !queue.push(bytes) {
+            add(&counters.dropped, 1);
+            add(&self.shared.total.dropped, 1);
+            return FullSnafu { host }.fail();
+        }
+        Ok(())
+    }
+
+    /// Returns the address that peers are told to dial.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.shared.me.addr
+    }
+
+    /// Returns the counts so far.
+    pub fn stats(&self) -> Stats {
+        Stats {
+            total: self.shared.total.read(),
+            links: self.shared.registry.stats(),
+            refused: self.shared.refused.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Test hook: cuts off a host or zone as a partition does, or lets it through again.
+    ///
+    /// For fault tests and measurements; nothing in the settings reaches it.
+    pub fn block(&self, scope: Scope, blocked: bool) {
+        self.shared.blocks.set(scope, blocked);
+    }
+
+    /// Starts a dialing task for an address.
+    fn dial(&self, host: Option<HostId>, addr: SocketAddr) {
+        let mut dials = self.dials.lock().expect("dial lock poisoned");
+        if let Some(old) = dials.get(&addr) {
+            if !old.task.is_finished() && old.host == host {
+                return;
+            }
+            old.task.abort();
+        }
+        let target = Target {
+            host: host.clone(),
+            addr,
+        };
+        let task = dial_loop(target, Arc::clone(&self.shared), self.relay.clone());
+        let task = self.runtime.spawn(task).abort_handle();
+        dials.insert(addr, Dial { host, task });
+    }
+}
+
+impl<M> Endpoint<M> {
+    /// Flushes and closes all links and ends the thread.
+    pub fn stop(&self) {
+        self.shared.stopping.store(true, Ordering::Relaxed);
+        self.stop.notify_one();
+        let thread = self.thread.lock().expect("thread lock poisoned").take();
+        if let Some(thread) = thread {
+            if thread.join().is_err() {
+                log::error!("the link thread panicked");
+            }
+        }
+    }
+}
+
+impl<M> Drop for Endpoint<M> {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// Makes the shared state.
+fn share(config: LinkConfig, local: SocketAddr, changes: mpsc::UnboundedSender<Change>) -> Shared {
+    Shared {
+        registry: Arc::new(Registry::new(config.me.clone(), config.limits, changes)),
+        me: Identity {
+            member: config.me,
+            zone: config.zone,
+            addr: config.advertise.unwrap_or(local),
+        },
+        keys: config.keys,
+        limits: config.limits,
+        blocks: Blocks::default(),
+        total: Arc::new(Counters::default()),
+        refused: AtomicU64::new(0),
+        stopping: AtomicBool::new(false),
+        log_limit: LogLimit::default(),
+    }
+}
+
+/// Starts the thread that runs all tasks.
+fn spawn_thread(
+    runtime: Runtime,
+    shared: Arc<Shared>,
+    stop: Arc<Notify>,
+) -> Result<JoinHandle<()>, StartError> {
+    let work = async move {
+        stop.notified().await;
+        let closing = shared.registry.close_all();
+        let closed = async {
+            while closing.iter().any(|link| link.strong_count() > 0) {
+                sleep(RING_PAUSE).await;
+            }
+        };
+        let _ = tokio::time::timeout(STOP_TIMEOUT, closed).await;
+    };
+    let run = move || runtime.block_on(work);
+    thread::Builder::new()
+        .name("link".to_owned())
+        .spawn(run)
+        .context(ThreadSnafu)
+}
+
+/// Fills the ring: changes of links first, then messages.
+async fn forward<M>(
+    mut changes: mpsc::UnboundedReceiver<Change>,
+    mut relayed: mpsc::Receiver<LinkEvent<M>>,
+    ring: Sender<LinkEvent<M>>,
+) {
+    loop {
+        let event = tokio::select! {
+            biased;
+            Some(change) = changes.recv() => event_of(change),
+            Some(event) = relayed.recv() => event,
+            else => return,
+        };
+        if !offer(&ring, event).await {
+            return;
+        }
+    }
+}
+
+/// Puts an event into the ring; false if nobody reads it any more.
+async fn offer<M>(ring: &Sender<LinkEvent<M>>, mut event: LinkEvent<M>) -> bool {
+    loop {
+        match ring.try_send(event) {
+            Ok(()) => return true,
+            Err(TrySendError::Disconnected(_)) => return false,
+            Err(TrySendError::Full(back)) => event = back,
+        }
+        sleep(RING_PAUSE).await;
+    }
+}
+
+/// Turns a change of the registry into an event.
+fn event_of<M>(change: Change) -> LinkEvent<M> {
+    match change {
+        Change::Up(peer) => LinkEvent::Up {
+            member: peer.member,
+            zone: peer.zone,
+            addr: peer.addr,
+        },
+        Change::Down(member, reason) => LinkEvent::Down { member, reason },
+    }
+}
--- /dev/null
+++ b/crates/link/src/error.rs
@@ -0,0 +1,58 @@
+//! Errors of the endpoint's interface.
+
+use std::net::SocketAddr;
+
+use primrose_core::id::HostId;
+use snafu::Snafu;
+
+/// Why an endpoint did not start.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum StartError {
+    /// The address is in use or not of this host.
+    #[snafu(display("failed to listen for peers on {addr}; check `listen` in the settings"))]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The system gave no thread or no event queue.
+    #[snafu(display("failed to start the link thread"))]
+    Thread {
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+/// Why a message was not queued.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum SendError {
+    /// No link to the host is up.
+    #[snafu(display("no link to host {host}"))]
+    NoLink {
+        /// The host.
+        host: HostId,
+    },
+    /// The link is slower than what is sent to it.
+    #[snafu(display("the queue of the link to host {host} is full"))]
+    Full {
+        /// The host.
+        host: HostId,
+    },
+    /// The encoded message exceeds the frame limit.
+    #[snafu(display("message of {bytes} bytes exceeds the limit of {limit}"))]
+    TooLarge {
+        /// Encoded size.
+        bytes: usize,
+        /// Largest allowed size.
+        limit: usize,
+    },
+    /// The message has a value that CBOR cannot hold.
+    #[snafu(display("failed to encode the message: {cause}"))]
+    Encode {
+        /// What the encoder said.
+        cause: String,
+    },
+}
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -1,1 +1,81 @@
-//! Part of the router fleet; filled in by its first change.
+//! Authenticated message links between the routers of the fleet.
+//!
+//! This crate is the only part of the coordination code that opens sockets. It carries typed
+//! messages between routers and tells the deciding code, over a bounded ring, which peers it can
+//! reach. It decides nothing about membership: whom to connect to is told to it by
+//! `primrose-member`, and what a message means is known only to the receiver.
+//!
+//! An [`Endpoint`] runs one thread with a single-threaded tokio runtime. Every link is one
+//! WebSocket connection with binary frames; [`handshake`] authenticates both ends by a shared key
+//! ([`Keys`]), and every later frame carries a sequence number and a tag under a key of that
+//! connection ([`frame`]). Messages are CBOR values, and those that wait together travel in one
+//! frame ([`codec`]). Between two routers one link is kept; [`settle`] says which.
+//!
+//! A link is not a reliable channel. A message can be lost when a link breaks, and a queue that is
+//! full refuses it; nothing is sent twice by this crate. The state machines above must therefore
+//! repeat what matters, and they do.
+//!
+//! TLS was weighed instead of the keyed tags: it adds certificates that operators would have to
+//! issue and renew for hosts that are replaced hundreds of times a day. The links give
+//! authenticity, not secrecy; run them on a network where reading along is acceptable.
+//!
+//! ```
+//! use std::time::Duration;
+//! use primrose_core::id::Member;
+//! use primrose_link::{Endpoint, Key, Keys, LinkConfig, LinkEvent};
+//!
+//! let key = Key::from_bytes(b"an example key of thirty-two bytes").unwrap();
+//! let start = |host: &str| {
+//!     let me = Member { host: host.into(), incarnation: 1 };
+//!     let keys = Keys::new(vec![key.clone()]).unwrap();
+//!     let listen = "127.0.0.1:0".parse().unwrap();
+//!     let (sender, events) = crossbeam_channel::bounded(64);
+//!     let config = LinkConfig::new(me, "barasat".into(), listen, keys);
+//!     (Endpoint::<String>::start(config, sender).unwrap(), events)
+//! };
+//! let (a, events) = start("a");
+//! let (b, _b_events) = start("b");
+//! a.connect(&"b".into(), b.local_addr());
+//! let event = events.recv_timeout(Duration::from_secs(5)).unwrap();
+//! assert!(matches!(event, LinkEvent::Up { .. }));
+//! a.send(&"b".into(), &"hello".to_owned()).unwrap();
+//! a.stop();
+//! b.stop();
+//! ```
+
+mod accept;
+mod block;
+pub mod codec;
+mod config;
+mod connection;
+mod counted;
+mod dial;
+mod endpoint;
+mod error;
+mod event;
+pub mod frame;
+pub mod handshake;
+mod key;
+mod log_limit;
+mod queue;
+mod registry;
+pub mod settle;
+mod shared;
+mod stats;
+
+pub use block::Scope;
+pub use config::Limits;
+pub use config::LinkConfig;
+pub use endpoint::Endpoint;
+pub use error::SendError;
+pub use error::StartError;
+pub use event::DownReason;
+pub use event::LinkEvent;
+pub use event::RefusedReason;
+pub use key::Key;
+pub use key::KeyError;
+pub use key::Keys;
+pub use key::MIN_KEY_BYTES;
+pub use stats::LinkStats;
+pub use stats::Stats;
+pub use stats::Traffic;
--- /dev/null
+++ b/crates/link/src/log_limit.rs
@@ -0,0 +1,35 @@
+//! Keeps a stranger from filling the log.
+
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Shortest time between two lines about refused connections.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Lets one line through in an interval and counts the others.
+#[derive(Debug, Default)]
+pub(crate) struct LogLimit {
+    state: Mutex<State>,
+}
+
+/// When the last line went through, and what was held back since.
+#[derive(Debug, Default)]
+struct State {
+    last: Option<Instant>,
+    held: u64,
+}
+
+impl LogLimit {
+    /// Returns how many lines were held back if this one may pass.
+    pub(crate) fn pass(&self, now: Instant) -> Option<u64> {
+        let mut state = self.state.lock().expect("log lock poisoned");
+        let early = state.last.is_some_and(|last| now < last + LOG_INTERVAL);
+        if early {
+            state.held += 1;
+            return None;
+        }
+        state.last = Some(now);
+        Some(std::mem::take(&mut state.held))
+    }
+}
--- /dev/null
+++ b/crates/link/src/queue.rs
@@ -0,0 +1,88 @@
+//! The bounded queue of one peer.
+//!
+//! The deciding thread pushes encoded messages without waiting; the link's writer takes as many as
+//! fit one frame. The queue belongs to the peer and not to the connection, so that messages stay
+//! when a duplicate connection takes the place of the first.
+
+use std::collections::VecDeque;
+use std::sync::Mutex;
+
+use tokio::sync::Notify;
+
+use crate::codec::MAX_FRAME_MESSAGES;
+use crate::config::Limits;
+
+/// Messages that were taken for one frame.
+#[derive(Debug, Default)]
+pub(crate) struct Batch {
+    /// The encoded messages, one after the other.
+    pub(crate) payload: Vec<u8>,
+    /// How many.
+    pub(crate) messages: usize,
+}
+
+/// What waits.
+#[derive(Debug, Default)]
+struct Waiting {
+    messages: VecDeque<Vec<u8>>,
+    bytes: usize,
+}
+
+/// A bounded queue of encoded messages.
+#[derive(Debug)]
+pub(crate) struct Queue {
+    limits: Limits,
+    waiting: Mutex<Waiting>,
+    pushed: Notify,
+}
+
+impl Queue {
+    /// Makes an empty queue.
+    pub(crate) fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            waiting: Mutex::default(),
+            pushed: Notify::new(),
+        }
+    }
+
+    /// Adds a message; false if the queue is full.
+    pub(crate) fn push(&self, message: Vec<u8>) -> bool {
+        let mut waiting = self.waiting.lock().expect("queue lock poisoned");
+        let bytes = waiting.bytes + message.len();
+        let full = waiting.messages.len() >= self.limits.queue_messages;
+        if full || bytes > self.limits.queue_bytes {
+            return false;
+        }
+        waiting.bytes = bytes;
+        waiting.messages.push_back(message);
+        drop(waiting);
+        self.pushed.notify_one();
+        true
+    }
+
+    /// Takes what fits one frame; empty if nothing waits.
+    pub(crate) fn take(&self) -> Batch {
+        let mut waiting = self.waiting.lock().expect("queue lock poisoned");
+        let mut batch = Batch::default();
+        while batch.messages < MAX_FRAME_MESSAGES {
+            let Some(next) = waiting.messages.front() else {
+                break;
+            };
+            let bytes = batch.payload.len() + next.len();
+            if batch.messages > 0 && bytes > self.limits.frame_bytes {
+                break;
+            }
+            let message = waiting.messages.pop_front().unwrap_or_default();
+            waiting.bytes -= message.len();
+            batch.payload.extend_from_slice(&message);
+            batch.messages += 1;
+        }
+        batch
+    }
+
+    /// Waits until something has been pushed.
+    pub(crate) async fn pushed(&self) {
+        self.pushed.notified().await;
+    }
+}
--- /dev/null
+++ b/crates/link/src/registry.rs
@@ -0,0 +1,252 @@
+//! The links that are up, one for each peer host.
+//!
+//! Changes and the events about them are made under one lock, so events come in the order of the
+//! changes whatever task makes them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::Weak;
+
+use primrose_core::id::HostId;
+use primrose_core::id::Member;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::Notify;
+
+use crate::config::Limits;
+use crate::event::DownReason;
+use crate::event::RefusedReason;
+use crate::handshake::Identity;
+use crate::queue::Queue;
+use crate::settle::settle;
+use crate::settle::Candidate;
+use crate::settle::Settlement;
+use crate::stats::Counters;
+use crate::stats::LinkStats;
+
+/// Numbers the connections of an endpoint.
+pub(crate) type Serial = u64;
+
+/// A link came up or went down.
+#[derive(Debug)]
+pub(crate) enum Change {
+    /// Up.
+    Up(Identity),
+    /// Down.
+    Down(Member, DownReason),
+}
+
+/// One link that is up.
+#[derive(Debug)]
+struct Link {
+    peer: Identity,
+    dialed: bool,
+    serial: Serial,
+    queue: Arc<Queue>,
+    closing: Arc<Notify>,
+    counters: Arc<Counters>,
+}
+
+/// A connection that has authenticated.
+#[derive(Debug)]
+pub(crate) struct Applicant {
+    /// The peer.
+    pub(crate) peer: Identity,
+    /// Whether this end dialed.
+    pub(crate) dialed: bool,
+    /// Counters of the connection.
+    pub(crate) counters: Arc<Counters>,
+}
+
+/// What a connection needs once it is a link; the link ends when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Admitted {
+    registry: Arc<Registry>,
+    host: HostId,
+    /// Number of the connection.
+    pub(crate) serial: Serial,
+    /// What to send.
+    pub(crate) queue: Arc<Queue>,
+    /// Told when the connection has to close.
+    pub(crate) closing: Arc<Notify>,
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        // Does nothing if the end has been recorded; else the task was given up from outside.
+        self.registry
+            .end(&self.host, self.serial, DownReason::Disconnected);
+    }
+}
+
+/// Links by host.
+#[derive(Debug, Default)]
+struct State {
+    links: HashMap<HostId, Link>,
+    serials: Serial,
+}
+
+/// The links of an endpoint.
+#[derive(Debug)]
+pub(crate) struct Registry {
+    me: Member,
+    limits: Limits,
+    state: Mutex<State>,
+    changes: UnboundedSender<Change>,
+    changed: Notify,
+}
+
+impl Registry {
+    /// Makes an empty registry that reports its changes.
+    pub(crate) fn new(me: Member, limits: Limits, changes: UnboundedSender<Change>) -> Self {
+        Self {
+            me,
+            limits,
+            state: Mutex::default(),
+            changes,
+            changed: Notify::new(),
+        }
+    }
+
+    /// Makes a connection the link to its peer, or says why not.
+    pub(crate) fn admit(self: &Arc<Self>, new: Applicant) -> Result<Admitted, RefusedReason> {
+        let mut state = self.state();
+        let host = new.peer.member.host.clone();
+        let queue = match state.links.get(&host) {
+            Some(old) => self.take_over(old, &new)?,
+            None if state.links.len() >= self.limits.links => return Err(RefusedReason::TooMany),
+            None => {
+                self.report(Change::Up(new.peer.clone()));
+                Arc::new(Queue::new(self.limits))
+            }
+        };
+        state.serials += 1;
+        let admitted = Admitted {
+            registry: Arc::clone(self),
+            host: host.clone(),
+            serial: state.serials,
+            queue: Arc::clone(&queue),
+            closing: Arc::new(Notify::new()),
+        };
+        let link = Link {
+            peer: new.peer,
+            dialed: new.dialed,
+            serial: admitted.serial,
+            queue,
+            closing: Arc::clone(&admitted.closing),
+            counters: new.counters,
+        };
+        state.links.insert(host, link);
+        drop(state);
+        self.changed.notify_waiters();
+        Ok(admitted)
+    }
+
+    /// Settles between the link that is there and a new one; returns the queue to go on with.
+    fn take_over(&self, old: &Link, new: &Applicant) -> Result<Arc<Queue>, RefusedReason> {
+        let had = Candidate {
+            peer: &old.peer.member,
+            dialed: old.dialed,
+        };
+        let wants = Candidate {
+            peer: &new.peer.member,
+            dialed: new.dialed,
+        };
+        match settle(&self.me, had, wants) {
+            Settlement::Keep => Err(RefusedReason::Duplicate),
+            Settlement::Swap => {
+                old.closing.notify_one();
+                Ok(Arc::clone(&old.queue))
+            }
+            Settlement::Replace => {
+                old.closing.notify_one();
+                let gone = old.peer.member.clone();
+                self.report(Change::Down(gone, DownReason::Replaced));
+                self.report(Change::Up(new.peer.clone()));
+                Ok(Arc::new(Queue::new(self.limits)))
+            }
+        }
+    }
+
+    /// Records that a connection has ended; reports it unless another took its place.
+    pub(crate) fn end(&self, host: &HostId, serial: Serial, reason: DownReason) {
+        let mut state = self.state();
+        if state.links.get(host).is_none_or(|l| l.serial != serial) {
+            return;
+        }
+        if let Some(link) = state.links.remove(host) {
+            self.report(Change::Down(link.peer.member, reason));
+        }
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Closes the link to a host.
+    pub(crate) fn close(&self, host: &HostId) {
+        let mut state = self.state();
+        if let Some(link) = state.links.remove(host) {
+            link.closing.notify_one();
+            self.report(Change::Down(link.peer.member, DownReason::Disconnected));
+        }
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Asks all connections to flush and close; nothing is reported.
+    ///
+    /// Returns a reference to each connection that dies with it.
+    pub(crate) fn close_all(&self) -> Vec<Weak<Notify>> {
+        let mut state = self.state();
+        let close = |(_, link): (HostId, Link)| {
+            link.closing.notify_one();
+            Arc::downgrade(&link.closing)
+        };
+        state.links.drain().map(close).collect()
+    }
+
+    /// Whether this connection is still the link to its peer.
+    pub(crate) fn is_current(&self, host: &HostId, serial: Serial) -> bool {
+        let state = self.state();
+        state.links.get(host).is_some_and(|l| l.serial == serial)
+    }
+
+    /// Whether a link to the host is up.
+    pub(crate) fn has(&self, host: &HostId) -> bool {
+        self.state().links.contains_key(host)
+    }
+
+    /// Returns the queue and the counters of the link to a host.
+    pub(crate) fn outlet(&self, host: &HostId) -> Option<(Arc<Queue>, Arc<Counters>)> {
+        let state = self.state();
+        let link = state.links.get(host)?;
+        Some((Arc::clone(&link.queue), Arc::clone(&link.counters)))
+    }
+
+    /// Returns the counts of all links.
+    pub(crate) fn stats(&self) -> Vec<LinkStats> {
+        let state = self.state();
+        let one = |(host, link): (&HostId, &Link)| LinkStats {
+            host: host.clone(),
+            traffic: link.counters.read(),
+        };
+        let mut stats: Vec<LinkStats> = state.links.iter().map(one).collect();
+        stats.sort_by(|a, b| a.host.cmp(&b.host));
+        stats
+    }
+
+    /// Waits for the next change.
+    pub(crate) async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Passes a change on; nobody listens any more when the endpoint stops.
+    fn report(&self, change: Change) {
+        let _ = self.changes.send(change);
+    }
+
+    /// Locks the state.
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("registry lock poisoned")
+    }
+}
--- /dev/null
+++ b/crates/link/src/shared.rs
@@ -0,0 +1,79 @@
+//! What all tasks of an endpoint share.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Instant;
+
+use log::warn;
+use rand::random;
+use tokio::sync::mpsc::Sender;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+
+use crate::block::Blocks;
+use crate::config::Limits;
+use crate::event::LinkEvent;
+use crate::event::RefusedReason;
+use crate::frame::OVERHEAD_BYTES;
+use crate::handshake::Identity;
+use crate::handshake::Nonce;
+use crate::key::Keys;
+use crate::log_limit::LogLimit;
+use crate::registry::Registry;
+use crate::stats::Counters;
+
+/// State of an endpoint that its tasks and its handle share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) me: Identity,
+    pub(crate) keys: Keys,
+    pub(crate) limits: Limits,
+    pub(crate) registry: Arc<Registry>,
+    pub(crate) blocks: Blocks,
+    pub(crate) total: Arc<Counters>,
+    pub(crate) refused: AtomicU64,
+    pub(crate) stopping: AtomicBool,
+    pub(crate) log_limit: LogLimit,
+}
+
+impl Shared {
+    /// Draws a nonce from the system's random source.
+    pub(crate) fn nonce(&self) -> Nonce {
+        random()
+    }
+
+    /// Returns the WebSocket limits.
+    pub(crate) fn socket_config(&self) -> WebSocketConfig {
+        let largest = self.limits.frame_bytes + OVERHEAD_BYTES;
+        WebSocketConfig::default()
+            .read_buffer_size(16 << 10)
+            .write_buffer_size(0)
+            .max_write_buffer_size(2 * largest)
+            .max_message_size(Some(largest))
+            .max_frame_size(Some(largest))
+    }
+
+    /// Whether the endpoint is closing down.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts, logs and reports a connection that did not become a link.
+pub(crate) fn refuse<M>(
+    shared: &Shared,
+    events: &Sender<LinkEvent<M>>,
+    addr: SocketAddr,
+    reason: RefusedReason,
+) {
+    shared.refused.fetch_add(1, Ordering::Relaxed);
+    if reason != RefusedReason::Duplicate {
+        if let Some(held) = shared.log_limit.pass(Instant::now()) {
+            warn!(peer:% = addr, held_back = held; "refused a peer connection: {reason}");
+        }
+    }
+    // A flood of strangers must not displace messages: what does not fit is only counted.
+    let _ = events.try_send(LinkEvent::Refused { addr, reason });
+}
