--- /dev/null
+++ b/crates/table/src/header.rs
@@ -0,0 +1,134 @@
+//! The header of a document: its generation and the id of the change that brought it.
+//!
+//! Two documents with the same generation and different change ids are two operators' documents;
+//! the id also tells a writer whose reply was lost whether its own write took effect.
+
+use primrose_core::id::Generation;
+use serde::Serialize;
+
+use crate::ini;
+use crate::ini::FaultKind;
+use crate::ini::Fields;
+use crate::ini::Place;
+use crate::ini::Reporter;
+use crate::ini::Section;
+use crate::row::Row;
+use crate::value;
+
+/// Random id of one accepted change; 0 for a document that was never accepted.
+pub type ChangeId = u64;
+
+/// Largest document, in bytes; the key-value service holds values up to a megabyte.
+pub const MAX_DOCUMENT: usize = 1_000_000;
+
+/// Kind of the header section.
+pub(crate) const HEADER: &str = "document";
+
+/// Generation and change id of a document.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, derive_more::Display)]
+#[display("generation {generation}, change {change:016x}")]
+pub struct Header {
+    /// Generation; 0 in a document that was never accepted.
+    pub generation: Generation,
+    /// Id of the change.
+    pub change: ChangeId,
+}
+
+impl Header {
+    pub(crate) fn rows(self) -> [Row; 2] {
+        [
+            Row::new("generation", self.generation.to_string()),
+            Row::new("change", format!("{:016x}", self.change)),
+        ]
+    }
+}
+
+/// Puts another header on a document and leaves every other line, comments included, as it is.
+pub fn stamp(text: &str, header: Header) -> String {
+    let mut stamped = String::with_capacity(text.len());
+    let mut inside = false;
+    let mut done = false;
+    for line in text.lines() {
+        if line.starts_with('[') {
+            inside = line.trim_end() == format!("[{HEADER}]");
+            stamped.push_str(line);
+            stamped.push('\n');
+            if inside && !done {
+                done = true;
+                write_rows(&mut stamped, &header.rows());
+            }
+            continue;
+        }
+        let key = line.split('=').next().unwrap_or_default().trim();
+        if !(inside && ["generation", "change"].contains(&key)) {
+            stamped.push_str(line);
+            stamped.push('\n');
+        }
+    }
+    stamped
+}
+
+/// Reads the header alone, also of a document that has faults elsewhere.
+pub fn peek(text: &str) -> Option<Header> {
+    let mut out = Reporter::new("");
+    let sections = ini::read(text, &mut out);
+    parse(&sections, &mut out)
+}
+
+pub(crate) fn parse(sections: &[Section<'_>], out: &mut Reporter) -> Option<Header> {
+    let header = sections
+        .iter()
+        .find(|section| section.kind == HEADER && section.name.is_empty());
+    let Some(section) = header else {
+        let expected = "a [document] section with the generation";
+        out.report(FaultKind::MissingSection, whole(), expected, "none");
+        return None;
+    };
+    let mut fields = Fields::new(section, out);
+    let generation = fields.required("generation", value::number);
+    let change = fields.or("change", 0, parse_change);
+    fields.finish();
+    Some(Header {
+        generation: generation?,
+        change: change?,
+    })
+}
+
+fn parse_change(text: &str) -> Result<ChangeId, String> {
+    let digits = text.chars().all(|letter| letter.is_ascii_hexdigit());
+    let id = u64::from_str_radix(text, 16).ok().filter(|_| digits);
+    id.ok_or_else(|| "a change id of up to 16 hexadecimal digits".into())
+}
+
+/// Reports a text that the key-value service could not hold; returns whether it fits.
+pub(crate) fn fits(text: &str, out: &mut Reporter) -> bool {
+    if text.len() <= MAX_DOCUMENT {
+        return true;
+    }
+    let found = format!("{} bytes", text.len());
+    let expected = format!("at most {MAX_DOCUMENT} bytes");
+    out.report(FaultKind::BadValue, whole(), &expected, &found);
+    false
+}
+
+pub(crate) fn whole() -> Place<'static> {
+    Place {
+        line: 0,
+        section: "",
+        key: "",
+    }
+}
+
+pub(crate) fn write_section(text: &mut String, header: &str, rows: &[Row]) {
+    if !text.is_empty() {
+        text.push('\n');
+    }
+    text.push_str(&format!("[{header}]\n"));
+    write_rows(text, rows);
+}
+
+fn write_rows(text: &mut String, rows: &[Row]) {
+    for Row { key, value } in rows {
+        text.push_str(&format!("{key} = {value}\n"));
+    }
+}
--- a/crates/table/src/ini/fields.rs
+++ b/crates/table/src/ini/fields.rs
@@ -5,6 +5,7 @@
 use super::Place;
 use super::Reporter;
 use super::Section;
+use crate::value;
 
 /// Reads a value; the error says what was expected.
 pub type Parse<T> = fn(&str) -> Result<T, String>;
@@ -29,6 +30,18 @@
         }
     }
 
+    /// Returns the name behind the kind of the section; `None` once a fault has been reported.
+    pub fn section_name(&mut self) -> Option<String> {
+        match value::name(self.section.name) {
+            Ok(name) => Some(name),
+            Err(expected) => {
+                let found = quoted(self.section.name);
+                self.bad(self.section.line, "", &expected, &found);
+                None
+            }
+        }
+    }
+
     /// Returns a value that must be there; `None` once its absence or fault has been reported.
     pub fn required<T>(&mut self, key: &'static str, parse: Parse<T>) -> Option<T> {
         match self.find(key) {
--- a/crates/table/src/ini/mod.rs
+++ b/crates/table/src/ini/mod.rs
@@ -10,6 +10,8 @@
 mod fault;
 mod fields;
 
+use std::collections::HashMap;
+
 use ini_core::Item;
 use ini_core::Parser;
 
@@ -108,104 +110,101 @@
 
 /// Splits a text into sections; what cannot be read is reported and left out.
 pub fn read<'a>(text: &'a str, out: &mut Reporter) -> Vec<Section<'a>> {
-    let mut sections: Vec<Section<'a>> = Vec::new();
+    let mut reader = Reader {
+        sections: Vec::new(),
+        headers: HashMap::new(),
+        keys: HashMap::new(),
+        skip: false,
+        out,
+    };
     let mut parser = Parser::new(text).auto_trim(true);
-    // Entries below a header that cannot be read belong to no section and were reported with it.
-    let mut skip = false;
     loop {
         let line = parser.line() + 1;
         let Some(item) = parser.next() else {
-            return sections;
+            return reader.sections;
         };
+        reader.take(line, item);
+    }
+}
+
+/// The state of reading one text.
+struct Reader<'a, 'r> {
+    sections: Vec<Section<'a>>,
+    /// Line of each header, by kind and name.
+    headers: HashMap<(&'a str, &'a str), u32>,
+    /// Line of each key of the section that is open.
+    keys: HashMap<&'a str, u32>,
+    /// Entries below a header that cannot be read belong to no section and are left out with it.
+    skip: bool,
+    out: &'r mut Reporter,
+}
+
+impl<'a> Reader<'a, '_> {
+    fn take(&mut self, line: u32, item: Item<'a>) {
         match item {
             Item::Blank | Item::Comment(_) | Item::SectionEnd => {}
             Item::Error(found) => {
-                skip = true;
-                report_syntax(
-                    out,
-                    line,
-                    "",
-                    "a section header such as [route chat]",
-                    found,
-                );
+                self.skip = true;
+                self.syntax(line, "", "a section header such as [route chat]", found);
             }
-            Item::Section(header) => skip = !open(&mut sections, header, line, out),
-            Item::Property(_, _) if skip => {}
-            Item::Property(key, value) => add(sections.last_mut(), key, value, line, out),
+            Item::Section(header) => self.skip = !self.open(header, line),
+            Item::Property(_, _) if self.skip => {}
+            Item::Property(key, value) => self.add(key, value, line),
         }
     }
-}
-
-fn report_syntax(out: &mut Reporter, line: u32, section: &str, expected: &str, found: &str) {
-    let key = "";
-    let place = Place { line, section, key };
-    out.report(FaultKind::Syntax, place, expected, found);
-}
 
-/// Opens a section; returns whether entries below it count.
-fn open<'a>(
-    sections: &mut Vec<Section<'a>>,
-    header: &'a str,
-    line: u32,
-    out: &mut Reporter,
-) -> bool {
-    let (kind, name) = header
-        .split_once(|letter: char| letter.is_ascii_whitespace())
-        .unwrap_or((header, ""));
-    let name = name.trim();
-    if kind.is_empty() {
-        report_syntax(out, line, "", "a section header such as [route chat]", "[]");
-        return false;
-    }
-    let earlier = sections
-        .iter()
-        .find(|section| section.kind == kind && section.name == name);
-    if let Some(earlier) = earlier {
-        let place = Place {
+    /// Opens a section; returns whether entries below it count.
+    fn open(&mut self, header: &'a str, line: u32) -> bool {
+        let (kind, name) = header
+            .split_once(|letter: char| letter.is_ascii_whitespace())
+            .unwrap_or((header, ""));
+        let name = name.trim();
+        if kind.is_empty() {
+            self.syntax(line, "", "a section header such as [route chat]", "[]");
+            return false;
+        }
+        if let Some(earlier) = self.headers.insert((kind, name), line) {
+            self.duplicate(line, header, "", "each section once", earlier);
+            return false;
+        }
+        self.keys.clear();
+        self.sections.push(Section {
             line,
-            section: header,
-            key: "",
-        };
-        let found = format!("it again; it stands on line {}", earlier.line);
-        out.report(FaultKind::Duplicate, place, "each section once", &found);
-        return false;
+            kind,
+            name,
+            entries: Vec::new(),
+        });
+        true
     }
-    sections.push(Section {
-        line,
-        kind,
-        name,
-        entries: Vec::new(),
-    });
-    true
-}
 
-fn add<'a>(
-    section: Option<&mut Section<'a>>,
-    key: &'a str,
-    value: Option<&'a str>,
-    line: u32,
-    out: &mut Reporter,
-) {
-    let Some(section) = section else {
-        let expected = "a section header before the first key";
-        report_syntax(out, line, "", expected, key);
-        return;
-    };
-    let header = section.header();
-    let Some(value) = value.filter(|_| !key.is_empty()) else {
-        let expected = "key = value, or a comment that begins with ;";
-        report_syntax(out, line, &header, expected, key);
-        return;
-    };
-    if let Some(earlier) = section.entries.iter().find(|entry| entry.key == key) {
-        let place = Place {
-            line,
-            section: &header,
-            key,
+    fn add(&mut self, key: &'a str, value: Option<&'a str>, line: u32) {
+        let Some(section) = self.sections.last_mut() else {
+            self.syntax(line, "", "a section header before the first key", key);
+            return;
         };
-        let found = format!("it again; it stands on line {}", earlier.line);
-        out.report(FaultKind::Duplicate, place, "each key once", &found);
-        return;
+        let header = section.header();
+        let Some(value) = value.filter(|_| !key.is_empty()) else {
+            let expected = "key = value, or a comment that begins with ;";
+            self.syntax(line, &header, expected, key);
+            return;
+        };
+        match self.keys.insert(key, line) {
+            None => section.entries.push(Entry { line, key, value }),
+            Some(earlier) => self.duplicate(line, &header, key, "each key once", earlier),
+        }
+    }
+
+    fn syntax(&mut self, line: u32, section: &str, expected: &str, found: &str) {
+        let key = "";
+        let place = Place { line, section, key };
+        let found = fields::quoted(found);
+        self.out.report(FaultKind::Syntax, place, expected, &found);
+    }
+
+    fn duplicate(&mut self, line: u32, section: &str, key: &str, expected: &str, earlier: u32) {
+        let place = Place { line, section, key };
+        let found = format!("it again; it stands on line {earlier}");
+        self.out
+            .report(FaultKind::Duplicate, place, expected, &found);
     }
-    section.entries.push(Entry { line, key, value });
 }
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -3,13 +3,13 @@
 //! Operators drive the fleet by two tables, routes and pools, which stand in one INI document at
 //! one key of the platform's key-value service. One key, because then one compare-and-swap changes
 //! both tables and the join between them is always checked whole. A second document holds the
-//! hashes of the client accounts' keys (`accounts`); it changes at another pace and by other
+//! hashes of the client accounts' keys ([`accounts`]); it changes at another pace and by other
 //! hands.
 //!
 //! [`Document::parse`](document::Document::parse) turns a text into a checked
 //! [`Table`](primrose_core::table::Table) or into every [`Fault`](ini::Fault) that it has, not only
 //! the first. [`render`](document::Document::render) is its inverse. [`diff`] compares two tables row by
-//! row. `force` is the state machine by which a router decides which generation it serves.
+//! row. [`force`] is the state machine by which a router decides which generation it serves.
 //!
 //! Nothing here reads a file, a socket or a clock.
 //!
@@ -37,9 +37,12 @@
 //! assert_eq!(faults.0[0].line, 6);
 //! ```
 
+pub mod accounts;
 pub mod check;
 pub mod diff;
 pub mod document;
+pub mod force;
+pub mod header;
 pub mod ini;
 pub mod pool;
 pub mod route;
--- a/crates/table/src/pool.rs
+++ b/crates/table/src/pool.rs
@@ -14,7 +14,6 @@
 use crate::ini::Fields;
 use crate::ini::Reporter;
 use crate::ini::Section;
-use crate::route::parse_name;
 use crate::row::Row;
 use crate::value;
 
@@ -42,7 +41,7 @@
 /// Reads a `[pool NAME]` section; `None` once its faults have been reported.
 pub fn parse(section: &Section<'_>, out: &mut Reporter) -> Option<Pool> {
     let mut fields = Fields::new(section, out);
-    let name = parse_name(section, &mut fields);
+    let name = fields.section_name();
     let kind = fields.required("kind", value::kind);
     let servers = parse_servers(&mut fields);
     let slots = parse_slots(&mut fields);
--- a/crates/table/src/route.rs
+++ b/crates/table/src/route.rs
@@ -21,7 +21,7 @@
 /// Reads a `[route NAME]` section; `None` once its faults have been reported.
 pub fn parse(section: &Section<'_>, out: &mut Reporter) -> Option<Route> {
     let mut fields = Fields::new(section, out);
-    let name = parse_name(section, &mut fields);
+    let name = fields.section_name();
     let matcher = parse_matcher(&mut fields);
     let pool = fields.required("pool", value::name);
     let deadline: Option<Duration> = fields.required("deadline", value::duration);
@@ -42,18 +42,6 @@
     })
 }
 
-/// Reads the name behind the kind of a section.
-pub(crate) fn parse_name(section: &Section<'_>, fields: &mut Fields<'_, '_>) -> Option<String> {
-    match value::name(section.name) {
-        Ok(name) => Some(name),
-        Err(expected) => {
-            let found = format!("{:?}", section.name);
-            fields.bad(section.line, "", &expected, &found);
-            None
-        }
-    }
-}
-
 fn parse_matcher(fields: &mut Fields<'_, '_>) -> Option<Matcher> {
     let both = fields.has("model") && fields.has("path");
     let model = fields.optional("model", value::word);
--- a/crates/table/tests/testsuite/stamp.rs
+++ b/crates/table/tests/testsuite/stamp.rs
@@ -1,9 +1,9 @@
 //! A new header leaves the operator's text alone.
 
 use primrose_support::seeded::checker;
-use primrose_table::document::stamp;
 use primrose_table::document::Document;
-use primrose_table::document::Header;
+use primrose_table::header::stamp;
+use primrose_table::header::Header;
 
 use crate::roundtrip::AnyDocument;
 use crate::support::VALID;
