--- /dev/null
+++ b/crates/claim/tests/testsuite/keys.rs
@@ -0,0 +1,79 @@
+//! Names of claims, and records at the border.
+
+use primrose_claim::key::claim_key;
+use primrose_claim::record::MAX_ANSWER_BYTES;
+use primrose_claim::Answer;
+use primrose_claim::Record;
+use primrose_platform::store::check_key;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+const SEED: u64 = 0x5eed_0001;
+const TESTS: u64 = 5_000;
+
+fn try_all<A: quickcheck::Testable>(property: A) {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(80, SEED))
+        .tests(TESTS)
+        .max_tests(TESTS)
+        .quickcheck(property);
+}
+
+#[test]
+fn accounts_never_share_a_name() {
+    struct Case {
+        one: (&'static str, &'static str),
+        other: (&'static str, &'static str),
+    }
+    let cases = [
+        Case {
+            one: ("a", "b/c"),
+            other: ("a/b", "c"),
+        },
+        Case {
+            one: ("a=2f", "k"),
+            other: ("a/", "k"),
+        },
+        Case {
+            one: ("", "k"),
+            other: ("~", "k"),
+        },
+        Case {
+            one: ("..", "k"),
+            other: (".", "k"),
+        },
+    ];
+    for case in cases {
+        let one = claim_key("p", case.one.0, case.one.1);
+        let other = claim_key("p", case.other.0, case.other.1);
+        assert_ne!(one, other);
+    }
+}
+
+#[test]
+fn every_account_and_key_makes_a_valid_name_of_its_own() {
+    fn property(one: (String, String), other: (String, String)) -> bool {
+        let a = claim_key("primrose", &one.0, &one.1);
+        let b = claim_key("primrose", &other.0, &other.1);
+        check_key(&a).is_ok() && a.split('/').count() == 4 && (one == other) == (a == b)
+    }
+    try_all(property as fn((String, String), (String, String)) -> bool);
+}
+
+#[test]
+fn no_bytes_make_the_record_reader_panic() {
+    fn property(bytes: Vec<u8>) -> bool {
+        Record::decode(&bytes).is_err()
+    }
+    try_all(property as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn answers_keep_short_bodies_whole() {
+    fn property(body: Vec<u8>) -> bool {
+        Answer::new("application/json", &body).body() == Some(body)
+    }
+    try_all(property as fn(Vec<u8>) -> bool);
+    let long = vec![0; MAX_ANSWER_BYTES + 1];
+    assert_eq!(Answer::new("", &long).body(), None);
+}
