--- /dev/null
+++ b/crates/primrosed/src/broker.rs
@@ -0,0 +1,67 @@
+//! The front's broker over the router's rings.
+
+use std::sync::Arc;
+
+use crossbeam_channel::Sender;
+use crossbeam_channel::TrySendError;
+use primrose_core::clock::Clock;
+use primrose_core::fingerprint::Fingerprint;
+use primrose_core::id::AccountId;
+use primrose_core::table::Table;
+use primrose_front::broker::Ask;
+use primrose_front::broker::Overloaded;
+use primrose_front::broker::Standing;
+use primrose_front::Broker;
+
+use crate::input::Input;
+use crate::published::Published;
+
+/// Hands asks to the thread whose duty they are.
+pub(crate) struct RingBroker {
+    pub(crate) published: Arc<Published>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) decide: Sender<Input>,
+    pub(crate) claims: Sender<Ask>,
+}
+
+impl Broker for RingBroker {
+    fn table(&self) -> Arc<Table> {
+        self.published.table()
+    }
+
+    fn account(&self, bearer: &str) -> Option<AccountId> {
+        let accounts = self.published.accounts();
+        accounts.find(bearer.as_bytes()).cloned()
+    }
+
+    fn ready(&self) -> bool {
+        self.published.ready()
+    }
+
+    fn standing(&self, fingerprint: Fingerprint) -> Standing {
+        self.published.standing(fingerprint, self.clock.now())
+    }
+
+    fn ask(&self, ask: Ask) -> Result<(), Overloaded> {
+        match ask {
+            Ask::Claim { .. } | Ask::Release { .. } | Ask::Settle { .. } => offer_claim(&self.claims, ask),
+            _ => offer_input(&self.decide, ask),
+        }
+    }
+}
+
+fn offer_claim(ring: &Sender<Ask>, ask: Ask) -> Result<(), Overloaded> {
+    ring.try_send(ask).map_err(|error| match error {
+        TrySendError::Full(ask) | TrySendError::Disconnected(ask) => Overloaded { ask: Box::new(ask) },
+    })
+}
+
+fn offer_input(ring: &Sender<Input>, ask: Ask) -> Result<(), Overloaded> {
+    let Err(error) = ring.try_send(Input::Ask(ask)) else {
+        return Ok(());
+    };
+    match error.into_inner() {
+        Input::Ask(ask) => Err(Overloaded { ask: Box::new(ask) }),
+        _ => unreachable!("the ring hands back what was offered"),
+    }
+}
--- /dev/null
+++ b/crates/primrosed/src/duty/mod.rs
@@ -0,0 +1,47 @@
+//! Threads of a router that talk to the outside: one duty each.
+
+pub(crate) mod claims;
+pub(crate) mod hosts;
+pub(crate) mod loads;
+pub(crate) mod operator;
+pub(crate) mod watch;
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::time::Duration;
+
+/// Tells duties to end, and lets them wait in a way that ends with it.
+#[derive(Debug, Default)]
+pub(crate) struct Stop {
+    stopped: AtomicBool,
+    lock: Mutex<()>,
+    changed: Condvar,
+}
+
+impl Stop {
+    pub(crate) fn new() -> Arc<Self> {
+        Arc::new(Self::default())
+    }
+
+    /// Ends all duties that hold this.
+    pub(crate) fn stop(&self) {
+        let _guard = self.lock.lock().expect("stop lock poisoned");
+        self.stopped.store(true, Ordering::Relaxed);
+        self.changed.notify_all();
+    }
+
+    pub(crate) fn stopped(&self) -> bool {
+        self.stopped.load(Ordering::Relaxed)
+    }
+
+    /// Waits for the time or for the end, whichever comes first.
+    pub(crate) fn wait(&self, time: Duration) {
+        let guard = self.lock.lock().expect("stop lock poisoned");
+        let waits = |_: &mut ()| !self.stopped();
+        // A poisoned lock ends the wait early, and the duty looks at the flag next.
+        drop(self.changed.wait_timeout_while(guard, time, waits));
+    }
+}
--- /dev/null
+++ b/crates/primrosed/src/message.rs
@@ -0,0 +1,113 @@
+//! What routers say to each other.
+
+use primrose_core::id::Generation;
+use primrose_core::id::Member;
+use primrose_member::Beat;
+use primrose_member::Routed;
+use primrose_table::header::ChangeId;
+use primrose_table::header::Header;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// One message over a peer link.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// A heartbeat.
+    #[serde(rename = "b")]
+    Beat(Beat),
+    /// Between a requester and a dispatcher, or two dispatchers, over one link.
+    #[serde(rename = "d")]
+    Dispatch(primrose_dispatch::message::Message),
+    /// The same towards a router of another zone, over several links if need be.
+    #[serde(rename = "r")]
+    Routed(Routed<primrose_dispatch::message::Message>),
+    /// The sender has this document in force.
+    #[serde(rename = "h")]
+    Header(DocumentHeader),
+    /// The sender wants a document.
+    #[serde(rename = "f")]
+    Fetch(DocumentKind),
+    /// The document that was asked for.
+    #[serde(rename = "t")]
+    Document(DocumentText),
+    /// Strikes against requests that crash servers.
+    #[serde(rename = "s")]
+    Suspects(primrose_suspect::Message),
+}
+
+/// The two documents that operators change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum DocumentKind {
+    /// Routes and pools.
+    #[serde(rename = "t")]
+    Tables,
+    /// Client accounts and the hashes of their keys.
+    #[serde(rename = "a")]
+    Accounts,
+}
+
+/// Both kinds of documents.
+pub const DOCUMENT_KINDS: [DocumentKind; 2] = [DocumentKind::Tables, DocumentKind::Accounts];
+
+impl DocumentKind {
+    /// Name of the document in the key-value service, after the prefix.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Tables => "tables",
+            Self::Accounts => "accounts",
+        }
+    }
+}
+
+/// Names a document in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentHeader {
+    /// Which document.
+    #[serde(rename = "k")]
+    pub kind: DocumentKind,
+    /// Its generation.
+    #[serde(rename = "g")]
+    pub generation: Generation,
+    /// Id of the change that made it.
+    #[serde(rename = "c")]
+    pub change: ChangeId,
+}
+
+impl DocumentHeader {
+    /// Names the document with this header.
+    pub fn new(kind: DocumentKind, header: Header) -> Self {
+        Self {
+            kind,
+            generation: header.generation,
+            change: header.change,
+        }
+    }
+
+    /// Returns the header as documents carry it.
+    pub fn header(&self) -> Header {
+        Header {
+            generation: self.generation,
+            change: self.change,
+        }
+    }
+}
+
+/// A document on its way between routers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentText {
+    /// Which document.
+    #[serde(rename = "k")]
+    pub kind: DocumentKind,
+    /// Its text.
+    #[serde(rename = "t")]
+    pub text: String,
+}
+
+/// Where a message goes: to a router that may be several links away.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Outgoing {
+    /// Receiver.
+    pub to: Member,
+    /// Message.
+    pub message: primrose_dispatch::message::Message,
+}
--- /dev/null
+++ b/crates/primrosed/src/published.rs
@@ -0,0 +1,125 @@
+//! What the deciding thread shows to the other threads: snapshots that are swapped whole.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::RwLock;
+
+use primrose_core::clock::Mono;
+use primrose_core::fingerprint::Fingerprint;
+use primrose_core::id::Generation;
+use primrose_core::id::PoolId;
+use primrose_core::id::ServerId;
+use primrose_core::table::Table;
+use primrose_front::broker::Standing;
+use primrose_table::accounts::Accounts;
+
+use crate::message::DocumentKind;
+
+/// A fingerprint that requests must not pass unseen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Mark {
+    /// Runs only apart from others.
+    Suspect,
+    /// Refused until this time.
+    RefusedUntil(Mono),
+}
+
+/// A server whose load is to be asked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct LoadTarget {
+    pub(crate) pool: PoolId,
+    pub(crate) server: ServerId,
+    pub(crate) addr: SocketAddr,
+}
+
+/// Snapshots for the other threads.
+#[derive(Debug, Default)]
+pub(crate) struct Published {
+    table: RwLock<Arc<Table>>,
+    accounts: RwLock<Arc<Accounts>>,
+    marks: RwLock<Arc<BTreeMap<Fingerprint, Mark>>>,
+    targets: RwLock<Arc<Vec<LoadTarget>>>,
+    generations: RwLock<BTreeMap<DocumentKind, Generation>>,
+    ready: AtomicBool,
+    watching: AtomicBool,
+}
+
+/// Swaps one snapshot.
+fn swap<T>(slot: &RwLock<Arc<T>>, value: T) {
+    *slot.write().expect("snapshot lock poisoned") = Arc::new(value);
+}
+
+fn read<T>(slot: &RwLock<Arc<T>>) -> Arc<T> {
+    Arc::clone(&slot.read().expect("snapshot lock poisoned"))
+}
+
+impl Published {
+    pub(crate) fn table(&self) -> Arc<Table> {
+        read(&self.table)
+    }
+
+    pub(crate) fn set_table(&self, table: Arc<Table>) {
+        *self.table.write().expect("snapshot lock poisoned") = table;
+    }
+
+    pub(crate) fn accounts(&self) -> Arc<Accounts> {
+        read(&self.accounts)
+    }
+
+    pub(crate) fn set_accounts(&self, accounts: Arc<Accounts>) {
+        *self.accounts.write().expect("snapshot lock poisoned") = accounts;
+    }
+
+    pub(crate) fn standing(&self, fingerprint: Fingerprint, now: Mono) -> Standing {
+        match read(&self.marks).get(&fingerprint) {
+            None => Standing::Clear,
+            Some(Mark::Suspect) => Standing::Suspect,
+            Some(Mark::RefusedUntil(end)) if *end > now => Standing::Refused(*end - now),
+            Some(Mark::RefusedUntil(_)) => Standing::Clear,
+        }
+    }
+
+    pub(crate) fn set_marks(&self, marks: BTreeMap<Fingerprint, Mark>) {
+        swap(&self.marks, marks);
+    }
+
+    pub(crate) fn targets(&self) -> Arc<Vec<LoadTarget>> {
+        read(&self.targets)
+    }
+
+    pub(crate) fn set_targets(&self, targets: Vec<LoadTarget>) {
+        swap(&self.targets, targets);
+    }
+
+    /// Generation of a document in force; 0 for none.
+    pub(crate) fn generation(&self, kind: DocumentKind) -> Generation {
+        let generations = self.generations.read().expect("snapshot lock poisoned");
+        generations.get(&kind).copied().unwrap_or(0)
+    }
+
+    pub(crate) fn set_generation(&self, kind: DocumentKind, generation: Generation) {
+        let mut generations = self.generations.write().expect("snapshot lock poisoned");
+        generations.insert(kind, generation);
+    }
+
+    /// Whether both documents are in force and the router is not shutting down.
+    pub(crate) fn ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_ready(&self, ready: bool) {
+        self.ready.store(ready, Ordering::Relaxed);
+    }
+
+    /// Whether this router is one of its zone's watchers of the documents.
+    pub(crate) fn watching(&self) -> bool {
+        self.watching.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_watching(&self, watching: bool) {
+        self.watching.store(watching, Ordering::Relaxed);
+    }
+}
