--- /dev/null
+++ b/crates/dispatch/src/dispatcher/intake.rs
@@ -0,0 +1,199 @@
+//! Messages from requesters.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use primrose_core::clock::Mono;
+use primrose_core::cost::Service;
+use primrose_core::id::AttemptId;
+use primrose_core::id::Member;
+
+use crate::dispatcher::attempt::Attempt;
+use crate::dispatcher::attempt::Borrowing;
+use crate::dispatcher::server::SlotId;
+use crate::dispatcher::waiting::Checksum;
+use crate::dispatcher::Action;
+use crate::dispatcher::Dispatcher;
+use crate::message::Body;
+use crate::message::Decline;
+use crate::message::Registration;
+use crate::message::Renew;
+use crate::message::Running;
+use crate::message::Seen;
+use crate::message::Sync;
+use crate::message::Withdraw;
+use crate::timing::LEASE_MARGIN;
+use crate::timing::START_LEASE;
+
+impl Dispatcher {
+    pub(super) fn register(&mut self, from: &Member, registration: Registration, now: Mono) {
+        let number = registration.number;
+        let request = registration.request;
+        // Late, or doubled: the attempt has been granted already.
+        if self.attempts.contains_key(&AttemptId { request, number }) {
+            return;
+        }
+        self.wait(from, registration, now);
+    }
+
+    /// Takes over everything that a router has waiting and running.
+    pub(super) fn sync(&mut self, from: &Member, sync: Sync, now: Mono, out: &mut Vec<Action>) {
+        if !self.routers.renewed(from, sync.beat, now) {
+            return;
+        }
+        let listed = sync.running.iter().map(|r| r.attempt).collect();
+        self.take_back(from, sync.seen, &listed, now, out);
+        for running in sync.running {
+            self.keep_running(from, running, now);
+        }
+        for entry in self.waiting.remove_router(from) {
+            self.note_waiting(&entry.registration.account);
+        }
+        for registration in sync.waiting {
+            self.register(from, registration, now);
+        }
+    }
+
+    pub(super) fn renew(&mut self, from: &Member, renew: &Renew, now: Mono, out: &mut Vec<Action>) {
+        if !self.routers.renewed(from, renew.beat, now) {
+            return;
+        }
+        let mut listed = BTreeSet::new();
+        let mut known = true;
+        for progress in &renew.running {
+            let attempt = AttemptId {
+                request: progress.request,
+                number: progress.number,
+            };
+            listed.insert(attempt);
+            known &= self.progress(attempt, progress.used);
+        }
+        self.take_back(from, renew.seen, &listed, now, out);
+        let same = self.expected(from, renew.seen)
+            == Checksum {
+                count: renew.count,
+                check: renew.check,
+            };
+        if (!known || !same) && self.routers.may_ask(from, now) {
+            self.send(from, Body::Resync, out);
+        }
+    }
+
+    pub(super) fn decline(&mut self, decline: Decline, now: Mono, out: &mut Vec<Action>) {
+        let Some(attempt) = self.attempts.get(&decline.attempt) else {
+            return;
+        };
+        // An earlier grant of the same attempt, or another dispatcher's.
+        if decline.epoch != self.epoch || decline.sequence != attempt.sequence {
+            return;
+        }
+        self.totals.declined += 1;
+        let entry = self.end_unsent(decline.attempt, now, out);
+        if let Some(entry) = entry.filter(|_| decline.waits) {
+            let account = entry.registration.account.clone();
+            self.waiting.put_back(entry);
+            self.note_waiting(&account);
+        }
+    }
+
+    pub(super) fn withdraw(&mut self, withdraw: Withdraw) {
+        if let Some(entry) = self.waiting.remove(withdraw.request) {
+            self.note_waiting(&entry.registration.account);
+        }
+    }
+
+    /// Notes how far an attempt has come; tells whether the attempt is known.
+    fn progress(&mut self, id: AttemptId, used: Service) -> bool {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return false;
+        };
+        attempt.listed = true;
+        attempt.orphaned = false;
+        attempt.entry = None;
+        attempt.used = attempt.used.max(used);
+        if attempt.used > attempt.charged {
+            let more = attempt.used - attempt.charged;
+            attempt.charged = attempt.used;
+            let account = attempt.account.clone();
+            self.ledger.charge(&account, more);
+        }
+        true
+    }
+
+    /// Counts an attempt that another dispatcher granted.
+    fn keep_running(&mut self, from: &Member, running: Running, now: Mono) {
+        let id = running.attempt;
+        if self.progress(id, running.used) {
+            return;
+        }
+        let loan = running.loan.map(|id| Borrowing { id, zone: None });
+        if loan.is_none() {
+            let slot = SlotId::Attempt(id);
+            self.servers.take(&running.server, slot, now);
+            if running.suspect {
+                self.servers.keep_apart(&running.server);
+            }
+        }
+        let attempt = Attempt {
+            router: from.clone(),
+            account: running.account,
+            route: running.route,
+            server: running.server,
+            loan,
+            charged: running.charged,
+            used: 0,
+            sequence: 0,
+            granted: now,
+            listed: true,
+            orphaned: false,
+            suspect: running.suspect,
+            entry: None,
+        };
+        self.attempts.insert(id, attempt);
+        self.progress(id, running.used);
+    }
+
+    /// Takes back slots that the router does not list, unless the grant may still be on its way.
+    fn take_back(
+        &mut self,
+        from: &Member,
+        seen: Seen,
+        listed: &BTreeSet<AttemptId>,
+        now: Mono,
+        out: &mut Vec<Action>,
+    ) {
+        let epoch = self.epoch;
+        let over = |a: &Attempt| {
+            let received = seen.epoch == epoch && a.sequence <= seen.sequence;
+            let expired = now >= a.granted + START_LEASE + LEASE_MARGIN;
+            received || expired
+        };
+        let attempts = self.attempts.iter();
+        let gone: Vec<_> = attempts
+            .filter(|(id, a)| a.router == *from && !listed.contains(id) && over(a))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in gone {
+            self.expire(id, now, out);
+        }
+    }
+
+    /// What a router's waiting requests should be, from what it has received.
+    fn expected(&self, from: &Member, seen: Seen) -> Checksum {
+        let mut sum = self.waiting.checksum(from);
+        for (id, attempt) in &self.attempts {
+            let received = seen.epoch == self.epoch && attempt.sequence <= seen.sequence;
+            if attempt.router == *from && !attempt.listed && !received {
+                sum.add(id.request);
+            }
+        }
+        sum
+    }
+
+    fn wait(&mut self, from: &Member, registration: Registration, now: Mono) {
+        let account = registration.account.clone();
+        let left = Duration::from_millis(registration.left.into());
+        self.waiting.push(from.clone(), registration, now + left);
+        self.note_waiting(&account);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/release.rs
@@ -0,0 +1,225 @@
+//! The end of attempts: slots come free, and charges are settled.
+
+use primrose_core::clock::Mono;
+use primrose_core::cost::Service;
+use primrose_core::id::AttemptId;
+use primrose_core::id::Member;
+use primrose_core::table::PoolKind;
+
+use crate::dispatcher::attempt::Attempt;
+use crate::dispatcher::server::SlotId;
+use crate::dispatcher::waiting::Entry;
+use crate::dispatcher::Action;
+use crate::dispatcher::Dispatcher;
+use crate::dispatcher::LoadReport;
+use crate::message::Body;
+use crate::message::Ending;
+use crate::message::Finished;
+use crate::message::LoanReturn;
+use crate::timing::LOAD_LAG;
+
+/// Part of the difference to a new cost that the average of all costs takes over.
+const MEAN_GAIN: f64 = 0.05;
+
+impl Dispatcher {
+    pub(super) fn finished(&mut self, finished: &Finished, now: Mono, out: &mut Vec<Action>) {
+        let Some(attempt) = self.attempts.remove(&finished.attempt) else {
+            return;
+        };
+        self.settle(&attempt, finished.used);
+        if finished.ending == Ending::Done {
+            let used = finished.used;
+            self.estimator
+                .settle(&attempt.account, &attempt.route, used);
+            self.mean_cost += MEAN_GAIN * (used as f64 - self.mean_cost);
+        }
+        if attempt.loan.is_none() {
+            self.judge(&attempt.server, finished, now);
+        }
+        self.free_slot(finished.attempt, &attempt, Some(*finished), now, out);
+    }
+
+    /// Ends an attempt that was not sent; returns its registration.
+    pub(super) fn end_unsent(
+        &mut self,
+        id: AttemptId,
+        now: Mono,
+        out: &mut Vec<Action>,
+    ) -> Option<Entry> {
+        let attempt = self.attempts.remove(&id)?;
+        self.settle(&attempt, 0);
+        self.free_slot(id, &attempt, None, now, out);
+        attempt.entry
+    }
+
+    /// Ends an attempt that its router does not list.
+    pub(super) fn expire(&mut self, id: AttemptId, now: Mono, out: &mut Vec<Action>) {
+        let Some(attempt) = self.attempts.remove(&id) else {
+            return;
+        };
+        self.totals.expired += 1;
+        let used = if attempt.listed { attempt.used } else { 0 };
+        self.settle(&attempt, used);
+        self.free_slot(id, &attempt, None, now, out);
+    }
+
+    /// Learns from an attempt's end what its server can bear.
+    pub(super) fn judge(&mut self, server: &str, finished: &Finished, now: Mono) {
+        let targets = self.pool.kind == PoolKind::Engine;
+        let first = self.pool.first_token.as_millis();
+        let inter = self.pool.inter_token.as_micros();
+        let Some(server) = self.servers.get_mut(server) else {
+            return;
+        };
+        match finished.ending {
+            Ending::Done => {
+                server.succeeded();
+                let late = finished.first.is_some_and(|ms| u128::from(ms) > first);
+                let slow = finished.inter.is_some_and(|us| u128::from(us) > inter);
+                if targets && (late || slow) {
+                    server.limit.missed(now);
+                } else {
+                    server.limit.met(server.busy());
+                }
+            }
+            Ending::Lost | Ending::Refused => server.failed(now),
+            Ending::Failed | Ending::Cancelled | Ending::Unsent => {}
+        }
+    }
+
+    pub(super) fn load(&mut self, report: &LoadReport, now: Mono) {
+        self.free_orphans(report, now);
+        if let Some(server) = self.servers.get_mut(&report.server) {
+            server.report(report.running, now);
+        }
+    }
+
+    pub(super) fn router_down(&mut self, router: &Member) {
+        self.routers.remove(router);
+        for attempt in self.attempts.values_mut() {
+            attempt.orphaned |= attempt.router == *router;
+        }
+        for entry in self.waiting.remove_router(router) {
+            self.note_waiting(&entry.registration.account);
+        }
+    }
+
+    /// Looks for silent routers, passed deadlines and orphans past the longest run.
+    pub(super) fn sweep(&mut self, now: Mono, out: &mut Vec<Action>) {
+        for router in self.routers.remove_silent(now) {
+            self.router_down(&router);
+        }
+        let longest = self.pool.longest_run;
+        let over = |at: Mono| now.saturating_sub(at) >= longest;
+        let attempts = self.attempts.iter();
+        let gone: Vec<_> = attempts
+            .filter(|(_, a)| a.orphaned && over(a.granted))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in gone {
+            self.end_orphan(id, now, out);
+        }
+        let loans = self.spill.lent.iter();
+        let gone: Vec<_> = loans
+            .filter(|(_, l)| l.orphaned && over(l.at))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in gone {
+            self.end_loan(id, now);
+        }
+        self.ledger.forget(now);
+    }
+
+    /// Frees the slots of lost routers that the server's report shows as no longer used.
+    fn free_orphans(&mut self, report: &LoadReport, now: Mono) {
+        let Some(server) = self.servers.get(&report.server) else {
+            return;
+        };
+        // A report may have been taken before a slot was taken.
+        let settled = |at: Mono| now.saturating_sub(at) > LOAD_LAG;
+        let mut orphans = Vec::new();
+        let mut others = 0;
+        for slot in server.slots() {
+            match slot {
+                SlotId::Attempt(id) => {
+                    let Some(attempt) = self.attempts.get(id) else {
+                        continue;
+                    };
+                    if !settled(attempt.granted) {
+                        continue;
+                    }
+                    if attempt.orphaned {
+                        orphans.push(*slot);
+                    } else if attempt.used > 0 {
+                        // It surely ran when the report was taken.
+                        others += 1;
+                    }
+                }
+                SlotId::Loan(id) => {
+                    let lent = self.spill.lent.get(id);
+                    if lent.is_some_and(|l| l.orphaned && settled(l.at)) {
+                        orphans.push(*slot);
+                    }
+                }
+            }
+        }
+        let running = usize::try_from(report.running).unwrap_or(usize::MAX);
+        let may_run = running.saturating_sub(others);
+        let over = orphans.len().saturating_sub(may_run);
+        for slot in orphans.into_iter().take(over) {
+            match slot {
+                SlotId::Attempt(id) => self.end_orphan(id, now, &mut Vec::new()),
+                SlotId::Loan(id) => self.end_loan(id, now),
+            }
+        }
+    }
+
+    fn end_orphan(&mut self, id: AttemptId, now: Mono, out: &mut Vec<Action>) {
+        let Some(attempt) = self.attempts.remove(&id) else {
+            return;
+        };
+        self.totals.orphans += 1;
+        // Nobody will tell what it used: the charge stands.
+        self.free_slot(id, &attempt, None, now, out);
+    }
+
+    /// Corrects the charge to what was used.
+    fn settle(&mut self, attempt: &Attempt, used: Service) {
+        let charged = attempt.charged;
+        if used >= charged {
+            self.ledger.charge(&attempt.account, used - charged);
+        } else {
+            self.ledger.refund(&attempt.account, charged - used);
+        }
+    }
+
+    fn free_slot(
+        &mut self,
+        id: AttemptId,
+        attempt: &Attempt,
+        finished: Option<Finished>,
+        now: Mono,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(loan) = &attempt.loan else {
+            let slot = SlotId::Attempt(id);
+            self.servers.release(&attempt.server, slot, now);
+            return;
+        };
+        let id = loan.id;
+        let over = Body::LoanReturn(LoanReturn { id, finished });
+        match &loan.zone {
+            Some(zone) => {
+                if let Some(holder) = self.spill.holder(zone) {
+                    self.send(holder, over, out);
+                }
+            }
+            // Granted by an earlier dispatcher: only the lender knows its loan.
+            None => {
+                for holder in self.spill.holders() {
+                    self.send(holder, over.clone(), out);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/routers.rs
@@ -0,0 +1,85 @@
+//! What a dispatcher knows about the routers that register with it.
+
+use std::collections::BTreeMap;
+
+use primrose_core::clock::Mono;
+use primrose_core::id::Member;
+
+use crate::message::Beat;
+use crate::timing::RESYNC_EVERY;
+use crate::timing::ROUTER_DROP;
+use crate::timing::ROUTER_STALE;
+
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Router {
+    pub(crate) beat: Beat,
+    heard: Mono,
+    asked: Option<Mono>,
+}
+
+/// Routers that registered, and when they last renewed.
+#[derive(Debug, Default)]
+pub(crate) struct Routers {
+    by_member: BTreeMap<Member, Router>,
+}
+
+impl Routers {
+    /// Notes a renewal; tells whether it is later than all before.
+    pub(crate) fn renewed(&mut self, member: &Member, beat: Beat, now: Mono) -> bool {
+        let new = Router {
+            beat: 0,
+            heard: now,
+            asked: None,
+        };
+        let router = self.by_member.entry(member.clone()).or_insert(new);
+        if beat <= router.beat {
+            return false;
+        }
+        router.beat = beat;
+        router.heard = now;
+        true
+    }
+
+    /// Tells whether the router may be asked to register anew, and notes that it is.
+    pub(crate) fn may_ask(&mut self, member: &Member, now: Mono) -> bool {
+        let Some(router) = self.by_member.get_mut(member) else {
+            // Never renewed: it will, and the first renewal is compared then.
+            return false;
+        };
+        let last = router.asked;
+        if last.is_some_and(|at| now.saturating_sub(at) < RESYNC_EVERY) {
+            return false;
+        }
+        router.asked = Some(now);
+        true
+    }
+
+    /// Returns the latest renewal of a router that may get grants.
+    pub(crate) fn fresh(&self, member: &Member, now: Mono) -> Option<Beat> {
+        let router = self.by_member.get(member)?;
+        let fresh = now.saturating_sub(router.heard) < ROUTER_STALE;
+        fresh.then_some(router.beat)
+    }
+
+    pub(crate) fn remove(&mut self, member: &Member) {
+        self.by_member.remove(member);
+    }
+
+    /// Removes the routers that have not renewed for long.
+    pub(crate) fn remove_silent(&mut self, now: Mono) -> Vec<Member> {
+        let silent = |r: &Router| now.saturating_sub(r.heard) >= ROUTER_DROP;
+        let all = self.by_member.iter();
+        let gone: Vec<_> = all
+            .filter(|(_, r)| silent(r))
+            .map(|(m, _)| m.clone())
+            .collect();
+        for member in &gone {
+            self.by_member.remove(member);
+        }
+        gone
+    }
+
+    pub(crate) fn members(&self) -> impl Iterator<Item = &Member> {
+        self.by_member.keys()
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/schedule.rs
@@ -0,0 +1,240 @@
+//! Who gets the next free slot.
+
+use primrose_core::clock::Mono;
+use primrose_core::cost::Service;
+use primrose_core::id::AttemptId;
+use primrose_core::id::RequestId;
+use primrose_core::id::ServerId;
+
+use crate::dispatcher::attempt::Attempt;
+use crate::dispatcher::attempt::Borrowing;
+use crate::dispatcher::server::SlotId;
+use crate::dispatcher::waiting::Entry;
+use crate::dispatcher::waiting::Next;
+use crate::dispatcher::Action;
+use crate::dispatcher::Dispatcher;
+use crate::message::Body;
+use crate::message::Grant;
+use crate::message::Loan;
+use crate::message::LoanId;
+use crate::spill::Lent;
+use crate::spill::Level;
+use crate::spill::Remote;
+
+impl Dispatcher {
+    /// Gives out free slots until there is none, or nobody to use one.
+    pub(super) fn schedule(&mut self, now: Mono, out: &mut Vec<Action>) {
+        if now < self.settle_until {
+            return;
+        }
+        self.schedule_suspects(now, out);
+        while self.servers.has_free(now) {
+            let local = self.next(false, now);
+            let cost = self.mean_cost as Service;
+            let policy = self.policy.as_ref();
+            let remote = self.spill.best(self.epoch, &self.ledger, policy, cost, now);
+            match (local, remote) {
+                (Some(local), Some(remote)) if self.remote_first(&local, &remote) => {
+                    self.lend(remote, now, out);
+                }
+                (Some(local), _) => self.grant_own(local.request, now, out),
+                (None, Some(remote)) => self.lend(remote, now, out),
+                (None, None) => break,
+            }
+        }
+        self.tell_demand(now, out);
+    }
+
+    /// Finds the local request to serve next.
+    pub(super) fn next(&self, suspect: bool, now: Mono) -> Option<Next> {
+        let may = |entry: &Entry| self.may_run(entry, now);
+        let policy = self.policy.as_ref();
+        self.waiting.next(suspect, policy, &self.ledger, &may)
+    }
+
+    /// Grants a waiting request a slot of another zone.
+    pub(super) fn grant_borrowed(
+        &mut self,
+        request: RequestId,
+        server: ServerId,
+        loan: Borrowing,
+        now: Mono,
+        out: &mut Vec<Action>,
+    ) {
+        self.totals.borrowed += 1;
+        self.grant(request, server, Some(loan), now, out);
+    }
+
+    /// Tells whether this zone is the one whose server is set apart for suspects.
+    ///
+    /// It is the first by name of those that can be reached, so that the fleet risks one server of
+    /// the pool at a time, or one in each part of a partition.
+    pub(super) fn hosts_suspects(&self) -> bool {
+        let peers = self.spill.peers.iter();
+        let mut reachable = peers.filter(|(_, p)| p.holder.is_some());
+        reachable.all(|(zone, _)| self.zone < *zone)
+    }
+
+    fn schedule_suspects(&mut self, now: Mono, out: &mut Vec<Action>) {
+        let running = self.runs_suspect();
+        if !self.hosts_suspects() {
+            self.servers.set_apart(false, running, now);
+            return;
+        }
+        let remote = self.spill.suspect_zone(now).cloned();
+        let local = self.next(true, now);
+        let waiting = local.is_some() || remote.is_some();
+        self.servers.set_apart(waiting, running, now);
+        let Some(server) = self.servers.apart_idle(now) else {
+            return;
+        };
+        if let Some(next) = local {
+            self.grant(next.request, server, None, now, out);
+        } else if let Some(zone) = remote {
+            let account = String::new();
+            self.lend_server(zone, account, server, true, now, out);
+        }
+    }
+
+    /// Tells whether a suspect runs on a server of this zone.
+    fn runs_suspect(&self) -> bool {
+        let mut own = self.attempts.values();
+        let mut lent = self.spill.lent.values();
+        own.any(|a| a.suspect && a.loan.is_none()) || lent.any(|l| l.suspect)
+    }
+
+    fn may_run(&self, entry: &Entry, now: Mono) -> bool {
+        entry.deadline > now && self.routers.fresh(&entry.router, now).is_some()
+    }
+
+    fn remote_first(&self, local: &Next, remote: &Remote) -> bool {
+        let threshold = self.policy.threshold();
+        threshold.is_some_and(|t| remote.rank.saturating_add(t) < local.rank)
+    }
+
+    fn grant_own(&mut self, request: RequestId, now: Mono, out: &mut Vec<Action>) {
+        let Some(entry) = self.waiting.get(request) else {
+            return;
+        };
+        let prefixes = &entry.registration.prefixes;
+        let Some(server) = self.servers.pick(prefixes, now) else {
+            return;
+        };
+        self.grant(request, server, None, now, out);
+    }
+
+    fn grant(
+        &mut self,
+        request: RequestId,
+        server: ServerId,
+        loan: Option<Borrowing>,
+        now: Mono,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(entry) = self.waiting.remove(request) else {
+            return;
+        };
+        let Some(beat) = self.routers.fresh(&entry.router, now) else {
+            return;
+        };
+        let registration = &entry.registration;
+        let number = registration.number;
+        let id = AttemptId { request, number };
+        let account = registration.account.clone();
+        let route = registration.route.clone();
+        let charged = self.estimator.estimate(&account, &route, registration.cost);
+        let sequence = self.next_sequence();
+        self.totals.granted += 1;
+        self.ledger.charge(&account, charged);
+        if loan.is_none() {
+            self.servers.take(&server, SlotId::Attempt(id), now);
+            if let Some(server) = self.servers.get_mut(&server) {
+                server.affinity.note(&registration.prefixes);
+            }
+        }
+        let grant = Grant {
+            epoch: self.epoch,
+            sequence,
+            beat,
+            attempt: id,
+            server: server.clone(),
+            loan: loan.as_ref().map(|l| l.id),
+            charged,
+        };
+        self.send(&entry.router, Body::Grant(grant), out);
+        let attempt = Attempt {
+            router: entry.router.clone(),
+            account: account.clone(),
+            route,
+            server,
+            loan,
+            charged,
+            used: 0,
+            sequence,
+            granted: now,
+            listed: false,
+            orphaned: false,
+            suspect: registration.suspect,
+            entry: Some(entry),
+        };
+        self.attempts.insert(id, attempt);
+        self.note_waiting(&account);
+    }
+
+    fn lend(&mut self, remote: Remote, now: Mono, out: &mut Vec<Action>) {
+        if let Some(server) = self.servers.pick(&[], now) {
+            self.lend_server(remote.zone, remote.account, server, false, now, out);
+        }
+    }
+
+    fn lend_server(
+        &mut self,
+        zone: String,
+        account: String,
+        server: ServerId,
+        suspect: bool,
+        now: Mono,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(holder) = self.spill.holder(&zone).cloned() else {
+            return;
+        };
+        let id = LoanId {
+            epoch: self.epoch,
+            sequence: self.next_sequence(),
+        };
+        self.totals.lent += 1;
+        self.servers.take(&server, SlotId::Loan(id), now);
+        let loan = Loan {
+            id,
+            server: server.clone(),
+            suspect,
+        };
+        self.send(&holder, Body::Loan(loan), out);
+        let lent = Lent {
+            zone,
+            server,
+            account,
+            at: now,
+            orphaned: false,
+            suspect,
+        };
+        self.spill.lent.insert(id, lent);
+    }
+
+    /// What waits here that this zone cannot serve now.
+    pub(super) fn level(&self, now: Mono) -> Level {
+        let may = |entry: &Entry| self.may_run(entry, now);
+        let wants = if self.servers.has_free(now) {
+            Vec::new()
+        } else {
+            self.waiting.wants(&self.ledger, &may)
+        };
+        let suspects = if self.hosts_suspects() {
+            0
+        } else {
+            u32::try_from(self.waiting.suspects()).unwrap_or(u32::MAX)
+        };
+        Level { wants, suspects }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/server.rs
@@ -0,0 +1,173 @@
+//! One backend server as a dispatcher sees it.
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use primrose_core::clock::Mono;
+use primrose_core::host::HostState;
+use primrose_core::id::AttemptId;
+use primrose_core::table::SlotBounds;
+
+use crate::affinity::Affinity;
+use crate::dispatcher::ServerEntry;
+use crate::limit::Limit;
+use crate::message::LoanId;
+use crate::timing::ADOPT_SETTLE;
+use crate::timing::HOLD_OFF;
+use crate::timing::HOLD_OFF_MAX;
+use crate::timing::LOAD_LAG;
+
+/// Who has a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum SlotId {
+    /// An attempt of this zone.
+    Attempt(AttemptId),
+    /// Another zone's dispatcher.
+    Loan(LoanId),
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Count {
+    at: Mono,
+    slots: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Excess {
+    at: Mono,
+    slots: u32,
+}
+
+/// Slots, limit and history of one server.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) state: HostState,
+    adopted: Option<Mono>,
+    cap: Option<u32>,
+    slots: BTreeSet<SlotId>,
+    pub(crate) limit: Limit,
+    pub(crate) affinity: Affinity,
+    failures: u32,
+    hold_until: Mono,
+    /// Own count after each change within the time that a load report may lag.
+    counts: VecDeque<Count>,
+    /// What the server reported beyond everything that was granted here.
+    excess: Option<Excess>,
+}
+
+impl Server {
+    pub(crate) fn new(bounds: SlotBounds) -> Self {
+        Self {
+            state: HostState::Live,
+            adopted: None,
+            cap: None,
+            slots: BTreeSet::new(),
+            limit: Limit::new(bounds),
+            affinity: Affinity::default(),
+            failures: 0,
+            hold_until: Mono::ZERO,
+            counts: VecDeque::new(),
+            excess: None,
+        }
+    }
+
+    pub(crate) fn update(&mut self, entry: &ServerEntry, now: Mono) {
+        self.state = entry.state;
+        self.cap = entry.cap;
+        self.adopted = entry.adopted.then(|| self.adopted.unwrap_or(now));
+    }
+
+    /// Counts the slots that are taken.
+    pub(crate) fn busy(&self) -> u32 {
+        u32::try_from(self.slots.len()).unwrap_or(u32::MAX)
+    }
+
+    pub(crate) fn slots(&self) -> impl Iterator<Item = &SlotId> {
+        self.slots.iter()
+    }
+
+    pub(crate) fn is_idle(&self, now: Mono) -> bool {
+        self.slots.is_empty() && self.excess(now) == 0
+    }
+
+    /// Returns the limit in force: adaptive, capped, halved while just taken over.
+    pub(crate) fn limit(&self, now: Mono) -> u32 {
+        let mut slots = self.limit.slots();
+        if let Some(cap) = self.cap {
+            slots = slots.min(cap);
+        }
+        let settling = |since: Mono| now.saturating_sub(since) < ADOPT_SETTLE;
+        if self.adopted.is_some_and(settling) {
+            slots = (slots / 2).max(1);
+        }
+        slots
+    }
+
+    /// Counts the slots that may be granted now.
+    pub(crate) fn free(&self, now: Mono) -> u32 {
+        if self.state != HostState::Live || now < self.hold_until {
+            return 0;
+        }
+        let taken = self.busy().saturating_add(self.excess(now));
+        self.limit(now).saturating_sub(taken)
+    }
+
+    pub(crate) fn take(&mut self, slot: SlotId, now: Mono) {
+        if self.slots.insert(slot) {
+            self.note_count(now);
+        }
+    }
+
+    pub(crate) fn release(&mut self, slot: SlotId, now: Mono) -> bool {
+        let held = self.slots.remove(&slot);
+        if held {
+            self.note_count(now);
+        }
+        held
+    }
+
+    /// Takes in a load report, which may lag.
+    ///
+    /// It only lowers what may be granted, and only by what cannot be explained by the own count at
+    /// any moment within the lag.
+    pub(crate) fn report(&mut self, running: u32, now: Mono) {
+        self.prune_counts(now);
+        let most = self.counts.iter().map(|c| c.slots).max();
+        let most = most.unwrap_or(0).max(self.busy());
+        let slots = running.saturating_sub(most);
+        self.excess = Some(Excess { at: now, slots });
+    }
+
+    /// The server answered as it should.
+    pub(crate) fn succeeded(&mut self) {
+        self.failures = 0;
+    }
+
+    /// The server failed: it gets nothing for a while, longer with each failure in a row.
+    pub(crate) fn failed(&mut self, now: Mono) {
+        let doubled = HOLD_OFF.saturating_mul(1 << self.failures.min(10));
+        self.hold_until = now + doubled.min(HOLD_OFF_MAX);
+        self.failures = self.failures.saturating_add(1);
+        self.limit.missed(now);
+    }
+
+    fn excess(&self, now: Mono) -> u32 {
+        let valid = |e: &Excess| now.saturating_sub(e.at) < LOAD_LAG * 2;
+        self.excess.filter(valid).map_or(0, |e| e.slots)
+    }
+
+    fn note_count(&mut self, now: Mono) {
+        let slots = self.busy();
+        self.counts.push_back(Count { at: now, slots });
+        self.prune_counts(now);
+    }
+
+    /// Drops counts that were replaced before the lag began.
+    fn prune_counts(&mut self, now: Mono) {
+        let start = now.saturating_sub(LOAD_LAG + Duration::from_millis(1));
+        while self.counts.get(1).is_some_and(|next| next.at < start) {
+            self.counts.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/servers.rs
@@ -0,0 +1,148 @@
+//! The servers of one pool and the choice between them.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use primrose_core::clock::Mono;
+use primrose_core::host::HostState;
+use primrose_core::id::ServerId;
+use primrose_core::table::SlotBounds;
+
+use crate::dispatcher::server::Server;
+use crate::dispatcher::server::SlotId;
+use crate::dispatcher::ServerEntry;
+use crate::message::Prefix;
+
+/// Parts of one in which a load is compared.
+const LOAD_PARTS: u64 = 1 << 16;
+
+/// The servers of one pool in one zone.
+#[derive(Debug)]
+pub(crate) struct Servers {
+    bounds: SlotBounds,
+    by_id: BTreeMap<ServerId, Server>,
+    /// The one server on which suspect requests run, alone.
+    apart: Option<ServerId>,
+}
+
+impl Servers {
+    pub(crate) fn new(bounds: SlotBounds) -> Self {
+        Self {
+            bounds,
+            by_id: BTreeMap::new(),
+            apart: None,
+        }
+    }
+
+    pub(crate) fn set_bounds(&mut self, bounds: SlotBounds) {
+        self.bounds = bounds;
+        for server in self.by_id.values_mut() {
+            server.limit.set_bounds(bounds);
+        }
+    }
+
+    /// Replaces the list. A server that is listed no longer is kept, leaving, while slots are taken.
+    pub(crate) fn update(&mut self, entries: &[ServerEntry], now: Mono) {
+        for server in self.by_id.values_mut() {
+            server.state = HostState::Leaving;
+        }
+        for entry in entries {
+            self.entry(&entry.id).update(entry, now);
+        }
+        self.prune();
+    }
+
+    pub(crate) fn get(&self, id: &str) -> Option<&Server> {
+        self.by_id.get(id)
+    }
+
+    pub(crate) fn get_mut(&mut self, id: &str) -> Option<&mut Server> {
+        self.by_id.get_mut(id)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&ServerId, &Server)> {
+        self.by_id.iter()
+    }
+
+    /// Takes a slot, even one above the limit or on a server not listed yet: it is in use.
+    pub(crate) fn take(&mut self, id: &str, slot: SlotId, now: Mono) {
+        if !self.by_id.contains_key(id) {
+            self.entry(id).state = HostState::Leaving;
+        }
+        self.entry(id).take(slot, now);
+    }
+
+    pub(crate) fn release(&mut self, id: &str, slot: SlotId, now: Mono) {
+        if let Some(server) = self.by_id.get_mut(id) {
+            server.release(slot, now);
+        }
+        self.prune();
+    }
+
+    /// Tells whether any server has a slot for requests that are not suspect.
+    pub(crate) fn has_free(&self, now: Mono) -> bool {
+        self.open().any(|(_, server)| server.free(now) > 0)
+    }
+
+    /// Picks a server with a free slot: deepest known prefix, then least loaded.
+    pub(crate) fn pick(&self, prefixes: &[Prefix], now: Mono) -> Option<ServerId> {
+        let free = self.open().filter(|(_, server)| server.free(now) > 0);
+        let best = free.min_by_key(|(_, server)| {
+            let depth = server.affinity.depth(prefixes);
+            let limit = u64::from(server.limit(now).max(1));
+            let load = u64::from(server.busy()) * LOAD_PARTS / limit;
+            (Reverse(depth), load, Reverse(limit))
+        });
+        best.map(|(id, _)| id.clone())
+    }
+
+    /// Sets one server apart if suspects wait; it stays apart while one runs on it.
+    pub(crate) fn set_apart(&mut self, waiting: bool, running: bool, now: Mono) {
+        let live = |s: &Server| s.state == HostState::Live && s.limit(now) > 0;
+        let current = self.apart.as_ref().and_then(|id| self.by_id.get(id));
+        if current.is_some_and(|s| running || (waiting && live(s))) {
+            return;
+        }
+        self.apart = None;
+        if waiting {
+            let servers = self.by_id.iter().filter(|(_, s)| live(s));
+            let least = servers.min_by_key(|(_, s)| s.busy());
+            self.apart = least.map(|(id, _)| id.clone());
+        }
+    }
+
+    /// Returns the server set apart if nothing runs on it.
+    pub(crate) fn apart_idle(&self, now: Mono) -> Option<ServerId> {
+        let id = self.apart.as_ref()?;
+        let server = self.by_id.get(id)?;
+        let ready = server.is_idle(now) && server.free(now) > 0;
+        ready.then(|| id.clone())
+    }
+
+    /// Returns the server set apart.
+    pub(crate) fn apart(&self) -> Option<&ServerId> {
+        self.apart.as_ref()
+    }
+
+    /// Marks a server as the one set apart, because a suspect already runs on it.
+    pub(crate) fn keep_apart(&mut self, id: &str) {
+        self.apart = Some(id.to_owned());
+    }
+
+    fn open(&self) -> impl Iterator<Item = (&ServerId, &Server)> {
+        let apart = self.apart.as_ref();
+        self.by_id.iter().filter(move |(id, _)| Some(*id) != apart)
+    }
+
+    fn entry(&mut self, id: &str) -> &mut Server {
+        let bounds = self.bounds;
+        self.by_id
+            .entry(id.to_owned())
+            .or_insert_with(|| Server::new(bounds))
+    }
+
+    fn prune(&mut self) {
+        let keep = |s: &Server| s.state == HostState::Live || s.busy() > 0;
+        self.by_id.retain(|_, server| keep(server));
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/waiting.rs
@@ -0,0 +1,214 @@
+//! Registrations that wait at a dispatcher.
+
+use std::collections::BTreeMap;
+
+use primrose_core::clock::Mono;
+use primrose_core::id::AccountId;
+use primrose_core::id::Member;
+use primrose_core::id::RequestId;
+use primrose_share::Ledger;
+
+use crate::message::Registration;
+use crate::message::Want;
+use crate::policy::Candidate;
+use crate::policy::Policy;
+
+/// Accounts named in a demand.
+const MAX_WANTS: usize = 4;
+/// Requests of one account that a demand counts.
+const MAX_WANT: usize = 64;
+
+/// A waiting request and the router that holds it.
+#[derive(Debug, Clone)]
+pub(crate) struct Entry {
+    pub(crate) registration: Registration,
+    pub(crate) router: Member,
+    pub(crate) deadline: Mono,
+    arrival: u64,
+}
+
+/// The request to serve next.
+#[derive(Debug, Clone)]
+pub(crate) struct Next {
+    pub(crate) request: RequestId,
+    pub(crate) rank: i64,
+}
+
+/// Number and exclusive or of the ids of a router's waiting requests.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Checksum {
+    pub(crate) count: u32,
+    pub(crate) check: u64,
+}
+
+impl Checksum {
+    pub(crate) fn add(&mut self, request: RequestId) {
+        self.count += 1;
+        self.check ^= request;
+    }
+
+    fn remove(&mut self, request: RequestId) {
+        self.count -= 1;
+        self.check ^= request;
+    }
+}
+
+type Arrivals = BTreeMap<u64, RequestId>;
+type Accounts = BTreeMap<AccountId, Arrivals>;
+
+/// All waiting requests, by account in order of arrival; suspects apart from the others.
+#[derive(Debug, Default)]
+pub(crate) struct Waiting {
+    entries: BTreeMap<RequestId, Entry>,
+    normal: Accounts,
+    suspects: Accounts,
+    checksums: BTreeMap<Member, Checksum>,
+    arrived: u64,
+}
+
+impl Waiting {
+    pub(crate) fn push(&mut self, router: Member, registration: Registration, deadline: Mono) {
+        self.remove(registration.request);
+        self.arrived += 1;
+        self.insert(Entry {
+            registration,
+            router,
+            deadline,
+            arrival: self.arrived,
+        });
+    }
+
+    /// Puts a request back to the place that it had.
+    pub(crate) fn put_back(&mut self, entry: Entry) {
+        self.remove(entry.registration.request);
+        self.insert(entry);
+    }
+
+    pub(crate) fn remove(&mut self, request: RequestId) -> Option<Entry> {
+        let entry = self.entries.remove(&request)?;
+        let accounts = if entry.registration.suspect {
+            &mut self.suspects
+        } else {
+            &mut self.normal
+        };
+        let account = &entry.registration.account;
+        if let Some(arrivals) = accounts.get_mut(account) {
+            arrivals.remove(&entry.arrival);
+            if arrivals.is_empty() {
+                accounts.remove(account);
+            }
+        }
+        if let Some(sum) = self.checksums.get_mut(&entry.router) {
+            sum.remove(request);
+            if sum.count == 0 {
+                self.checksums.remove(&entry.router);
+            }
+        }
+        Some(entry)
+    }
+
+    /// Removes all requests of a router; returns them in order of arrival.
+    pub(crate) fn remove_router(&mut self, router: &Member) -> Vec<Entry> {
+        if !self.checksums.contains_key(router) {
+            return Vec::new();
+        }
+        let of_router = self.entries.values().filter(|e| e.router == *router);
+        let requests: Vec<_> = of_router.map(|e| e.registration.request).collect();
+        let mut entries: Vec<_> = requests
+            .into_iter()
+            .filter_map(|r| self.remove(r))
+            .collect();
+        entries.sort_by_key(|e| e.arrival);
+        entries
+    }
+
+    pub(crate) fn get(&self, request: RequestId) -> Option<&Entry> {
+        self.entries.get(&request)
+    }
+
+    pub(crate) fn checksum(&self, router: &Member) -> Checksum {
+        self.checksums.get(router).copied().unwrap_or_default()
+    }
+
+    /// Tells whether any request of an account waits.
+    pub(crate) fn has_account(&self, account: &str) -> bool {
+        self.normal.contains_key(account) || self.suspects.contains_key(account)
+    }
+
+    pub(crate) fn accounts(&self) -> impl Iterator<Item = (&AccountId, usize)> {
+        self.normal.iter().map(|(a, arrivals)| (a, arrivals.len()))
+    }
+
+    pub(crate) fn suspects(&self) -> usize {
+        self.suspects.values().map(BTreeMap::len).sum()
+    }
+
+    /// Finds the request to serve next among those that `may` run.
+    pub(crate) fn next(
+        &self,
+        suspect: bool,
+        policy: &dyn Policy,
+        ledger: &Ledger,
+        may: &dyn Fn(&Entry) -> bool,
+    ) -> Option<Next> {
+        let accounts = if suspect {
+            &self.suspects
+        } else {
+            &self.normal
+        };
+        let heads = accounts.iter().filter_map(|(account, arrivals)| {
+            let entry = self.head(arrivals, may)?;
+            let candidate = Candidate {
+                account,
+                service: ledger.service(account),
+                arrival: entry.arrival,
+            };
+            let request = entry.registration.request;
+            let rank = policy.rank(&candidate);
+            Some((entry.arrival, Next { request, rank }))
+        });
+        let best = heads.min_by_key(|(arrival, next)| (next.rank, *arrival));
+        best.map(|(_, next)| next)
+    }
+
+    /// Counts the waiting requests that `may` run of the least served accounts, the lowest first.
+    pub(crate) fn wants(&self, ledger: &Ledger, may: &dyn Fn(&Entry) -> bool) -> Vec<Want> {
+        let mut accounts: Vec<_> = self.normal.iter().collect();
+        accounts.sort_by_key(|(account, _)| ledger.service(account));
+        let mut wants = Vec::new();
+        for (account, arrivals) in accounts {
+            let entries = arrivals.values().filter_map(|r| self.entries.get(r));
+            let count = entries.filter(|e| may(e)).take(MAX_WANT).count();
+            if count == 0 {
+                continue;
+            }
+            let account = account.clone();
+            let count = u32::try_from(count).unwrap_or(u32::MAX);
+            wants.push(Want { account, count });
+            if wants.len() == MAX_WANTS {
+                break;
+            }
+        }
+        wants
+    }
+
+    fn head(&self, arrivals: &Arrivals, may: &dyn Fn(&Entry) -> bool) -> Option<&Entry> {
+        let mut entries = arrivals.values().filter_map(|r| self.entries.get(r));
+        entries.find(|e| may(e))
+    }
+
+    fn insert(&mut self, entry: Entry) {
+        let request = entry.registration.request;
+        let account = entry.registration.account.clone();
+        let accounts = if entry.registration.suspect {
+            &mut self.suspects
+        } else {
+            &mut self.normal
+        };
+        let arrivals = accounts.entry(account).or_default();
+        arrivals.insert(entry.arrival, request);
+        let sum = self.checksums.entry(entry.router.clone()).or_default();
+        sum.add(request);
+        self.entries.insert(request, entry);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/zones.rs
@@ -0,0 +1,267 @@
+//! Messages between the dispatchers of the same pool in different zones.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use primrose_core::clock::Mono;
+use primrose_core::id::AccountId;
+use primrose_core::id::Member;
+use primrose_core::id::ZoneId;
+use rand::Rng;
+
+use crate::dispatcher::attempt::Borrowing;
+use crate::dispatcher::server::SlotId;
+use crate::dispatcher::Action;
+use crate::dispatcher::Dispatcher;
+use crate::message;
+use crate::message::Body;
+use crate::message::Borrowed;
+use crate::message::Demand;
+use crate::message::Digest;
+use crate::message::Loan;
+use crate::message::LoanId;
+use crate::message::LoanRenew;
+use crate::message::LoanReturn;
+use crate::message::Snapshot;
+use crate::spill::Lent;
+use crate::timing::DIGEST_EVERY;
+use crate::timing::DIGEST_PEERS;
+use crate::timing::LEASE_MARGIN;
+use crate::timing::START_LEASE;
+
+/// A dispatcher younger than this starts from another's standings.
+const JOIN_WITHIN: Duration = Duration::from_secs(5);
+/// Digests are moved by up to this part of their period, so that zones do not fall into step.
+const DIGEST_JITTER: f64 = 0.2;
+
+impl Dispatcher {
+    pub(super) fn set_peers(
+        &mut self,
+        holders: BTreeMap<ZoneId, Option<Member>>,
+        now: Mono,
+        out: &mut Vec<Action>,
+    ) {
+        let new = self.spill.set_peers(holders);
+        self.note_cut_zones();
+        if new.is_empty() {
+            return;
+        }
+        if self.ledger.age(now) < JOIN_WITHIN {
+            for holder in &new {
+                self.send(holder, Body::Join, out);
+            }
+        }
+        // A zone that can be reached again missed what changed meanwhile.
+        self.ledger.resend_all();
+        self.spill.tell_anew();
+    }
+
+    pub(super) fn joined(&mut self, from: &Member, out: &mut Vec<Action>) {
+        let standings = self.ledger.snapshot();
+        if !standings.is_empty() {
+            self.send(from, Body::Snapshot(Snapshot { standings }), out);
+        }
+    }
+
+    pub(super) fn snapshot(&mut self, snapshot: &Snapshot, now: Mono) {
+        if self.ledger.age(now) < JOIN_WITHIN {
+            self.ledger.adopt(&snapshot.standings);
+        }
+    }
+
+    pub(super) fn digest(&mut self, from: &Member, digest: &Digest, now: Mono) {
+        let age = Duration::from_millis(digest.age.into());
+        self.ledger.merge(from, age, &digest.rows, now);
+        let Some(zone) = self.spill.zone_of(from).cloned() else {
+            return;
+        };
+        if self.spill.note_digest(&zone, digest.sequence) {
+            let waiting: BTreeSet<AccountId> = digest.waiting.iter().cloned().collect();
+            self.ledger.set_zone(&zone, &waiting);
+        }
+    }
+
+    pub(super) fn demand(&mut self, from: &Member, demand: Demand, now: Mono) {
+        let Some(zone) = self.spill.zone_of(from).cloned() else {
+            return;
+        };
+        for want in &demand.wants {
+            self.ledger.set_waiting(&want.account, &zone, true);
+        }
+        self.spill.note_demand(&zone, demand, now);
+    }
+
+    /// Uses a slot that another zone lends, or gives it back.
+    pub(super) fn loan(&mut self, from: &Member, loan: Loan, now: Mono, out: &mut Vec<Action>) {
+        let id = loan.id;
+        let zone = self.spill.zone_of(from).cloned();
+        let fresh = zone.as_ref().is_some_and(|z| self.spill.note_loan(z, id));
+        let used = |b: &Option<Borrowing>| b.as_ref().is_some_and(|b| b.id == id);
+        if self.attempts.values().any(|a| used(&a.loan)) {
+            return;
+        }
+        let next = self.next(loan.suspect, now).filter(|_| fresh);
+        let Some(next) = next else {
+            let finished = None;
+            self.send(from, Body::LoanReturn(LoanReturn { id, finished }), out);
+            return;
+        };
+        let borrowing = Borrowing { id, zone };
+        self.grant_borrowed(next.request, loan.server, borrowing, now, out);
+    }
+
+    pub(super) fn loan_return(&mut self, over: &LoanReturn, now: Mono) {
+        let Some(lent) = self.spill.lent.get(&over.id) else {
+            return;
+        };
+        let server = lent.server.clone();
+        match &over.finished {
+            Some(finished) => self.judge(&server, finished, now),
+            None => self.totals.unused += 1,
+        }
+        self.end_loan(over.id, now);
+    }
+
+    /// Keeps the loans that a zone lists, and takes back those that it does not.
+    pub(super) fn loan_renew(&mut self, from: &Member, renew: &LoanRenew, now: Mono) {
+        let Some(zone) = self.spill.zone_of(from).cloned() else {
+            return;
+        };
+        let listed: BTreeSet<LoanId> = renew.loans.iter().map(|l| l.id).collect();
+        for borrowed in &renew.loans {
+            self.keep_loan(&zone, borrowed, now);
+        }
+        let epoch = self.epoch;
+        let over = |id: &LoanId, lent: &Lent| {
+            let seen = renew.seen.epoch == epoch && id.epoch == epoch;
+            let received = seen && id.sequence <= renew.seen.sequence;
+            received || now >= lent.at + START_LEASE + LEASE_MARGIN
+        };
+        let lent = self.spill.lent.iter();
+        let gone: Vec<_> = lent
+            .filter(|(id, l)| l.zone == zone && !listed.contains(id) && over(id, l))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in gone {
+            self.totals.expired += 1;
+            self.end_loan(id, now);
+        }
+    }
+
+    pub(super) fn end_loan(&mut self, id: LoanId, now: Mono) {
+        if let Some(lent) = self.spill.lent.remove(&id) {
+            self.servers.release(&lent.server, SlotId::Loan(id), now);
+        }
+    }
+
+    /// Lists the loans in use to their lenders.
+    pub(super) fn renew_loans(&mut self, out: &mut Vec<Action>) {
+        let mut sends = Vec::new();
+        for (zone, peer) in &mut self.spill.peers {
+            let Some(holder) = &peer.holder else {
+                continue;
+            };
+            let mut loans = Vec::new();
+            for attempt in self.attempts.values() {
+                let Some(loan) = &attempt.loan else {
+                    continue;
+                };
+                if loan.zone.as_ref().is_none_or(|z| z == zone) {
+                    loans.push(Borrowed {
+                        id: loan.id,
+                        server: attempt.server.clone(),
+                    });
+                }
+            }
+            if loans.is_empty() && peer.seen == peer.renewed {
+                continue;
+            }
+            peer.renewed = peer.seen;
+            let seen = peer.seen;
+            sends.push((holder.clone(), LoanRenew { seen, loans }));
+        }
+        for (holder, renew) in sends {
+            self.send(&holder, Body::LoanRenew(renew), out);
+        }
+    }
+
+    pub(super) fn send_digest(&mut self, now: Mono, out: &mut Vec<Action>) {
+        let holders: Vec<_> = self.spill.holders().cloned().collect();
+        let groups = holders.len().div_ceil(DIGEST_PEERS).max(1);
+        let period = DIGEST_EVERY.mul_f64(groups as f64);
+        let jitter = self.rng.random_range(0.0..DIGEST_JITTER);
+        self.next_digest = now + period.mul_f64(1.0 - jitter);
+        if holders.is_empty() {
+            return;
+        }
+        self.digests += 1;
+        let digest = Digest {
+            sequence: self.digests,
+            age: message::millis(self.ledger.age(now)),
+            rows: self.ledger.digest(),
+            waiting: self.waiting.accounts().map(|(a, _)| a.clone()).collect(),
+        };
+        for holder in &holders {
+            self.send(holder, Body::Digest(digest.clone()), out);
+        }
+    }
+
+    pub(super) fn tell_demand(&mut self, now: Mono, out: &mut Vec<Action>) {
+        let level = self.level(now);
+        let Some(sequence) = self.spill.tell(&level, now) else {
+            return;
+        };
+        let peers = self.spill.peers.values();
+        let told = peers.filter_map(|p| Some((p.holder.clone()?, p.seen)));
+        for (holder, seen) in told.collect::<Vec<_>>() {
+            let demand = Demand {
+                sequence,
+                seen,
+                wants: level.wants.clone(),
+                suspects: level.suspects,
+            };
+            self.send(&holder, Body::Demand(demand), out);
+        }
+    }
+
+    /// Counts a loan that an earlier dispatcher of this zone made.
+    fn keep_loan(&mut self, zone: &str, borrowed: &Borrowed, now: Mono) {
+        if let Some(lent) = self.spill.lent.get_mut(&borrowed.id) {
+            lent.orphaned = false;
+            return;
+        }
+        // Renewals of loans whose lender is unknown go to all zones.
+        if self.servers.get(&borrowed.server).is_none() {
+            return;
+        }
+        let slot = SlotId::Loan(borrowed.id);
+        self.servers.take(&borrowed.server, slot, now);
+        let lent = Lent {
+            zone: zone.to_owned(),
+            server: borrowed.server.clone(),
+            account: AccountId::new(),
+            at: now,
+            orphaned: false,
+            suspect: false,
+        };
+        self.spill.lent.insert(borrowed.id, lent);
+    }
+
+    /// Marks loans to zones that cannot be reached, and forgets who waits there.
+    fn note_cut_zones(&mut self) {
+        let reachable = |zone: &str| self.spill.holder(zone).is_some();
+        let zones: Vec<_> = self.spill.peers.keys().cloned().collect();
+        let cut: BTreeSet<_> = zones.iter().filter(|z| !reachable(z)).cloned().collect();
+        for lent in self.spill.lent.values_mut() {
+            lent.orphaned = self
+                .spill
+                .peers
+                .get(&lent.zone)
+                .is_none_or(|p| p.holder.is_none());
+        }
+        for zone in &cut {
+            self.ledger.set_zone(zone, &BTreeSet::new());
+        }
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,1 +1,130 @@
-//! Part of the router fleet; filled in by its first change.
+//! Which waiting request runs next, and on which backend server.
+//!
+//! Model engines admit whatever comes, so order can only be decided before a request leaves the
+//! fleet. This crate decides it with two state machines. A [`requester::Requester`] at every router
+//! holds the queue. A [`dispatcher::Dispatcher`] per pool and availability zone holds the slots of
+//! the zone's servers and grants each free one to the backlogged account with the least service over
+//! the whole fleet. Dispatchers of the same pool in other zones exchange what they charged, and
+//! lend each other slots ([`spill`]).
+//!
+//! # The loop
+//!
+//! Neither machine reads a clock or owns a socket. A router runs, in one thread:
+//!
+//! ```text
+//!            HTTP side                    peer links, membership, table, load reports
+//!   Enqueue, Cancel,  │  Run, Refuse           │                    │
+//!   Progress, Ended   ▼     ▲                  ▼                    ▼
+//!                 Requester ──Send──▶ links ──Message──▶ Dispatcher (if this router holds it)
+//!                     ▲                                       │
+//!                     └───────────Message── links ◀──Send─────┘
+//! ```
+//!
+//! - On a new table: [`requester::Event::Table`], and [`dispatcher::Event::Pool`] for each
+//!   dispatcher.
+//! - When the zone's membership view changes: for each pool, compute the holder over the zone's live
+//!   routers. If it is this router, make a `Dispatcher` if there is none, else drop the one there is.
+//!   Then tell the requester [`requester::Event::Holder`], and each dispatcher of this router
+//!   [`dispatcher::Event::Peers`] with the holders of the other zones, as that zone's own members
+//!   say, and [`dispatcher::Event::RouterDown`] for each router of the zone that is gone.
+//! - On a message from a link: [`message::Body::duty`] tells which machine it is for. A message for
+//!   a dispatcher that this router does not have is dropped.
+//! - On `Send` to this router itself: hand the message back in, as if it had come over a link.
+//! - Every [`timing::TICK_EVERY`], `Tick` to each.
+//! - On [`requester::Action::Run`]: connect to the server and run the attempt. Whatever happens,
+//!   one [`requester::Event::Ended`] follows, with [`message::Ending::Unsent`] if nothing was sent.
+//!   If it is to be tried again, enqueue the work again with the next number.
+//!
+//! Messages may be lost, doubled, late and out of order; see [`message`]. Two dispatchers of the
+//! same pool and zone may exist for a while; each admits up to the limit, so a server may get up to
+//! twice its limit until the views agree and the surplus has ended.
+//!
+//! # Example
+//!
+//! ```
+//! use std::sync::Arc;
+//! use std::time::Duration;
+//! use primrose_core::host::HostState;
+//! use primrose_core::id::Member;
+//! use primrose_core::table::Table;
+//! use primrose_dispatch::dispatcher;
+//! use primrose_dispatch::dispatcher::Dispatcher;
+//! use primrose_dispatch::dispatcher::ServerEntry;
+//! use primrose_dispatch::message::Duty;
+//! use primrose_dispatch::requester;
+//! use primrose_dispatch::requester::Requester;
+//! use primrose_dispatch::requester::Work;
+//! use primrose_support::tables::engine_pool;
+//!
+//! let me = Member { host: "h1".into(), incarnation: 1 };
+//! let mut now = Duration::from_secs(1);
+//! let pool = engine_pool("chat");
+//! let mut table = Table::default();
+//! table.pools.insert("chat".into(), pool.clone());
+//!
+//! let mut disp = Dispatcher::new(me.clone(), "north".into(), pool, 7, now);
+//! let server = ServerEntry {
+//!     id: "s1".into(),
+//!     state: HostState::Live,
+//!     adopted: false,
+//!     cap: None,
+//! };
+//! disp.handle(dispatcher::Event::Servers(vec![server]), now);
+//!
+//! let mut req = Requester::new(Arc::new(table));
+//! let holder = requester::Event::Holder { pool: "chat".into(), holder: Some(me.clone()) };
+//! let work = Work {
+//!     request: 1,
+//!     number: 1,
+//!     account: "temple".into(),
+//!     route: "draft".into(),
+//!     pool: "chat".into(),
+//!     cost: 200,
+//!     bytes: 64,
+//!     fingerprint: 9,
+//!     suspect: false,
+//!     prefixes: vec![],
+//!     deadline: now + Duration::from_secs(30),
+//! };
+//! let mut actions = req.handle(holder, now);
+//! actions.extend(req.handle(requester::Event::Enqueue(work), now));
+//!
+//! let mut runs = Vec::new();
+//! for _ in 0..10 {
+//!     for action in std::mem::take(&mut actions) {
+//!         match action {
+//!             requester::Action::Send { to: _, message } => {
+//!                 let from = me.clone();
+//!                 let event = dispatcher::Event::Message { from, message };
+//!                 for sent in disp.handle(event, now) {
+//!                     let dispatcher::Action::Send { to: _, message } = sent;
+//!                     assert_eq!(message.body.duty(), Duty::Requester);
+//!                     let from = me.clone();
+//!                     let event = requester::Event::Message { from, message };
+//!                     actions.extend(req.handle(event, now));
+//!                 }
+//!             }
+//!             requester::Action::Run(run) => runs.push(run.server),
+//!             requester::Action::Refuse { .. } => unreachable!(),
+//!         }
+//!     }
+//!     now += Duration::from_millis(100);
+//!     actions.extend(req.handle(requester::Event::Tick, now));
+//!     for sent in disp.handle(dispatcher::Event::Tick, now) {
+//!         let dispatcher::Action::Send { to: _, message } = sent;
+//!         let event = requester::Event::Message { from: me.clone(), message };
+//!         actions.extend(req.handle(event, now));
+//!     }
+//! }
+//! assert_eq!(runs, ["s1"]);
+//! ```
+
+mod affinity;
+pub mod dispatcher;
+mod limit;
+pub mod message;
+pub mod policy;
+pub mod requester;
+pub mod spill;
+pub mod status;
+pub mod timing;
--- /dev/null
+++ b/crates/dispatch/src/message.rs
@@ -0,0 +1,453 @@
+//! Messages between requesters and dispatchers.
+//!
+//! Every message is about one pool. Field names are one letter on the wire, because the encoding
+//! names fields and control traffic has a budget. All of them may be lost, doubled, late or out of
+//! order: a message either states a level (everything that waits, everything that runs) or names the
+//! one attempt or loan it is about.
+
+use std::time::Duration;
+
+use primrose_core::cost::Service;
+use primrose_core::fingerprint::Fingerprint;
+use primrose_core::id::AccountId;
+use primrose_core::id::AttemptId;
+use primrose_core::id::PoolId;
+use primrose_core::id::RequestId;
+use primrose_core::id::RouteId;
+use primrose_core::id::ServerId;
+use primrose_share::Row;
+use primrose_share::Standing;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Number that a requester's renewals count up.
+pub type Beat = u64;
+/// Number that a dispatcher's grants and loans count up.
+pub type Sequence = u64;
+/// Random number of one dispatcher's life.
+pub type Epoch = u32;
+/// Hash of a prompt's beginning, up to a block border.
+pub type Prefix = u32;
+/// Time in milliseconds.
+pub type Millis = u32;
+
+/// Converts a duration to the unit on the wire; saturates.
+pub fn millis(time: Duration) -> Millis {
+    Millis::try_from(time.as_millis()).unwrap_or(Millis::MAX)
+}
+
+/// One message between two routers about one pool.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    /// Pool that the message is about.
+    #[serde(rename = "p")]
+    pub pool: PoolId,
+    /// What is said.
+    #[serde(rename = "b")]
+    pub body: Body,
+}
+
+/// The state machine at the receiving router that a message is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Duty {
+    /// The router's [`Requester`](crate::requester::Requester).
+    Requester,
+    /// The pool's [`Dispatcher`](crate::dispatcher::Dispatcher), if the router has one.
+    Dispatcher,
+}
+
+/// What a message says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Body {
+    /// Requester to dispatcher: one more request waits.
+    #[serde(rename = "r")]
+    Register(Registration),
+    /// Requester to dispatcher: everything that waits and runs.
+    #[serde(rename = "s")]
+    Sync(Sync),
+    /// Requester to dispatcher: what runs, and a checksum of what waits.
+    #[serde(rename = "n")]
+    Renew(Renew),
+    /// Requester to dispatcher: a grant is not used.
+    #[serde(rename = "d")]
+    Decline(Decline),
+    /// Requester to dispatcher: a request waits no longer.
+    #[serde(rename = "w")]
+    Withdraw(Withdraw),
+    /// Requester to dispatcher: an attempt ended.
+    #[serde(rename = "f")]
+    Finished(Finished),
+    /// Dispatcher to requester: run this request on this server.
+    #[serde(rename = "g")]
+    Grant(Grant),
+    /// Dispatcher to requester: send a [`Sync`].
+    #[serde(rename = "y")]
+    Resync,
+    /// Dispatcher to another zone's dispatcher: I am new; send a snapshot.
+    #[serde(rename = "j")]
+    Join,
+    /// Dispatcher to a new dispatcher: where the accounts stand.
+    #[serde(rename = "o")]
+    Snapshot(Snapshot),
+    /// Dispatcher to another zone's dispatcher: service charged, and who waits.
+    #[serde(rename = "i")]
+    Digest(Digest),
+    /// Dispatcher to another zone's dispatcher: what waits without a slot.
+    #[serde(rename = "m")]
+    Demand(Demand),
+    /// Dispatcher to another zone's dispatcher: one slot to use.
+    #[serde(rename = "l")]
+    Loan(Loan),
+    /// Dispatcher to the lender: a slot is free again.
+    #[serde(rename = "t")]
+    LoanReturn(LoanReturn),
+    /// Dispatcher to the lender: the loans that are in use.
+    #[serde(rename = "e")]
+    LoanRenew(LoanRenew),
+}
+
+impl Body {
+    /// Returns the state machine that the message is for.
+    pub fn duty(&self) -> Duty {
+        match self {
+            Self::Grant(_) | Self::Resync => Duty::Requester,
+            _ => Duty::Dispatcher,
+        }
+    }
+}
+
+/// A request that waits at a requester.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Registration {
+    /// The request.
+    #[serde(rename = "r")]
+    pub request: RequestId,
+    /// Number that the next attempt will have.
+    #[serde(rename = "n")]
+    pub number: u32,
+    /// Client account.
+    #[serde(rename = "a")]
+    pub account: AccountId,
+    /// Route.
+    #[serde(rename = "o")]
+    pub route: RouteId,
+    /// Estimated cost in units, by the caller's hint or the route.
+    #[serde(rename = "c")]
+    pub cost: Service,
+    /// Fingerprint.
+    #[serde(rename = "f")]
+    pub fingerprint: Fingerprint,
+    /// The request may crash its server: run it alone on the server set apart.
+    #[serde(rename = "x", default, skip_serializing_if = "is_false")]
+    pub suspect: bool,
+    /// Hashes of the prompt's beginning, shortest first.
+    #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
+    pub prefixes: Vec<Prefix>,
+    /// Time left until the deadline.
+    #[serde(rename = "d")]
+    pub left: Millis,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
+/// The latest grant or loan that was received from a dispatcher.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    /// Life of the dispatcher.
+    #[serde(rename = "e")]
+    pub epoch: Epoch,
+    /// Highest sequence number.
+    #[serde(rename = "s")]
+    pub sequence: Sequence,
+}
+
+/// Everything that waits and runs at a requester.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Sync {
+    /// Number of this renewal.
+    #[serde(rename = "b")]
+    pub beat: Beat,
+    /// Latest grant received.
+    #[serde(rename = "s")]
+    pub seen: Seen,
+    /// Requests that wait, oldest first.
+    #[serde(rename = "w")]
+    pub waiting: Vec<Registration>,
+    /// Attempts that run.
+    #[serde(rename = "r")]
+    pub running: Vec<Running>,
+}
+
+/// An attempt that runs, in full.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Running {
+    /// The attempt.
+    #[serde(rename = "i")]
+    pub attempt: AttemptId,
+    /// Client account.
+    #[serde(rename = "a")]
+    pub account: AccountId,
+    /// Route.
+    #[serde(rename = "o")]
+    pub route: RouteId,
+    /// Backend server.
+    #[serde(rename = "v")]
+    pub server: ServerId,
+    /// Loan by which the server was got from another zone.
+    #[serde(rename = "l")]
+    pub loan: Option<LoanId>,
+    /// Units charged when it was granted.
+    #[serde(rename = "c")]
+    pub charged: Service,
+    /// Units used so far.
+    #[serde(rename = "u")]
+    pub used: Service,
+    /// Runs alone on the server set apart.
+    #[serde(rename = "x", default, skip_serializing_if = "is_false")]
+    pub suspect: bool,
+}
+
+/// What runs, and a checksum of what waits.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renew {
+    /// Number of this renewal.
+    #[serde(rename = "b")]
+    pub beat: Beat,
+    /// Latest grant received.
+    #[serde(rename = "s")]
+    pub seen: Seen,
+    /// Number of requests that wait.
+    #[serde(rename = "w")]
+    pub count: u32,
+    /// Exclusive or of the ids of the requests that wait.
+    #[serde(rename = "k")]
+    pub check: u64,
+    /// Attempts that run.
+    #[serde(rename = "r")]
+    pub running: Vec<Progress>,
+}
+
+/// How far an attempt has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// The request.
+    #[serde(rename = "r")]
+    pub request: RequestId,
+    /// Number of the attempt.
+    #[serde(rename = "n")]
+    pub number: u32,
+    /// Units used so far.
+    #[serde(rename = "u")]
+    pub used: Service,
+}
+
+/// A grant that is not used; the request waits on if its requester still has it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Decline {
+    /// The attempt.
+    #[serde(rename = "i")]
+    pub attempt: AttemptId,
+    /// Life of the dispatcher that granted.
+    #[serde(rename = "e")]
+    pub epoch: Epoch,
+    /// The grant.
+    #[serde(rename = "s")]
+    pub sequence: Sequence,
+    /// The request still waits.
+    #[serde(rename = "w")]
+    pub waits: bool,
+}
+
+/// A request that waits no longer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Withdraw {
+    /// The request.
+    #[serde(rename = "r")]
+    pub request: RequestId,
+}
+
+/// How an attempt ended, as far as the choice of servers is concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Ending {
+    /// The whole answer came.
+    #[serde(rename = "d")]
+    Done,
+    /// The server answered with an error of its own.
+    #[serde(rename = "e")]
+    Failed,
+    /// The server refused the request before running it.
+    #[serde(rename = "r")]
+    Refused,
+    /// The server could not be reached, or went away during the request.
+    #[serde(rename = "l")]
+    Lost,
+    /// The caller went away, or the deadline passed.
+    #[serde(rename = "c")]
+    Cancelled,
+    /// Nothing was sent to the server.
+    #[serde(rename = "n")]
+    Unsent,
+}
+
+/// What is known about an attempt at its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finished {
+    /// The attempt.
+    #[serde(rename = "i")]
+    pub attempt: AttemptId,
+    /// How it ended.
+    #[serde(rename = "e")]
+    pub ending: Ending,
+    /// Units used.
+    #[serde(rename = "u")]
+    pub used: Service,
+    /// Time to the first token, in milliseconds.
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    pub first: Option<Millis>,
+    /// Mean time between tokens, in microseconds.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub inter: Option<u32>,
+}
+
+/// Leave to run one request on one server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Life of the dispatcher.
+    #[serde(rename = "e")]
+    pub epoch: Epoch,
+    /// Counts the dispatcher's grants.
+    #[serde(rename = "s")]
+    pub sequence: Sequence,
+    /// Latest renewal that the dispatcher had from the requester; the lease counts from there.
+    #[serde(rename = "b")]
+    pub beat: Beat,
+    /// The attempt.
+    #[serde(rename = "i")]
+    pub attempt: AttemptId,
+    /// Backend server.
+    #[serde(rename = "v")]
+    pub server: ServerId,
+    /// Loan by which the server was got from another zone.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub loan: Option<LoanId>,
+    /// Units charged.
+    #[serde(rename = "c")]
+    pub charged: Service,
+}
+
+/// Where the accounts stand, for a dispatcher that is new.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Standings of all accounts known.
+    #[serde(rename = "s")]
+    pub standings: Vec<Standing>,
+}
+
+/// Service charged by a dispatcher, and the accounts that wait there.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Counts the dispatcher's digests; an older one says nothing about who waits.
+    #[serde(rename = "s")]
+    pub sequence: Sequence,
+    /// How long the dispatcher has been counting.
+    #[serde(rename = "g")]
+    pub age: Millis,
+    /// Counters that changed, and a few others.
+    #[serde(rename = "r")]
+    pub rows: Vec<Row>,
+    /// Accounts that wait.
+    #[serde(rename = "w")]
+    pub waiting: Vec<AccountId>,
+}
+
+/// Requests of one account that wait.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Want {
+    /// Client account.
+    #[serde(rename = "a")]
+    pub account: AccountId,
+    /// Requests.
+    #[serde(rename = "n")]
+    pub count: u32,
+}
+
+/// What waits in a zone without a slot: a level, not a change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Counts the dispatcher's demands; an older one is dropped.
+    #[serde(rename = "s")]
+    pub sequence: Sequence,
+    /// Latest loan received from the zone that is told.
+    #[serde(rename = "l")]
+    pub seen: Seen,
+    /// The accounts with the least service that wait, the lowest first, and how many requests.
+    #[serde(rename = "w")]
+    pub wants: Vec<Want>,
+    /// Suspect requests that wait, apart from the others.
+    #[serde(rename = "x", default, skip_serializing_if = "is_zero")]
+    pub suspects: u32,
+}
+
+fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
+
+/// Id of a loan: the lender's epoch and sequence number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LoanId {
+    /// Life of the lending dispatcher.
+    #[serde(rename = "e")]
+    pub epoch: Epoch,
+    /// Counts the lender's grants and loans.
+    #[serde(rename = "s")]
+    pub sequence: Sequence,
+}
+
+/// One slot of a server, lent to another zone for one attempt.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loan {
+    /// The loan.
+    #[serde(rename = "i")]
+    pub id: LoanId,
+    /// The server.
+    #[serde(rename = "v")]
+    pub server: ServerId,
+    /// The server is set apart: for one suspect, and for nothing else.
+    #[serde(rename = "x", default, skip_serializing_if = "is_false")]
+    pub suspect: bool,
+}
+
+/// A loan that is over.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanReturn {
+    /// The loan.
+    #[serde(rename = "i")]
+    pub id: LoanId,
+    /// How the attempt ended; nothing if the slot was not used.
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    pub finished: Option<Finished>,
+}
+
+/// One loan that is in use.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Borrowed {
+    /// The loan.
+    #[serde(rename = "i")]
+    pub id: LoanId,
+    /// The server.
+    #[serde(rename = "v")]
+    pub server: ServerId,
+}
+
+/// The loans that are in use.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanRenew {
+    /// Latest loan received.
+    #[serde(rename = "s")]
+    pub seen: Seen,
+    /// Loans in use.
+    #[serde(rename = "l")]
+    pub loans: Vec<Borrowed>,
+}
--- /dev/null
+++ b/crates/dispatch/src/requester/lane.rs
@@ -0,0 +1,290 @@
+//! What waits and runs at one router for one pool.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use primrose_core::clock::Mono;
+use primrose_core::cost::Service;
+use primrose_core::id::AccountId;
+use primrose_core::id::AttemptId;
+use primrose_core::id::Member;
+use primrose_core::id::PoolId;
+use primrose_core::id::RequestId;
+use primrose_core::outcome::ErrorCode;
+use primrose_core::table::QueueBounds;
+
+use crate::message;
+use crate::message::Beat;
+use crate::message::Body;
+use crate::message::Decline;
+use crate::message::Finished;
+use crate::message::Grant;
+use crate::message::Message;
+use crate::message::Registration;
+use crate::message::Renew;
+use crate::message::Running;
+use crate::message::Seen;
+use crate::message::Sync;
+use crate::message::Withdraw;
+use crate::requester::queue::Queue;
+use crate::requester::Action;
+use crate::requester::Run;
+use crate::requester::Work;
+use crate::timing::RENEW_EVERY;
+use crate::timing::START_LEASE;
+
+/// Renewals whose time of sending is remembered.
+const BEATS_KEPT: usize = 16;
+
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    beat: Beat,
+    at: Mono,
+}
+
+/// One pool at one router.
+#[derive(Debug)]
+pub(crate) struct Lane {
+    pool: PoolId,
+    holder: Option<Member>,
+    queue: Queue,
+    running: BTreeMap<AttemptId, Running>,
+    seen: Seen,
+    beat: Beat,
+    sent: VecDeque<Sent>,
+}
+
+impl Lane {
+    pub(crate) fn new(pool: PoolId) -> Self {
+        Self {
+            pool,
+            holder: None,
+            queue: Queue::default(),
+            running: BTreeMap::new(),
+            seen: Seen::default(),
+            beat: 0,
+            sent: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn accounts(&self) -> impl Iterator<Item = (&AccountId, usize)> {
+        self.queue.accounts()
+    }
+
+    pub(crate) fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    pub(crate) fn has_room(&self, work: &Work, bounds: &QueueBounds) -> bool {
+        self.queue.has_room(work, bounds)
+    }
+
+    pub(crate) fn set_holder(&mut self, holder: Option<Member>, now: Mono, out: &mut Vec<Action>) {
+        if self.holder == holder {
+            return;
+        }
+        self.holder = holder;
+        self.seen = Seen::default();
+        self.sync(now, out);
+    }
+
+    pub(crate) fn enqueue(&mut self, work: Work, now: Mono, out: &mut Vec<Action>) {
+        let registration = registration(&work, now);
+        self.queue.push(work);
+        self.send(Body::Register(registration), out);
+    }
+
+    /// Ends the wait of a request; tells whether it waited.
+    pub(crate) fn cancel(&mut self, request: RequestId, out: &mut Vec<Action>) -> bool {
+        if self.queue.remove(request).is_none() {
+            return false;
+        }
+        self.send(Body::Withdraw(Withdraw { request }), out);
+        true
+    }
+
+    pub(crate) fn progress(&mut self, attempt: AttemptId, used: Service) {
+        if let Some(running) = self.running.get_mut(&attempt) {
+            running.used = running.used.max(used);
+        }
+    }
+
+    /// Notes the end of an attempt; tells whether it ran.
+    pub(crate) fn ended(&mut self, finished: Finished, out: &mut Vec<Action>) -> bool {
+        if self.running.remove(&finished.attempt).is_none() {
+            return false;
+        }
+        self.send(Body::Finished(finished), out);
+        // A further attempt may wait already.
+        self.queue.get(finished.attempt.request).is_none()
+    }
+
+    pub(crate) fn grant(&mut self, from: &Member, grant: Grant, now: Mono, out: &mut Vec<Action>) {
+        if self.running.contains_key(&grant.attempt) {
+            return;
+        }
+        if self.holder.as_ref() != Some(from) {
+            let decline = decline(&grant, false);
+            self.send_to(from.clone(), Body::Decline(decline), out);
+            return;
+        }
+        let fresh = self.note_seen(&grant);
+        let waits = self.waits_for(grant.attempt);
+        if !waits || !fresh || !self.lease_holds(grant.beat, now) {
+            self.send(Body::Decline(decline(&grant, waits)), out);
+            return;
+        }
+        self.start(grant, out);
+    }
+
+    /// Registers everything anew, if the current dispatcher asks.
+    pub(crate) fn resync(&mut self, from: &Member, now: Mono, out: &mut Vec<Action>) {
+        if self.holder.as_ref() == Some(from) {
+            self.sync(now, out);
+        }
+    }
+
+    pub(crate) fn refuse_all(&mut self, code: ErrorCode, out: &mut Vec<Action>) {
+        let waiting: Vec<_> = self.queue.iter().map(|w| w.request).collect();
+        for request in waiting {
+            self.cancel(request, out);
+            out.push(Action::Refuse { request, code });
+        }
+    }
+
+    pub(crate) fn tick(&mut self, now: Mono, out: &mut Vec<Action>) {
+        while let Some(work) = self.queue.pop_expired(now) {
+            let request = work.request;
+            let code = ErrorCode::Deadline;
+            self.send(Body::Withdraw(Withdraw { request }), out);
+            out.push(Action::Refuse { request, code });
+        }
+        let last = self.sent.back();
+        if last.is_none_or(|s| now.saturating_sub(s.at) >= RENEW_EVERY) {
+            self.renew(now, out);
+        }
+    }
+
+    fn start(&mut self, grant: Grant, out: &mut Vec<Action>) {
+        let Some(work) = self.queue.remove(grant.attempt.request) else {
+            return;
+        };
+        out.push(Action::Run(Run {
+            pool: self.pool.clone(),
+            attempt: grant.attempt,
+            server: grant.server.clone(),
+        }));
+        let running = Running {
+            attempt: grant.attempt,
+            account: work.account,
+            route: work.route,
+            server: grant.server,
+            loan: grant.loan,
+            charged: grant.charged,
+            used: 0,
+            suspect: work.suspect,
+        };
+        self.running.insert(grant.attempt, running);
+    }
+
+    /// Notes the grant's number; tells whether it is later than all before.
+    fn note_seen(&mut self, grant: &Grant) -> bool {
+        if self.seen.epoch != grant.epoch {
+            self.seen = Seen {
+                epoch: grant.epoch,
+                sequence: 0,
+            };
+        }
+        let fresh = grant.sequence > self.seen.sequence;
+        self.seen.sequence = self.seen.sequence.max(grant.sequence);
+        fresh
+    }
+
+    fn waits_for(&self, attempt: AttemptId) -> bool {
+        let work = self.queue.get(attempt.request);
+        work.is_some_and(|w| w.number == attempt.number)
+    }
+
+    fn lease_holds(&self, beat: Beat, now: Mono) -> bool {
+        let sent = self.sent.iter().find(|s| s.beat == beat);
+        sent.is_some_and(|s| now.saturating_sub(s.at) < START_LEASE)
+    }
+
+    fn next_beat(&mut self, now: Mono) -> Beat {
+        self.beat += 1;
+        let beat = self.beat;
+        self.sent.push_back(Sent { beat, at: now });
+        if self.sent.len() > BEATS_KEPT {
+            self.sent.pop_front();
+        }
+        beat
+    }
+
+    fn sync(&mut self, now: Mono, out: &mut Vec<Action>) {
+        if self.holder.is_none() {
+            return;
+        }
+        let sync = Sync {
+            beat: self.next_beat(now),
+            seen: self.seen,
+            waiting: self.queue.iter().map(|w| registration(w, now)).collect(),
+            running: self.running.values().cloned().collect(),
+        };
+        self.send(Body::Sync(sync), out);
+    }
+
+    fn renew(&mut self, now: Mono, out: &mut Vec<Action>) {
+        if self.holder.is_none() {
+            return;
+        }
+        let running = self.running.values().map(|r| message::Progress {
+            request: r.attempt.request,
+            number: r.attempt.number,
+            used: r.used,
+        });
+        let running = running.collect();
+        let renew = Renew {
+            beat: self.next_beat(now),
+            seen: self.seen,
+            count: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            check: self.queue.check(),
+            running,
+        };
+        self.send(Body::Renew(renew), out);
+    }
+
+    fn send(&self, body: Body, out: &mut Vec<Action>) {
+        if let Some(holder) = self.holder.clone() {
+            self.send_to(holder, body, out);
+        }
+    }
+
+    fn send_to(&self, to: Member, body: Body, out: &mut Vec<Action>) {
+        let pool = self.pool.clone();
+        let message = Message { pool, body };
+        out.push(Action::Send { to, message });
+    }
+}
+
+fn decline(grant: &Grant, waits: bool) -> Decline {
+    Decline {
+        attempt: grant.attempt,
+        epoch: grant.epoch,
+        sequence: grant.sequence,
+        waits,
+    }
+}
+
+fn registration(work: &Work, now: Mono) -> Registration {
+    Registration {
+        request: work.request,
+        number: work.number,
+        account: work.account.clone(),
+        route: work.route.clone(),
+        cost: work.cost,
+        fingerprint: work.fingerprint,
+        suspect: work.suspect,
+        prefixes: work.prefixes.clone(),
+        left: message::millis(work.deadline.saturating_sub(now)),
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/requester/queue.rs
@@ -0,0 +1,120 @@
+//! The bounded queue of one pool at one router.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use primrose_core::clock::Mono;
+use primrose_core::id::AccountId;
+use primrose_core::id::RequestId;
+use primrose_core::table::QueueBounds;
+
+use crate::requester::Work;
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Usage {
+    requests: usize,
+    bytes: usize,
+}
+
+impl Usage {
+    fn add(&mut self, bytes: usize) {
+        self.requests += 1;
+        self.bytes += bytes;
+    }
+
+    fn remove(&mut self, bytes: usize) {
+        self.requests -= 1;
+        self.bytes -= bytes;
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    work: Work,
+    arrival: u64,
+}
+
+/// Requests that wait, with bounds per account and in all.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    entries: BTreeMap<RequestId, Entry>,
+    arrivals: BTreeMap<u64, RequestId>,
+    deadlines: BTreeSet<(Mono, RequestId)>,
+    accounts: BTreeMap<AccountId, Usage>,
+    total: Usage,
+    check: u64,
+    arrived: u64,
+}
+
+impl Queue {
+    /// Tells whether one more request would be within the bounds.
+    pub(crate) fn has_room(&self, work: &Work, bounds: &QueueBounds) -> bool {
+        let account = self.accounts.get(&work.account).copied();
+        let account = account.unwrap_or_default();
+        account.requests < bounds.account_requests
+            && account.bytes.saturating_add(work.bytes) <= bounds.account_bytes
+            && self.total.requests < bounds.total_requests
+            && self.total.bytes.saturating_add(work.bytes) <= bounds.total_bytes
+    }
+
+    pub(crate) fn push(&mut self, work: Work) {
+        self.remove(work.request);
+        let request = work.request;
+        self.arrived += 1;
+        self.arrivals.insert(self.arrived, request);
+        self.deadlines.insert((work.deadline, request));
+        self.total.add(work.bytes);
+        let usage = self.accounts.entry(work.account.clone()).or_default();
+        usage.add(work.bytes);
+        self.check ^= request;
+        let arrival = self.arrived;
+        self.entries.insert(request, Entry { work, arrival });
+    }
+
+    pub(crate) fn get(&self, request: RequestId) -> Option<&Work> {
+        self.entries.get(&request).map(|e| &e.work)
+    }
+
+    pub(crate) fn remove(&mut self, request: RequestId) -> Option<Work> {
+        let Entry { work, arrival } = self.entries.remove(&request)?;
+        self.arrivals.remove(&arrival);
+        self.deadlines.remove(&(work.deadline, request));
+        self.total.remove(work.bytes);
+        if let Some(usage) = self.accounts.get_mut(&work.account) {
+            usage.remove(work.bytes);
+            if usage.requests == 0 {
+                self.accounts.remove(&work.account);
+            }
+        }
+        self.check ^= request;
+        Some(work)
+    }
+
+    /// Takes out a request whose deadline has passed.
+    pub(crate) fn pop_expired(&mut self, now: Mono) -> Option<Work> {
+        let (deadline, request) = *self.deadlines.first()?;
+        if deadline > now {
+            return None;
+        }
+        self.remove(request)
+    }
+
+    /// Lists what waits, oldest first.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Work> {
+        self.arrivals.values().filter_map(|r| self.get(*r))
+    }
+
+    /// Lists the accounts and how many requests of each wait.
+    pub(crate) fn accounts(&self) -> impl Iterator<Item = (&AccountId, usize)> {
+        self.accounts.iter().map(|(a, usage)| (a, usage.requests))
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns the exclusive or of the ids that wait.
+    pub(crate) fn check(&self) -> u64 {
+        self.check
+    }
+}
