Add the deciding thread's parts: directory, documents, requests, slots

Cause: the machines for membership, queues, dispatch and documents need one thread that carries events and actions between them.

--- /dev/null
+++ b/crates/primrosed/src/decide/mod.rs
@@ -0,0 +1,182 @@
+//! The deciding thread: every state machine of the router, one input at a time.
+//!
+//! A [`Decider`] holds the membership view, the requester, the dispatchers of which this router is
+//! the holder, the documents in force, the retry budgets and the register of suspects. It takes an
+//! [`Input`](crate::input::Input) or an event of a link, hands it to the machine in charge, and
+//! carries what comes out to the next machine or to the wires. It blocks on nothing.
+
+mod directory;
+mod documents;
+mod fleet;
+mod requests;
+mod run;
+mod slots;
+mod wires;
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use primrose_core::clock::Clock;
+use primrose_core::clock::Mono;
+use primrose_core::id::HostId;
+use primrose_core::id::Member;
+use primrose_core::id::PoolId;
+use primrose_core::id::RequestId;
+use primrose_core::id::ZoneId;
+use primrose_core::table::Table;
+use primrose_dispatch::dispatcher::Dispatcher;
+use primrose_dispatch::requester::Requester;
+use primrose_link::LinkEvent;
+use primrose_member::View;
+use primrose_retry::Budget;
+use primrose_table::accounts::Accounts;
+use primrose_table::force::Force;
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+
+use crate::input::Input;
+use crate::message::DocumentKind;
+use crate::message::PeerMessage;
+use crate::published::Published;
+use crate::status::Status;
+
+pub(crate) use run::run;
+pub(crate) use wires::Wires;
+
+use directory::Directory;
+use requests::Pending;
+
+/// All deciding state of one router.
+pub(crate) struct Decider {
+    me: Member,
+    zone: ZoneId,
+    clock: Arc<dyn Clock>,
+    wires: Box<dyn Wires>,
+    published: Arc<Published>,
+    rng: StdRng,
+    view: View,
+    directory: Directory,
+    tables: Force<Table>,
+    accounts: Force<Accounts>,
+    requester: Requester,
+    dispatchers: BTreeMap<PoolId, Dispatcher>,
+    holders: BTreeMap<PoolId, Option<Member>>,
+    peers: BTreeMap<PoolId, BTreeMap<ZoneId, Option<Member>>>,
+    pending: HashMap<RequestId, Pending>,
+    budgets: BTreeMap<PoolId, Budget>,
+    links: BTreeMap<HostId, Member>,
+    next_view: Mono,
+    next_headers: Mono,
+    draining: bool,
+}
+
+impl Decider {
+    /// Makes the state of a router that knows nothing yet.
+    pub(crate) fn new(
+        view: primrose_member::Settings,
+        clock: Arc<dyn Clock>,
+        wires: Box<dyn Wires>,
+        published: Arc<Published>,
+        seed: u64,
+    ) -> Self {
+        let now = clock.now();
+        Self {
+            me: view.me.clone(),
+            zone: view.zone.clone(),
+            wires,
+            published,
+            rng: StdRng::seed_from_u64(seed),
+            view: View::new(view, now),
+            directory: Directory::default(),
+            tables: Force::new(DocumentKind::Tables.name()),
+            accounts: Force::new(DocumentKind::Accounts.name()),
+            requester: Requester::new(Arc::new(Table::default())),
+            dispatchers: BTreeMap::new(),
+            holders: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            pending: HashMap::new(),
+            budgets: BTreeMap::new(),
+            links: BTreeMap::new(),
+            next_view: now,
+            next_headers: now,
+            draining: false,
+            clock,
+        }
+    }
+
+    /// Takes one input of another thread; [`Input::Stop`] is the loop's own.
+    pub(crate) fn handle(&mut self, input: Input) {
+        match input {
+            Input::Ask(ask) => self.ask(ask),
+            Input::Hosts(seen) => self.hosts(seen),
+            Input::Load(load) => self.load(load),
+            Input::Shown(shown) => self.shown(shown),
+            Input::Drain => self.drain(),
+            Input::Abandon => self.abandon(),
+            Input::Status(reply) => {
+                // An operator that has given up needs no answer.
+                let _ = reply.try_send(self.status());
+            }
+            Input::Lift(_, reply) => {
+                let _ = reply.try_send(false);
+            }
+            Input::Stop => {}
+        }
+    }
+
+    /// Takes one event of the links.
+    pub(crate) fn link(&mut self, event: LinkEvent<PeerMessage>) {
+        match event {
+            LinkEvent::Up { member, zone, addr } => self.link_up(member, zone, addr),
+            LinkEvent::Down { member, reason } => {
+                log::info!(peer = member.host.as_str(); "link went down: {reason}");
+                self.link_down(member);
+            }
+            LinkEvent::Message { from, message } => self.peer_message(&from, message),
+            LinkEvent::Refused { addr, reason } => {
+                log::debug!("a connection with {addr} did not become a link: {reason}");
+            }
+        }
+    }
+
+    fn peer_message(&mut self, from: &Member, message: PeerMessage) {
+        match message {
+            PeerMessage::Beat(beat) => self.beat(from, beat),
+            PeerMessage::Dispatch(message) => self.dispatch_message(from.clone(), message),
+            PeerMessage::Routed(routed) => self.routed(routed),
+            PeerMessage::Header(header) => self.peer_header(from, header),
+            PeerMessage::Fetch(kind) => self.send_document(from, kind),
+            PeerMessage::Document(text) => self.fetched(from, text),
+        }
+    }
+
+    /// Lets time pass; wanted at least every [`primrose_dispatch::timing::TICK_EVERY`].
+    pub(crate) fn tick(&mut self) {
+        let now = self.clock.now();
+        if now >= self.next_view {
+            self.tick_view(now);
+        }
+        if now >= self.next_headers {
+            self.tell_headers(now);
+        }
+        self.tick_slots(now);
+    }
+
+    fn status(&self) -> Status {
+        let now = self.clock.now();
+        Status {
+            host: self.me.host.clone(),
+            incarnation: self.me.incarnation,
+            zone: self.zone.clone(),
+            ready: self.published.ready(),
+            draining: self.draining,
+            tables: self.tables.standing(),
+            accounts: self.accounts.standing(),
+            peers: self.links.keys().cloned().collect(),
+            waiting: self.requester.queued().into_iter().map(Into::into).collect(),
+            running: self.requester.running(),
+            dispatchers: self.dispatchers.values().map(|one| one.status(now)).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/primrosed/src/decide/slots.rs
@@ -0,0 +1,198 @@
+//! Dispatchers of this router, and messages between requesters and dispatchers.
+
+use std::collections::BTreeMap;
+
+use primrose_core::clock::Mono;
+use primrose_core::id::Member;
+use primrose_core::id::PoolId;
+use primrose_core::id::ZoneId;
+use primrose_dispatch::dispatcher;
+use primrose_dispatch::dispatcher::Dispatcher;
+use primrose_dispatch::message::Duty;
+use primrose_dispatch::message::Message;
+use primrose_dispatch::requester;
+use rand::Rng;
+
+use crate::decide::Decider;
+use crate::input::PoolLoad;
+use crate::published::LoadTarget;
+
+/// Name of the duty of dispatching a pool.
+pub(super) fn duty_of(pool: &str) -> String {
+    format!("dispatch {pool}")
+}
+
+impl Decider {
+    /// Hands an event to the requester and carries out what follows.
+    pub(super) fn requester_event(&mut self, event: requester::Event, now: Mono) {
+        let actions = self.requester.handle(event, now);
+        self.requester_actions(actions, now);
+    }
+
+    pub(super) fn requester_actions(&mut self, actions: Vec<requester::Action>, now: Mono) {
+        for action in actions {
+            match action {
+                requester::Action::Send { to, message } => self.send(to, message, now),
+                requester::Action::Run(run) => self.start(run, now),
+                requester::Action::Refuse { request, code } => self.refuse(request, code),
+            }
+        }
+    }
+
+    fn dispatcher_event(&mut self, pool: &str, event: dispatcher::Event, now: Mono) {
+        let Some(dispatcher) = self.dispatchers.get_mut(pool) else {
+            return;
+        };
+        let actions = dispatcher.handle(event, now);
+        self.dispatcher_actions(actions, now);
+    }
+
+    pub(super) fn dispatcher_actions(&mut self, actions: Vec<dispatcher::Action>, now: Mono) {
+        for dispatcher::Action::Send { to, message } in actions {
+            self.send(to, message, now);
+        }
+    }
+
+    /// Takes a message from another router or from this one.
+    pub(super) fn dispatch_message(&mut self, from: Member, message: Message) {
+        let now = self.clock.now();
+        match message.body.duty() {
+            Duty::Requester => {
+                let event = requester::Event::Message { from, message };
+                self.requester_event(event, now);
+            }
+            Duty::Dispatcher => {
+                let pool = message.pool.clone();
+                let event = dispatcher::Event::Message { from, message };
+                self.dispatcher_event(&pool, event, now);
+            }
+        }
+    }
+
+    fn send(&mut self, to: Member, message: Message, now: Mono) {
+        if to == self.me {
+            let from = self.me.clone();
+            self.dispatch_message(from, message);
+        } else {
+            self.send_away(to, message, now);
+        }
+    }
+
+    /// Lets time pass for requester and dispatchers.
+    pub(super) fn tick_slots(&mut self, now: Mono) {
+        self.requester_event(requester::Event::Tick, now);
+        let pools: Vec<PoolId> = self.dispatchers.keys().cloned().collect();
+        for pool in pools {
+            self.dispatcher_event(&pool, dispatcher::Event::Tick, now);
+        }
+    }
+
+    /// Takes a load report.
+    pub(super) fn load(&mut self, load: PoolLoad) {
+        let now = self.clock.now();
+        self.dispatcher_event(&load.pool, dispatcher::Event::Load(load.report), now);
+    }
+
+    /// A router of the zone is gone.
+    pub(super) fn router_down(&mut self, member: &Member, now: Mono) {
+        let pools: Vec<PoolId> = self.dispatchers.keys().cloned().collect();
+        for pool in pools {
+            let event = dispatcher::Event::RouterDown(member.clone());
+            self.dispatcher_event(&pool, event, now);
+        }
+    }
+
+    /// Compares who holds which dispatcher with what was known, and acts on the changes.
+    pub(super) fn update_holders(&mut self, now: Mono) {
+        let table = self.published.table();
+        self.dispatchers.retain(|pool, _| table.pools.contains_key(pool));
+        for pool in table.pools.keys() {
+            let holder = self.view.holder(&duty_of(pool)).cloned();
+            self.hold(pool, holder.as_ref() == Some(&self.me), now);
+            if self.holders.get(pool) != Some(&holder) {
+                self.holders.insert(pool.clone(), holder.clone());
+                let pool = pool.clone();
+                self.requester_event(requester::Event::Holder { pool, holder }, now);
+            }
+            self.update_peers(pool, now);
+        }
+    }
+
+    /// Takes up or gives up the dispatcher of a pool.
+    fn hold(&mut self, pool: &PoolId, mine: bool, now: Mono) {
+        if !mine {
+            if self.dispatchers.remove(pool).is_some() {
+                log::info!(pool = pool.as_str(); "gave up the dispatcher");
+                self.peers.remove(pool);
+                self.publish_targets();
+            }
+            return;
+        }
+        if self.dispatchers.contains_key(pool) {
+            return;
+        }
+        let table = self.published.table();
+        let Some(row) = table.pools.get(pool) else {
+            return;
+        };
+        log::info!(pool = pool.as_str(); "took up the dispatcher");
+        let (me, zone) = (self.me.clone(), self.zone.clone());
+        let seed = self.rng.random();
+        let dispatcher = Dispatcher::new(me, zone, row.clone(), seed, now);
+        self.dispatchers.insert(pool.clone(), dispatcher);
+        self.update_servers(now);
+    }
+
+    /// Tells a dispatcher who holds its pool in the other zones.
+    fn update_peers(&mut self, pool: &PoolId, now: Mono) {
+        if !self.dispatchers.contains_key(pool) {
+            return;
+        }
+        let duty = duty_of(pool);
+        let others = self.directory.zones();
+        let peers: BTreeMap<ZoneId, Option<Member>> = others
+            .into_iter()
+            .filter(|zone| *zone != self.zone)
+            .map(|zone| {
+                let holder = self.view.holder_in(&zone, &duty).cloned();
+                (zone, holder)
+            })
+            .collect();
+        if self.peers.get(pool) != Some(&peers) {
+            self.peers.insert(pool.clone(), peers.clone());
+            self.dispatcher_event(pool, dispatcher::Event::Peers(peers), now);
+        }
+    }
+
+    /// Tells every dispatcher here which servers it has.
+    pub(super) fn update_servers(&mut self, now: Mono) {
+        let table = self.published.table();
+        for (name, pool) in &table.pools {
+            if self.dispatchers.contains_key(name) {
+                let servers = self.directory.entries(pool, &self.zone);
+                self.dispatcher_event(name, dispatcher::Event::Servers(servers), now);
+            }
+        }
+        self.publish_targets();
+    }
+
+    /// Tells the load thread which servers to ask.
+    fn publish_targets(&self) {
+        let table = self.published.table();
+        let mut targets = Vec::new();
+        for (name, pool) in &table.pools {
+            if pool.kind != primrose_core::table::PoolKind::Engine || !self.dispatchers.contains_key(name) {
+                continue;
+            }
+            let mine = self.directory.entries(pool, &self.zone);
+            let located = self.directory.servers(pool);
+            let asked = located.into_iter().filter(|one| mine.iter().any(|entry| entry.id == one.id));
+            targets.extend(asked.map(|server| LoadTarget {
+                pool: name.clone(),
+                server: server.id,
+                addr: server.addr,
+            }));
+        }
+        self.published.set_targets(targets);
+    }
+}
--- /dev/null
+++ b/crates/primrosed/src/decide/wires.rs
@@ -0,0 +1,51 @@
+//! The deciding thread's way to other routers.
+
+use std::net::SocketAddr;
+
+use primrose_core::id::HostId;
+use primrose_link::Endpoint;
+
+use crate::message::PeerMessage;
+
+/// Links to other routers. No method blocks; what cannot be sent is dropped, and the protocols
+/// above state levels again and again instead of relying on any one message.
+pub(crate) trait Wires: Send {
+    /// Sends over the link to a host.
+    fn send(&self, host: &HostId, message: &PeerMessage);
+
+    /// Keeps dialing a host.
+    fn connect(&self, host: &HostId, addr: SocketAddr);
+
+    /// Keeps dialing an address whose host is not known.
+    fn connect_seed(&self, addr: SocketAddr);
+
+    /// Stops dialing a seed.
+    fn disconnect_seed(&self, addr: SocketAddr);
+
+    /// Stops dialing a host and closes its link.
+    fn disconnect(&self, host: &HostId);
+}
+
+impl Wires for std::sync::Arc<Endpoint<PeerMessage>> {
+    fn send(&self, host: &HostId, message: &PeerMessage) {
+        if let Err(error) = Endpoint::send(self, host, message) {
+            log::debug!(host = host.as_str(); "failed to send to a peer: {error}");
+        }
+    }
+
+    fn connect(&self, host: &HostId, addr: SocketAddr) {
+        Endpoint::connect(self, host, addr);
+    }
+
+    fn connect_seed(&self, addr: SocketAddr) {
+        Endpoint::connect_seed(self, addr);
+    }
+
+    fn disconnect_seed(&self, addr: SocketAddr) {
+        Endpoint::disconnect_seed(self, addr);
+    }
+
+    fn disconnect(&self, host: &HostId) {
+        Endpoint::disconnect(self, host);
+    }
+}
