--- a/crates/table/src/force/mod.rs
+++ b/crates/table/src/force/mod.rs
@@ -41,6 +41,7 @@
 use primrose_core::clock::Mono;
 use primrose_core::id::Generation;
 use primrose_core::id::HostId;
+use serde::Deserialize;
 use serde::Serialize;
 
 use crate::header::Header;
@@ -64,7 +65,7 @@
 }
 
 /// Where a candidate came from.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, derive_more::Display)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, derive_more::Display)]
 #[serde(rename_all = "lowercase")]
 pub enum Source {
     /// The key-value service.
@@ -76,7 +77,7 @@
 }
 
 /// A document that stays out of force because of its faults.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rejected {
     /// Where it came from.
     pub source: Source,
@@ -87,7 +88,7 @@
 }
 
 /// Two documents of the same generation.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Conflict {
     /// Where the other document came from.
     pub source: Source,
@@ -98,7 +99,7 @@
 }
 
 /// The key-value service has lost accepted changes.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Behind {
     /// What the service shows; nothing if the key is absent.
     pub shown: Option<Header>,
@@ -161,7 +162,7 @@
 }
 
 /// What `status` shows of the document.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Standing {
     /// What is in force; nothing until the first document was taken.
     pub header: Option<Header>,
--- a/crates/table/src/header.rs
+++ b/crates/table/src/header.rs
@@ -4,6 +4,7 @@
 //! the id also tells a writer whose reply was lost whether its own write took effect.
 
 use primrose_core::id::Generation;
+use serde::Deserialize;
 use serde::Serialize;
 
 use crate::ini;
@@ -25,12 +26,15 @@
 pub(crate) const HEADER: &str = "document";
 
 /// Generation and change id of a document.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, derive_more::Display)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, derive_more::Display,
+)]
 #[display("generation {generation}, change {change:016x}")]
 pub struct Header {
     /// Generation; 0 in a document that was never accepted.
     pub generation: Generation,
-    /// Id of the change.
+    /// Id of the change; in JSON a string of 16 hexadecimal digits.
+    #[serde(with = "hex")]
     pub change: ChangeId,
 }
 
@@ -94,6 +98,23 @@
     })
 }
 
+/// Change ids in JSON: a number of 64 bits would lose digits in many readers.
+mod hex {
+    use serde::de::Error;
+    use serde::Deserialize;
+    use serde::Deserializer;
+    use serde::Serializer;
+
+    pub(super) fn serialize<S: Serializer>(id: &u64, out: S) -> Result<S::Ok, S::Error> {
+        out.collect_str(&format_args!("{id:016x}"))
+    }
+
+    pub(super) fn deserialize<'a, D: Deserializer<'a>>(from: D) -> Result<u64, D::Error> {
+        let text = String::deserialize(from)?;
+        super::parse_change(&text).map_err(D::Error::custom)
+    }
+}
+
 fn parse_change(text: &str) -> Result<ChangeId, String> {
     let digits = text.chars().all(|letter| letter.is_ascii_hexdigit());
     let id = u64::from_str_radix(text, 16).ok().filter(|_| digits);
--- a/crates/table/src/ini/fault.rs
+++ b/crates/table/src/ini/fault.rs
@@ -2,10 +2,11 @@
 
 use std::fmt;
 
+use serde::Deserialize;
 use serde::Serialize;
 
 /// What kind of fault it is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum FaultKind {
     /// The line is neither a header, a `key = value` nor a comment.
@@ -27,7 +28,7 @@
 }
 
 /// One fault of a document.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fault {
     /// What kind of fault it is.
     pub kind: FaultKind,
@@ -62,7 +63,7 @@
 }
 
 /// All faults of a document, by line; never empty.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Faults(pub Vec<Fault>);
 
 impl fmt::Display for Faults {
