Apply tables and account keys by compare-and-swap, and settle lost replies

An operator must never overwrite another in silence, nor be told a guess after a lost reply. apply compares the file's generation and change id with what is stored, keeps the base among 16 past generations, and swaps. A lost reply is settled by sending the same swap again and by reading back the change id; the past generations tell whether a change that was followed at once had taken effect. Only a service that stays silent leaves the result unknown, with the change id to look for. restore puts back what the routers have in force when the service has lost changes.

--- /dev/null
+++ b/crates/primrosectl/src/ops/mod.rs
@@ -0,0 +1,16 @@
+//! The work of the commands, usable without the command line.
+//!
+//! The platform's key-value service and the routers are reached through trait objects, the
+//! [`Store`](primrose_platform::store::Store) and the [`Fleet`](fleet::Fleet), and time passes
+//! through a [`Pause`](pause::Pause). So every fault of theirs can be caused in a test.
+
+pub mod accounts;
+pub mod apply;
+pub mod fleet;
+pub mod http;
+pub mod keys;
+pub mod pause;
+pub mod restore;
+pub mod status;
+pub mod swap;
+pub mod tables;
--- /dev/null
+++ b/crates/primrosectl/tests/testsuite/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the operators' work on the two tables, the accounts and the routers.
+
+mod accounts;
+mod apply;
+mod fleet;
+mod races;
+mod restore;
+mod support;
--- /dev/null
+++ b/crates/primrosectl/tests/testsuite/support.rs
@@ -0,0 +1,174 @@
+//! A store that writes down its history, operators' files, and pauses that pass at once.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use primrose_platform::memory::Fault;
+use primrose_platform::memory::MemoryStore;
+use primrose_platform::store::CommitResult;
+use primrose_platform::store::Entry;
+use primrose_platform::store::LeaseId;
+use primrose_platform::store::Op;
+use primrose_platform::store::Result;
+use primrose_platform::store::Store;
+use primrose_platform::store::Version;
+use primrose_support::clock::FakeClock;
+use primrose_table::header::peek;
+use primrose_table::header::Header;
+use primrosectl::ops::apply::apply;
+use primrosectl::ops::apply::Applied;
+use primrosectl::ops::apply::ApplyError;
+use primrosectl::ops::apply::Edit;
+use primrosectl::ops::pause::Pause;
+
+/// Key of the tables in every test.
+pub(crate) const KEY: &str = "test/tables";
+
+/// Calls after which every late write has been applied.
+const FLUSH_CALLS: u64 = 32;
+
+/// Passes time at once.
+pub(crate) struct NoPause;
+
+impl Pause for NoPause {
+    fn pause(&self, _time: Duration) {}
+}
+
+/// Something that happens at the service just before a call.
+type Meddling = Box<dyn FnOnce(&MemoryStore) + Send>;
+
+/// A store that writes down every header the tables ever had.
+pub(crate) struct Recorded {
+    pub(crate) inner: MemoryStore,
+    history: Mutex<Vec<Header>>,
+    meddling: Mutex<Option<(u64, Meddling)>>,
+}
+
+impl Recorded {
+    /// Makes a store that holds generation 1, change 1.
+    pub(crate) fn new() -> Self {
+        let store = Self {
+            inner: MemoryStore::new(Arc::new(FakeClock::new())),
+            history: Mutex::default(),
+            meddling: Mutex::default(),
+        };
+        let text = file(1, 1, 30);
+        store
+            .commit(&[Op::create(KEY, text.into_bytes())])
+            .expect("no fault");
+        store
+    }
+
+    /// Lets something happen just before a call that is yet to come: 1 is the next one.
+    pub(crate) fn meddle(&self, call: u64, meddling: Meddling) {
+        let call = self.inner.calls() + call;
+        *self.meddling.lock().expect("lock") = Some((call, meddling));
+    }
+
+    /// Returns every header the tables had, once all late writes are done.
+    pub(crate) fn history(&self) -> Vec<Header> {
+        for _ in 0..FLUSH_CALLS {
+            // Only the effect of late writes counts, not the answer.
+            let _ = self.get(KEY);
+        }
+        self.history.lock().expect("lock").clone()
+    }
+
+    /// Returns the text that is stored.
+    pub(crate) fn text(&self) -> String {
+        let copy = self.inner.copy();
+        let entry = copy.get(KEY).expect("tables are stored");
+        String::from_utf8(entry.value.clone()).expect("text")
+    }
+
+    fn call<T>(&self, call: impl FnOnce(&MemoryStore) -> T) -> T {
+        let mut meddling = self.meddling.lock().expect("lock");
+        let due = meddling.take_if(|(at, _)| *at == self.inner.calls() + 1);
+        drop(meddling);
+        if let Some((_, meddling)) = due {
+            meddling(&self.inner);
+            self.write_down();
+        }
+        let result = call(&self.inner);
+        self.write_down();
+        result
+    }
+
+    fn write_down(&self) {
+        let copy = self.inner.copy();
+        let Some(entry) = copy.get(KEY) else {
+            return;
+        };
+        let header = peek(&String::from_utf8_lossy(&entry.value)).expect("header");
+        let mut history = self.history.lock().expect("lock");
+        if history.last() != Some(&header) {
+            history.push(header);
+        }
+    }
+}
+
+impl Store for Recorded {
+    fn get(&self, key: &str) -> Result<Option<Entry>> {
+        self.call(|inner| inner.get(key))
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<Entry>> {
+        self.call(|inner| inner.list(prefix))
+    }
+
+    fn commit(&self, ops: &[Op]) -> Result<CommitResult> {
+        self.call(|inner| inner.commit(ops))
+    }
+
+    fn watch(&self, key: &str, after: Version, wait: Duration) -> Result<Option<Entry>> {
+        self.call(|inner| inner.watch(key, after, wait))
+    }
+
+    fn lease(&self, ttl: Duration) -> Result<LeaseId> {
+        self.call(|inner| inner.lease(ttl))
+    }
+
+    fn renew(&self, lease: &str) -> Result<()> {
+        self.call(|inner| inner.renew(lease))
+    }
+
+    fn revoke(&self, lease: &str) -> Result<()> {
+        self.call(|inner| inner.revoke(lease))
+    }
+}
+
+/// An operator's file based on a generation, whose one route has this deadline in seconds.
+pub(crate) fn file(generation: u64, change: u64, deadline: u64) -> String {
+    format!(
+        "; ours\n[document]\ngeneration = {generation}\nchange = {change:016x}\n\
+         [route chat]\nmodel = small\npool = engines\ndeadline = {deadline}s\nidempotent = yes\n\
+         cost = 500\n[pool engines]\nkind = engine\nservice = engine\nmin-slots = 1\n\
+         max-slots = 8\nlongest-run = 10m\n"
+    )
+}
+
+/// Applies a file as an operator does, with this change id.
+pub(crate) fn apply_file(
+    store: &dyn Store,
+    text: &str,
+    change: u64,
+) -> std::result::Result<Applied, ApplyError> {
+    let edit = Edit {
+        file: "tables.ini",
+        text,
+        change,
+        fleet: 0,
+    };
+    apply(store, &NoPause, KEY, &edit)
+}
+
+/// Every fault that a call can meet.
+pub(crate) const FAULTS: [Fault; 6] = [
+    Fault::Refused,
+    Fault::LostBefore,
+    Fault::LostAfter,
+    Fault::Late(0),
+    Fault::Late(1),
+    Fault::Late(3),
+];
--- a/crates/table/src/header.rs
+++ b/crates/table/src/header.rs
@@ -22,6 +22,9 @@
 /// Largest document, in bytes; the key-value service holds values up to a megabyte.
 pub const MAX_DOCUMENT: usize = 1_000_000;
 
+/// Highest generation, so that one more is always a number and JSON readers keep every digit.
+pub const MAX_GENERATION: Generation = 1 << 53;
+
 /// Kind of the header section.
 pub(crate) const HEADER: &str = "document";
 
@@ -89,7 +92,7 @@
         return None;
     };
     let mut fields = Fields::new(section, out);
-    let generation = fields.required("generation", value::number);
+    let generation = fields.required("generation", parse_generation);
     let change = fields.or("change", 0, parse_change);
     fields.finish();
     Some(Header {
@@ -115,6 +118,12 @@
     }
 }
 
+fn parse_generation(text: &str) -> Result<Generation, String> {
+    let fits = |generation: &Generation| *generation <= MAX_GENERATION;
+    let generation = value::number(text).ok().filter(fits);
+    generation.ok_or_else(|| format!("a whole number up to {MAX_GENERATION}"))
+}
+
 fn parse_change(text: &str) -> Result<ChangeId, String> {
     let digits = text.chars().all(|letter| letter.is_ascii_hexdigit());
     let id = u64::from_str_radix(text, 16).ok().filter(|_| digits);
--- a/crates/table/tests/testsuite/accounts.rs
+++ b/crates/table/tests/testsuite/accounts.rs
@@ -4,6 +4,7 @@
 use primrose_table::accounts::Accounts;
 use primrose_table::accounts::KeyHash;
 use primrose_table::header::Header;
+use primrose_table::header::MAX_GENERATION;
 
 /// SHA-256 of "foo" and of "bar", from FIPS 180-4 tools.
 const FOO: &str = "2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae";
@@ -87,6 +88,7 @@
 fn accounts_are_read_back() {
     fn holds(keys: Vec<(u8, u8, u16)>, generation: u64, change: u64) -> bool {
         let mut accounts = Accounts::default();
+        let generation = generation % MAX_GENERATION;
         accounts.header = Header { generation, change };
         for (account, label, key) in keys {
             let hash = KeyHash::of(&key.to_le_bytes());
--- a/crates/table/tests/testsuite/faults.rs
+++ b/crates/table/tests/testsuite/faults.rs
@@ -201,6 +201,16 @@
             expected: "16 hexadecimal digits",
             ..Case::DEFAULT
         },
+        Case {
+            name: "generation that has no successor",
+            from: "generation = 7",
+            to: "generation = 18446744073709551615",
+            line: 2,
+            section: "document",
+            key: "generation",
+            expected: "up to 9007199254740992",
+            ..Case::DEFAULT
+        },
         Case {
             name: "generation",
             from: "generation = 7",
--- a/crates/table/tests/testsuite/stamp.rs
+++ b/crates/table/tests/testsuite/stamp.rs
@@ -4,6 +4,7 @@
 use primrose_table::document::Document;
 use primrose_table::header::stamp;
 use primrose_table::header::Header;
+use primrose_table::header::MAX_GENERATION;
 
 use crate::roundtrip::AnyDocument;
 use crate::support::VALID;
@@ -27,6 +28,7 @@
 #[test]
 fn only_the_header_changes() {
     fn holds(document: AnyDocument, generation: u64, change: u64) -> bool {
+        let generation = generation % MAX_GENERATION;
         let header = Header { generation, change };
         let stamped = stamp(&document.0.render(), header);
         let mut wanted = document.0;
