Add the router, its operators' listener and the program

Cause: the parts need a start, a graceful end and a command line. Change: Router with its threads, operator listener, options, exit codes.

--- a/crates/primrosed/src/decide/documents.rs
+++ b/crates/primrosed/src/decide/documents.rs
@@ -53,6 +53,7 @@
 impl Decider {
     /// Takes what the key-value service showed.
     pub(super) fn shown(&mut self, shown: Shown) {
+        self.platform_heard = Some(self.clock.now());
         let event = Event::Store {
             asked: shown.asked,
             value: shown.value,
@@ -174,13 +175,17 @@
         }
     }
 
-    /// Sends a document to a peer that asked for it.
-    pub(super) fn send_document(&self, to: &Member, kind: DocumentKind) {
-        let text = match kind {
+    /// Text of a document in force.
+    pub(super) fn text(&self, kind: DocumentKind) -> Option<String> {
+        match kind {
             DocumentKind::Tables => self.tables.current().map(|current| current.text.clone()),
             DocumentKind::Accounts => self.accounts.current().map(|current| current.text.clone()),
-        };
-        if let Some(text) = text {
+        }
+    }
+
+    /// Sends a document to a peer that asked for it.
+    pub(super) fn send_document(&self, to: &Member, kind: DocumentKind) {
+        if let Some(text) = self.text(kind) {
             let message = PeerMessage::Document(DocumentText { kind, text });
             self.wires.send(&to.host, &message);
         }
--- a/crates/primrosed/src/decide/mod.rs
+++ b/crates/primrosed/src/decide/mod.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod requests;
 mod run;
+mod show;
 mod slots;
 mod wires;
 
@@ -22,6 +23,7 @@
 use primrose_core::id::HostId;
 use primrose_core::id::Member;
 use primrose_core::id::PoolId;
+use primrose_core::id::RegionId;
 use primrose_core::id::RequestId;
 use primrose_core::id::ZoneId;
 use primrose_core::table::Table;
@@ -39,7 +41,6 @@
 use crate::message::DocumentKind;
 use crate::message::PeerMessage;
 use crate::published::Published;
-use crate::status::Status;
 
 pub(crate) use run::run;
 pub(crate) use wires::Wires;
@@ -47,10 +48,21 @@
 use directory::Directory;
 use requests::Pending;
 
+/// A link that is up.
+#[derive(Debug, Clone)]
+struct Link {
+    member: Member,
+    zone: ZoneId,
+}
+
 /// All deciding state of one router.
 pub(crate) struct Decider {
     me: Member,
     zone: ZoneId,
+    region: RegionId,
+    started: Mono,
+    /// When the key-value service last showed a document.
+    platform_heard: Option<Mono>,
     clock: Arc<dyn Clock>,
     wires: Box<dyn Wires>,
     published: Arc<Published>,
@@ -65,7 +77,7 @@
     peers: BTreeMap<PoolId, BTreeMap<ZoneId, Option<Member>>>,
     pending: HashMap<RequestId, Pending>,
     budgets: BTreeMap<PoolId, Budget>,
-    links: BTreeMap<HostId, Member>,
+    links: BTreeMap<HostId, Link>,
     next_view: Mono,
     next_headers: Mono,
     draining: bool,
@@ -84,6 +96,9 @@
         Self {
             me: view.me.clone(),
             zone: view.zone.clone(),
+            region: view.regions.get(&view.zone).cloned().unwrap_or_default(),
+            started: now,
+            platform_heard: None,
             wires,
             published,
             rng: StdRng::seed_from_u64(seed),
@@ -118,6 +133,9 @@
                 // An operator that has given up needs no answer.
                 let _ = reply.try_send(self.status());
             }
+            Input::Text(kind, reply) => {
+                let _ = reply.try_send(self.text(kind));
+            }
             Input::Lift(_, reply) => {
                 let _ = reply.try_send(false);
             }
@@ -162,21 +180,4 @@
         }
         self.tick_slots(now);
     }
-
-    fn status(&self) -> Status {
-        let now = self.clock.now();
-        Status {
-            host: self.me.host.clone(),
-            incarnation: self.me.incarnation,
-            zone: self.zone.clone(),
-            ready: self.published.ready(),
-            draining: self.draining,
-            tables: self.tables.standing(),
-            accounts: self.accounts.standing(),
-            peers: self.links.keys().cloned().collect(),
-            waiting: self.requester.queued().into_iter().map(Into::into).collect(),
-            running: self.requester.running(),
-            dispatchers: self.dispatchers.values().map(|one| one.status(now)).collect(),
-        }
-    }
 }
--- a/crates/primrosed/src/decide/requests.rs
+++ b/crates/primrosed/src/decide/requests.rs
@@ -5,7 +5,9 @@
 use primrose_core::clock::Mono;
 use primrose_core::cost::service;
 use primrose_core::cost::Service;
+use primrose_core::id::AccountId;
 use primrose_core::id::AttemptId;
+use primrose_core::id::PoolId;
 use primrose_core::id::RequestId;
 use primrose_core::outcome::ErrorCode;
 use primrose_core::table::PoolKind;
@@ -47,6 +49,10 @@
     attempt: AttemptId,
     inbox: Inbox,
     cost: Service,
+    account: AccountId,
+    pool: PoolId,
+    /// When it began to wait; nothing once it has a slot.
+    since: Option<Mono>,
 }
 
 impl Decider {
@@ -84,6 +90,9 @@
             attempt: waiting.attempt,
             inbox,
             cost,
+            account: waiting.account.clone(),
+            pool: waiting.pool.clone(),
+            since: Some(now),
         };
         self.pending.insert(waiting.attempt.request, pending);
         let work = Work {
@@ -154,7 +163,7 @@
     /// Hands a grant to its request; whatever keeps it from starting gives the slot back.
     pub(super) fn start(&mut self, run: Run, now: Mono) {
         let addr = self.directory.addr(&run.pool, &run.server);
-        let pending = self.pending.get(&run.attempt.request);
+        let pending = self.pending.get_mut(&run.attempt.request);
         let wanted = pending.filter(|pending| pending.attempt == run.attempt);
         let (Some(pending), Some(addr)) = (wanted, addr) else {
             self.refuse(run.attempt.request, ErrorCode::ServerLost);
@@ -167,6 +176,7 @@
             addr,
             valid_until: now + START_TIME,
         });
+        pending.since = None;
         if !tell(&pending.inbox, granted) {
             self.pending.remove(&run.attempt.request);
             self.unsent(run.attempt, now);
@@ -184,6 +194,13 @@
         self.requester_event(requester::Event::Ended(finished), now);
     }
 
+    /// Time in milliseconds for which the account's oldest request has waited here.
+    pub(super) fn oldest(&self, pool: &str, account: &str, now: Mono) -> u64 {
+        let waiting = self.pending.values().filter(|one| one.pool == pool && one.account == account);
+        let since = waiting.filter_map(|one| one.since).min().unwrap_or(now);
+        u64::try_from(now.saturating_sub(since).as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Tells a waiting request that it is not served.
     pub(super) fn refuse(&mut self, request: RequestId, code: ErrorCode) {
         let Some(pending) = self.pending.remove(&request) else {
--- a/crates/primrosed/src/decide/slots.rs
+++ b/crates/primrosed/src/decide/slots.rs
@@ -32,7 +32,7 @@
     pub(super) fn requester_actions(&mut self, actions: Vec<requester::Action>, now: Mono) {
         for action in actions {
             match action {
-                requester::Action::Send { to, message } => self.send(to, message, now),
+                requester::Action::Send { to, message } => self.send(to, message),
                 requester::Action::Run(run) => self.start(run, now),
                 requester::Action::Refuse { request, code } => self.refuse(request, code),
             }
@@ -49,7 +49,7 @@
 
     pub(super) fn dispatcher_actions(&mut self, actions: Vec<dispatcher::Action>, now: Mono) {
         for dispatcher::Action::Send { to, message } in actions {
-            self.send(to, message, now);
+            self.send(to, message);
         }
     }
 
@@ -69,12 +69,12 @@
         }
     }
 
-    fn send(&mut self, to: Member, message: Message, now: Mono) {
+    fn send(&mut self, to: Member, message: Message) {
         if to == self.me {
             let from = self.me.clone();
             self.dispatch_message(from, message);
         } else {
-            self.send_away(to, message, now);
+            self.send_away(to, message);
         }
     }
 
--- a/crates/primrosed/src/duty/claims.rs
+++ b/crates/primrosed/src/duty/claims.rs
@@ -129,11 +129,14 @@
     match (settlement, answer) {
         (Settlement::Done { status }, Some(answer)) => Wish::Done {
             status,
-            answer: Answer::new(&answer.content_type, answer.body.as_deref()),
+            answer: match &answer.body {
+                Some(body) => Answer::new(&answer.content_type, body),
+                None => Answer::digest(&[]),
+            },
         },
         (Settlement::Done { status }, None) => Wish::Done {
             status,
-            answer: Answer::new("", None),
+            answer: Answer::digest(&[]),
         },
         (Settlement::Unknown, _) => Wish::Unknown,
     }
@@ -145,8 +148,8 @@
         ClaimResult::Done { status, answer } => {
             return Told::Stored(StoredAnswer {
                 status,
-                content_type: answer.content_type().to_owned(),
-                body: answer.body().map(Bytes::copy_from_slice),
+                content_type: content_type(&answer),
+                body: answer.body().map(Bytes::from),
             });
         }
         ClaimResult::Busy => ClaimReply::Busy,
@@ -157,3 +160,10 @@
     };
     Told::Event(Event::Claim(reply))
 }
+
+fn content_type(answer: &Answer) -> String {
+    match answer {
+        Answer::Whole { content_type, .. } => content_type.clone(),
+        Answer::Digest { .. } => String::new(),
+    }
+}
--- /dev/null
+++ b/crates/primrosed/src/duty/operator.rs
@@ -0,0 +1,147 @@
+//! The operators' listener: status, tables in force, metrics, draining.
+//!
+//! Nothing here streams, so `rouille` serves it. It listens apart from callers and peers, and is
+//! meant for the operators' network only.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use crossbeam_channel::bounded;
+use crossbeam_channel::Receiver;
+use crossbeam_channel::Sender;
+use metrics_exporter_prometheus::PrometheusHandle;
+use primrose_core::fingerprint::Fingerprint;
+use rouille::Request;
+use rouille::Response;
+use snafu::Snafu;
+
+use crate::duty::Stop;
+use crate::input::Input;
+use crate::message::DocumentKind;
+
+/// Longest wait for the deciding thread's answer.
+const ANSWER_TIME: Duration = Duration::from_secs(2);
+/// Longest wait for a request before the end of the router is looked for.
+const POLL_TIME: Duration = Duration::from_millis(100);
+
+/// The operators' listener could not start.
+#[derive(Debug, Snafu)]
+pub enum OperatorError {
+    /// The listen address could not be taken.
+    #[snafu(display("failed to listen for operators on {addr}: {reason}"))]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// What went wrong.
+        reason: String,
+    },
+}
+
+/// What the operators' listener needs.
+pub(crate) struct Operator {
+    pub(crate) ring: Sender<Input>,
+    pub(crate) metrics: Option<PrometheusHandle>,
+    /// Asks the router to shut down gracefully.
+    pub(crate) drain: Sender<()>,
+}
+
+/// The running listener.
+pub(crate) struct OperatorListener {
+    pub(crate) addr: SocketAddr,
+    pub(crate) thread: JoinHandle<()>,
+}
+
+impl Operator {
+    /// Listens on a thread of its own until stopped.
+    pub(crate) fn start(
+        self,
+        addr: SocketAddr,
+        stop: Arc<Stop>,
+    ) -> Result<OperatorListener, OperatorError> {
+        let failed = |reason: String| OperatorError::Listen { addr, reason };
+        let server = rouille::Server::new(addr, move |request| self.answer(request))
+            .map_err(|error| failed(error.to_string()))?;
+        let addr = server.server_addr();
+        let thread = std::thread::Builder::new()
+            .name("operator".to_owned())
+            .spawn(move || {
+                while !stop.stopped() {
+                    server.poll_timeout(POLL_TIME);
+                }
+            })
+            .map_err(|error| failed(error.to_string()))?;
+        Ok(OperatorListener { addr, thread })
+    }
+
+    fn answer(&self, request: &Request) -> Response {
+        let path = request.url();
+        match (request.method(), path.as_str()) {
+            ("GET", "/status") => self.status(),
+            ("GET", "/tables") => self.tables(),
+            ("GET", "/metrics") => self.metrics(),
+            ("GET", "/healthz") => Response::text("ok\n"),
+            ("POST", "/drain") => self.start_drain(),
+            ("POST", path) => match lifted(path) {
+                Some(fingerprint) => self.lift(fingerprint),
+                None => Response::empty_404(),
+            },
+            _ => Response::empty_404(),
+        }
+    }
+
+    fn status(&self) -> Response {
+        match self.ask(Input::Status) {
+            Some(status) => Response::json(&status),
+            None => busy(),
+        }
+    }
+
+    fn tables(&self) -> Response {
+        match self.ask(|reply| Input::Text(DocumentKind::Tables, reply)) {
+            Some(Some(text)) => Response::text(text),
+            Some(None) => Response::empty_404(),
+            None => busy(),
+        }
+    }
+
+    fn metrics(&self) -> Response {
+        match &self.metrics {
+            Some(handle) => Response::text(handle.render()),
+            None => Response::empty_404(),
+        }
+    }
+
+    fn start_drain(&self) -> Response {
+        // A full ring means that the shutdown has been asked for before.
+        let _ = self.drain.try_send(());
+        Response::text("draining\n")
+    }
+
+    fn lift(&self, fingerprint: Fingerprint) -> Response {
+        match self.ask(|reply| Input::Lift(fingerprint, reply)) {
+            Some(true) => Response::text("lifted\n"),
+            Some(false) => Response::empty_404(),
+            None => busy(),
+        }
+    }
+
+    /// Asks the deciding thread and waits for its answer.
+    fn ask<T>(&self, input: impl FnOnce(Sender<T>) -> Input) -> Option<T> {
+        let (reply, answer): (Sender<T>, Receiver<T>) = bounded(1);
+        self.ring.try_send(input(reply)).ok()?;
+        answer.recv_timeout(ANSWER_TIME).ok()
+    }
+}
+
+fn busy() -> Response {
+    Response::text("the router did not answer in time\n").with_status_code(503)
+}
+
+/// Reads the fingerprint of a path `/suspects/FINGERPRINT/lift`.
+fn lifted(path: &str) -> Option<Fingerprint> {
+    let rest = path.strip_prefix("/suspects/")?;
+    let digits = rest.strip_suffix("/lift")?;
+    Fingerprint::from_str_radix(digits, 16).ok()
+}
--- a/crates/primrosed/src/input.rs
+++ b/crates/primrosed/src/input.rs
@@ -7,10 +7,10 @@
 use primrose_core::id::PoolId;
 use primrose_dispatch::dispatcher::LoadReport;
 use primrose_front::broker::Ask;
+use primrose_report::status::RouterStatus;
 use primrose_table::force::Raw;
 
 use crate::message::DocumentKind;
-use crate::status::Status;
 
 /// Inputs that may wait for the deciding thread.
 pub(crate) const RING: usize = 4096;
@@ -31,7 +31,9 @@
     /// Waiting requests end unserved.
     Abandon,
     /// An operator wants the state.
-    Status(Sender<Status>),
+    Status(Sender<RouterStatus>),
+    /// An operator wants the text of a document in force.
+    Text(DocumentKind, Sender<Option<String>>),
     /// An operator lifts a refused fingerprint; answers whether it was known.
     Lift(Fingerprint, Sender<bool>),
     /// End the thread.
--- a/crates/primrosed/src/message.rs
+++ b/crates/primrosed/src/message.rs
@@ -1,7 +1,6 @@
 //! What routers say to each other.
 
 use primrose_core::id::Generation;
-use primrose_core::id::Member;
 use primrose_member::Beat;
 use primrose_member::Routed;
 use primrose_table::header::ChangeId;
@@ -30,9 +29,6 @@
     /// The document that was asked for.
     #[serde(rename = "t")]
     Document(DocumentText),
-    /// Strikes against requests that crash servers.
-    #[serde(rename = "s")]
-    Suspects(primrose_suspect::Message),
 }
 
 /// The two documents that operators change.
@@ -102,12 +98,3 @@
     #[serde(rename = "t")]
     pub text: String,
 }
-
-/// Where a message goes: to a router that may be several links away.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Outgoing {
-    /// Receiver.
-    pub to: Member,
-    /// Message.
-    pub message: primrose_dispatch::message::Message,
-}
--- /dev/null
+++ b/crates/primrosed/src/ops/run.rs
@@ -0,0 +1,96 @@
+//! Running a router until a signal or an operator ends it.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::UNIX_EPOCH;
+
+use crossbeam_channel::bounded;
+use crossbeam_channel::select;
+use crossbeam_channel::Receiver;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use primrose_core::clock::Clock;
+use primrose_core::id::Incarnation;
+use primrose_platform::consul::ConsulConfig;
+use primrose_platform::consul::ConsulHosts;
+use primrose_platform::consul::ConsulStore;
+use primrose_platform::hosts::HostList;
+use primrose_settings::Settings;
+use primrose_util::clock::SystemClock;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+use snafu::ResultExt;
+
+use crate::ops::check;
+use crate::ops::error::ProgramError;
+use crate::ops::error::SignalsSnafu;
+use crate::ops::error::StartSnafu;
+use crate::router::HostLists;
+use crate::router::Parts;
+use crate::router::Router;
+
+/// Exit code of a shutdown that cut requests off.
+const CUT: u8 = 3;
+/// Signals that may wait to be seen.
+const SIGNALS: usize = 4;
+
+/// Runs a router by its settings file.
+pub fn run(path: &Path) -> Result<u8, ProgramError> {
+    let settings = check::read(path)?;
+    let keys = check::read_keys(&settings.security.peer_key)?;
+    primrose_util::logger::init(log::LevelFilter::Info);
+    let signals = signals().context(SignalsSnafu)?;
+    let clock = Arc::new(SystemClock::new());
+    let parts = Parts {
+        store: Arc::new(ConsulStore::new(ConsulConfig::new(
+            settings.platform.addresses.clone(),
+        ))),
+        hosts: host_lists(&settings),
+        services: Vec::new(),
+        keys,
+        incarnation: incarnation(&*clock),
+        metrics: PrometheusBuilder::new().install_recorder().ok(),
+        clock,
+    };
+    let router = Router::start(&settings, parts).context(StartSnafu)?;
+    select! {
+        recv(signals) -> _ => {},
+        recv(router.drained()) -> _ => {},
+    }
+    let ended = router.shutdown(settings.limits.shutdown, &|| !signals.is_empty());
+    Ok(if ended.cut.is_empty() { 0 } else { CUT })
+}
+
+fn host_lists(settings: &Settings) -> Option<HostLists> {
+    let addrs = settings.platform.hosts.clone();
+    if addrs.is_empty() {
+        return None;
+    }
+    let config = ConsulConfig::new(addrs);
+    Some(Arc::new(move |service: &str| {
+        Arc::new(ConsulHosts::new(config.clone(), service)) as Arc<dyn HostList>
+    }))
+}
+
+/// Number of this run: the wall clock, which a restarted host has moved on.
+fn incarnation(clock: &dyn Clock) -> Incarnation {
+    let since = clock.wall().duration_since(UNIX_EPOCH);
+    let millis = since.unwrap_or(Duration::ZERO).as_millis();
+    Incarnation::try_from(millis).unwrap_or(Incarnation::MAX)
+}
+
+/// Passes termination signals on.
+fn signals() -> std::io::Result<Receiver<()>> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let (seen, ring) = bounded(SIGNALS);
+    std::thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            for _ in signals.forever() {
+                // More signals than fit say nothing new.
+                let _ = seen.try_send(());
+            }
+        })?;
+    Ok(ring)
+}
--- /dev/null
+++ b/crates/primrosed/src/router.rs
@@ -0,0 +1,353 @@
+//! One router process: its threads, its start and its graceful end.
+//!
+//! [`Router::start`] takes [`Settings`] and the [`Parts`] that touch the outside world, so that the
+//! daemon, the quick start and tests run the same code with other clocks and platforms.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use crossbeam_channel::bounded;
+use crossbeam_channel::Receiver;
+use crossbeam_channel::Sender;
+use metrics_exporter_prometheus::PrometheusHandle;
+use primrose_claim::Desk;
+use primrose_core::clock::Clock;
+use primrose_core::id::Incarnation;
+use primrose_core::id::Member;
+use primrose_front::Front;
+use primrose_front::StartError;
+use primrose_link::Endpoint;
+use primrose_link::Keys;
+use primrose_link::LinkConfig;
+use primrose_platform::hosts::HostList;
+use primrose_platform::store::Store;
+use primrose_settings::Settings;
+use rand::Rng;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+use crate::broker::RingBroker;
+use crate::decide;
+use crate::decide::Decider;
+use crate::duty::claims;
+use crate::duty::claims::Claims;
+use crate::duty::hosts::Hosts;
+use crate::duty::loads::Loads;
+use crate::duty::operator::Operator;
+use crate::duty::operator::OperatorError;
+use crate::duty::watch::Watch;
+use crate::duty::Stop;
+use crate::input;
+use crate::input::Input;
+use crate::message::PeerMessage;
+use crate::message::DOCUMENT_KINDS;
+use crate::published::Published;
+
+pub use primrose_front::front::CutRequest;
+
+/// Link events that may wait for the deciding thread.
+const LINK_RING: usize = 1024;
+
+/// Gives the host list of one service.
+pub type HostLists = Arc<dyn Fn(&str) -> Arc<dyn HostList> + Send + Sync>;
+
+/// What a router needs of the world outside.
+#[derive(Clone)]
+pub struct Parts {
+    /// Reads the time.
+    pub clock: Arc<dyn Clock>,
+    /// The platform's key-value service.
+    pub store: Arc<dyn Store>,
+    /// The platform's host list; nothing if the deployment has none.
+    pub hosts: Option<HostLists>,
+    /// Services of the host list that pools select by.
+    pub services: Vec<String>,
+    /// Keys of the peer links.
+    pub keys: Keys,
+    /// Number of this run of the process.
+    pub incarnation: Incarnation,
+    /// Renders the metrics; nothing if they are not exported.
+    pub metrics: Option<PrometheusHandle>,
+}
+
+/// The router could not start.
+#[derive(Debug, Snafu)]
+pub enum RouterError {
+    /// The callers' side.
+    #[snafu(display("failed to start the front"))]
+    Front {
+        /// The cause.
+        source: StartError,
+    },
+    /// The peers' side.
+    #[snafu(display("failed to start the peer links"))]
+    Link {
+        /// The cause.
+        source: primrose_link::StartError,
+    },
+    /// The operators' side.
+    #[snafu(display("failed to start the operators' listener"))]
+    Operator {
+        /// The cause.
+        source: OperatorError,
+    },
+    /// A thread could not be made.
+    #[snafu(display("failed to start the {name} thread"))]
+    Thread {
+        /// Name of the thread.
+        name: String,
+        /// The cause.
+        source: std::io::Error,
+    },
+}
+
+/// How a shutdown ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Shutdown {
+    /// Requests that were cut off; empty if all ended by themselves.
+    pub cut: Vec<CutRequest>,
+}
+
+/// A running router.
+pub struct Router {
+    me: Member,
+    front: Front,
+    endpoint: Arc<Endpoint<PeerMessage>>,
+    operators: SocketAddr,
+    ring: Sender<Input>,
+    stop: Arc<Stop>,
+    threads: Vec<JoinHandle<()>>,
+    drained: Receiver<()>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Router {
+    /// Starts all threads.
+    ///
+    /// # Errors
+    /// [`RouterError`] if an address cannot be listened on or a thread cannot be made; nothing is
+    /// left running then.
+    pub fn start(settings: &Settings, parts: Parts) -> Result<Self, RouterError> {
+        let me = Member {
+            host: settings.router.host.clone(),
+            incarnation: parts.incarnation,
+        };
+        let stop = Stop::new();
+        let published = Arc::new(Published::default());
+        let (ring, inputs) = bounded(input::RING);
+        let (claim_ring, claim_asks) = bounded(claims::RING);
+        let (link_ring, link_events) = bounded(LINK_RING);
+        let (drain, drained) = bounded(1);
+
+        let zone = settings.router.zone.clone();
+        let config = LinkConfig::new(me.clone(), zone, settings.listen.peers, parts.keys.clone());
+        let endpoint = Arc::new(Endpoint::start(config, link_ring).context(LinkSnafu)?);
+        let operator = Operator {
+            ring: ring.clone(),
+            metrics: parts.metrics.clone(),
+            drain,
+        };
+        let listener = operator
+            .start(settings.listen.operators, Arc::clone(&stop))
+            .context(OperatorSnafu)?;
+        let broker = Arc::new(RingBroker {
+            published: Arc::clone(&published),
+            clock: Arc::clone(&parts.clock),
+            decide: ring.clone(),
+            claims: claim_ring,
+        });
+        let front = Front::start(
+            settings.listen.callers,
+            front_limits(settings),
+            broker,
+            Arc::clone(&parts.clock),
+        )
+        .context(FrontSnafu)?;
+
+        let view = view_settings(settings, &me, endpoint.local_addr());
+        let decider = Decider::new(
+            view,
+            Arc::clone(&parts.clock),
+            Box::new(Arc::clone(&endpoint)),
+            Arc::clone(&published),
+            rand::rng().random(),
+        );
+        let mut router = Self {
+            me: me.clone(),
+            front,
+            endpoint,
+            operators: listener.addr,
+            ring: ring.clone(),
+            stop: Arc::clone(&stop),
+            threads: vec![listener.thread],
+            drained,
+            clock: Arc::clone(&parts.clock),
+        };
+        router.spawn("decide", move || decide::run(decider, &inputs, &link_events))?;
+        let desk = Claims {
+            me,
+            desk: Desk::new(&settings.platform.prefix, primrose_claim::Limits::default()),
+            store: Arc::clone(&parts.store),
+            clock: Arc::clone(&parts.clock),
+            inboxes: HashMap::new(),
+        };
+        router.spawn("claims", move || desk.run(&claim_asks))?;
+        router.start_duties(settings, &parts, &published)?;
+        log::info!(
+            callers:% = router.callers(), peers:% = router.peers(), operators:% = router.operators();
+            "router started"
+        );
+        Ok(router)
+    }
+
+    /// Starts the threads that look at the platform and at servers.
+    fn start_duties(
+        &mut self,
+        settings: &Settings,
+        parts: &Parts,
+        published: &Arc<Published>,
+    ) -> Result<(), RouterError> {
+        for kind in DOCUMENT_KINDS {
+            let watch = Watch {
+                kind,
+                key: format!("{}/{}", settings.platform.prefix, kind.name()),
+                store: Arc::clone(&parts.store),
+                published: Arc::clone(published),
+                ring: self.ring.clone(),
+                stop: Arc::clone(&self.stop),
+            };
+            self.spawn("watch", move || watch.run())?;
+        }
+        let loads = Loads {
+            published: Arc::clone(published),
+            ring: self.ring.clone(),
+            stop: Arc::clone(&self.stop),
+        };
+        self.spawn("loads", move || loads.run())?;
+        let Some(lists) = &parts.hosts else {
+            return Ok(());
+        };
+        for service in &parts.services {
+            let hosts = Hosts {
+                service: service.clone(),
+                list: lists(service),
+                ring: self.ring.clone(),
+                stop: Arc::clone(&self.stop),
+            };
+            self.spawn("hosts", move || hosts.run())?;
+        }
+        Ok(())
+    }
+
+    fn spawn(
+        &mut self,
+        name: &str,
+        body: impl FnOnce() + Send + 'static,
+    ) -> Result<(), RouterError> {
+        let thread = std::thread::Builder::new()
+            .name(name.to_owned())
+            .spawn(body)
+            .context(ThreadSnafu { name })?;
+        self.threads.push(thread);
+        Ok(())
+    }
+
+    /// This run of the router.
+    pub fn member(&self) -> &Member {
+        &self.me
+    }
+
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        self.front.addr()
+    }
+
+    /// Where other routers connect.
+    pub fn peers(&self) -> SocketAddr {
+        self.endpoint.local_addr()
+    }
+
+    /// Where operators connect.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// The peer links, for their counts and for fault tests.
+    pub fn endpoint(&self) -> &Endpoint<PeerMessage> {
+        &self.endpoint
+    }
+
+    /// Becomes readable when an operator asks for a shutdown.
+    pub fn drained(&self) -> &Receiver<()> {
+        &self.drained
+    }
+
+    /// Shuts down gracefully: no new work, duties given up, requests in flight finished.
+    ///
+    /// What is still in flight after the limit, or when `hurry` says so, is cut off and named.
+    pub fn shutdown(mut self, limit: Duration, hurry: &dyn Fn() -> bool) -> Shutdown {
+        log::info!(in_flight = self.front.in_flight(); "shutting down");
+        self.front.drain();
+        // The ring is only closed when the deciding thread has ended.
+        let _ = self.ring.send(Input::Drain);
+        let end = self.clock.now() + limit;
+        let ended = self.front.wait_idle(&|| hurry() || self.clock.now() >= end);
+        let mut cut = Vec::new();
+        if !ended {
+            let _ = self.ring.send(Input::Abandon);
+            cut = self.front.cut();
+            for request in &cut {
+                log::warn!(
+                    request = format!("{:016x}", request.request).as_str(),
+                    account = request.account.as_str();
+                    "cut off a request"
+                );
+            }
+        }
+        self.end();
+        Shutdown { cut }
+    }
+
+    /// Ends all threads without waiting for requests, as a crash would, but in order.
+    pub fn abort(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        self.stop.stop();
+        self.front.stop();
+        let _ = self.ring.send(Input::Stop);
+        self.endpoint.stop();
+        for thread in self.threads.drain(..) {
+            if thread.join().is_err() {
+                log::error!("a thread of the router panicked");
+            }
+        }
+    }
+}
+
+fn front_limits(settings: &Settings) -> primrose_front::Limits {
+    let limits = &settings.limits;
+    primrose_front::Limits {
+        header_bytes: limits.header_bytes,
+        body_bytes: limits.body_bytes,
+        connections: limits.connections,
+        header_time: limits.header_timeout,
+        idle_time: limits.first_byte,
+        ..primrose_front::Limits::default()
+    }
+}
+
+fn view_settings(settings: &Settings, me: &Member, addr: SocketAddr) -> primrose_member::Settings {
+    let zone = settings.router.zone.clone();
+    let region = settings.router.region.clone();
+    primrose_member::Settings {
+        seeds: settings.peers.seeds.iter().map(|seed| seed.addr).collect(),
+        regions: BTreeMap::from([(zone.clone(), region)]),
+        ..primrose_member::Settings::new(me.clone(), zone, addr)
+    }
+}
