--- /dev/null
+++ b/crates/member/src/fleet.rs
@@ -0,0 +1,143 @@
+//! All zones, as their reports show them.
+//!
+//! Two zones are joined if the report of each lists the other. Paths over zones are shortest paths
+//! over those joints, so a report of a zone that was cut off is harmless: its neighbours no longer
+//! list it.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::hash::Hash;
+use std::hash::Hasher;
+
+use primrose_core::id::HostId;
+use primrose_core::id::ZoneId;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::beat::Line;
+use crate::beat::Report;
+use crate::beat::ReportVersion;
+
+/// Most zones that are kept, far beyond those of any fleet.
+const MAX_ZONES: usize = 256;
+
+/// Reports by zone, and what follows from them.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    reports: BTreeMap<ZoneId, Report>,
+    /// For each zone that can be reached, the neighbouring zone on the way.
+    first: BTreeMap<ZoneId, ZoneId>,
+    /// Zone of each router in the reports.
+    zones: BTreeMap<HostId, ZoneId>,
+}
+
+impl Fleet {
+    /// Takes a report; true if it is newer than what was known.
+    pub(crate) fn learn(&mut self, report: &Report) -> bool {
+        let known = self.reports.get(&report.zone);
+        let newer = known.is_none_or(|had| order(had) < order(report));
+        let full = known.is_none() && self.reports.len() >= MAX_ZONES;
+        if !newer || full {
+            return false;
+        }
+        self.reports.insert(report.zone.clone(), report.clone());
+        self.index();
+        true
+    }
+
+    /// Finds the zone of each router anew.
+    fn index(&mut self) {
+        self.zones.clear();
+        for report in self.reports.values() {
+            for line in &report.members {
+                let zone = report.zone.clone();
+                self.zones.insert(line.member.host.clone(), zone);
+            }
+        }
+    }
+
+    /// Finds the paths from a zone with these joints anew.
+    pub(crate) fn search(&mut self, home: &ZoneId, gates: &[ZoneId]) {
+        let mut first: BTreeMap<ZoneId, ZoneId> = BTreeMap::new();
+        let mut open = VecDeque::new();
+        for gate in gates {
+            if self.lists(gate, home) && first.insert(gate.clone(), gate.clone()).is_none() {
+                open.push_back(gate.clone());
+            }
+        }
+        while let Some(zone) = open.pop_front() {
+            let start = first[&zone].clone();
+            for next in self.gates(&zone) {
+                let seen = next == home || first.contains_key(next);
+                if !seen && self.lists(next, &zone) {
+                    first.insert(next.clone(), start.clone());
+                    open.push_back(next.clone());
+                }
+            }
+        }
+        self.first = first;
+    }
+
+    /// Whether the report of a zone lists another as linked.
+    fn lists(&self, zone: &ZoneId, other: &ZoneId) -> bool {
+        self.gates(zone).contains(other)
+    }
+
+    /// Returns the zones that a zone is linked to.
+    fn gates(&self, zone: &ZoneId) -> &[ZoneId] {
+        let report = self.reports.get(zone);
+        report.map_or(&[], |report| &report.gates)
+    }
+
+    /// Returns the report of a zone.
+    pub(crate) fn report(&self, zone: &str) -> Option<&Report> {
+        self.reports.get(zone)
+    }
+
+    /// Returns the routers of a zone.
+    pub(crate) fn members(&self, zone: &str) -> &[Line] {
+        let report = self.reports.get(zone);
+        report.map_or(&[], |report| &report.members)
+    }
+
+    /// Returns the zone of a router.
+    pub(crate) fn zone_of(&self, host: &str) -> Option<&ZoneId> {
+        self.zones.get(host)
+    }
+
+    /// Returns the neighbouring zone on the way to a zone.
+    pub(crate) fn first(&self, zone: &str) -> Option<&ZoneId> {
+        self.first.get(zone)
+    }
+
+    /// Returns the zones that can be reached.
+    pub(crate) fn reachable(&self) -> impl Iterator<Item = &ZoneId> {
+        self.first.keys()
+    }
+
+    /// Returns all zones that are known.
+    pub(crate) fn known(&self) -> impl Iterator<Item = &ZoneId> {
+        self.reports.keys()
+    }
+
+    /// Returns the versions of all reports.
+    pub(crate) fn versions(&self) -> Vec<ReportVersion> {
+        let version = |report: &Report| ReportVersion {
+            zone: report.zone.clone(),
+            number: report.number,
+            author: report.author.clone(),
+        };
+        self.reports.values().map(version).collect()
+    }
+
+    /// Returns a digest of all reports.
+    pub(crate) fn digest(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        self.versions().hash(&mut hash);
+        hash.finish()
+    }
+}
+
+/// Orders the reports of one zone.
+fn order(report: &Report) -> (u64, &primrose_core::id::Member) {
+    (report.number, &report.author)
+}
--- /dev/null
+++ b/crates/member/src/goals.rs
@@ -0,0 +1,155 @@
+//! Links to other zones: which of them are this router's to make.
+//!
+//! Towards every other zone of the region, rendezvous hashing names a few routers of the zone as
+//! gateways; towards every other region, it names a few zones of the region and one router in each.
+//! A gateway dials one router over there and, if that fails, the next, until it is linked to any.
+//! Links that the other side dialed count as well.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use primrose_core::clock::Mono;
+use primrose_core::id::HostId;
+use primrose_core::id::RegionId;
+use primrose_core::id::ZoneId;
+
+use crate::fleet::Fleet;
+use crate::rendezvous::ranking;
+use crate::settings::Settings;
+use crate::zone::Zone;
+
+/// Something that this router has to be linked to.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Goal {
+    /// Any router of the zone.
+    Zone(ZoneId),
+    /// Any router of the region.
+    Region(RegionId),
+}
+
+impl Goal {
+    /// Whether routers of a zone meet the goal.
+    pub(crate) fn is_met_by(&self, zone: &ZoneId, settings: &Settings) -> bool {
+        match self {
+            Self::Zone(goal) => goal == zone,
+            Self::Region(goal) => goal == settings.region(zone),
+        }
+    }
+
+    /// Names the duty of being the gateway.
+    fn duty(&self) -> String {
+        match self {
+            Self::Zone(zone) => format!("gateway to zone {zone}"),
+            Self::Region(region) => format!("gateway to region {region}"),
+        }
+    }
+}
+
+/// A router of another zone that can be dialed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Entry {
+    pub(crate) zone: ZoneId,
+    pub(crate) addr: SocketAddr,
+}
+
+/// Routers that are known of, from the host list and from reports.
+pub(crate) type Directory = BTreeMap<HostId, Entry>;
+
+/// Which router is being tried.
+#[derive(Debug, Clone, Copy)]
+struct Try {
+    index: usize,
+    since: Mono,
+}
+
+/// The goals of this router.
+#[derive(Debug, Default)]
+pub(crate) struct Goals {
+    tries: BTreeMap<Goal, Try>,
+}
+
+impl Goals {
+    /// Chooses whom to dial for a goal that is not met.
+    pub(crate) fn choose<'a>(
+        &mut self,
+        goal: &Goal,
+        settings: &Settings,
+        directory: &'a Directory,
+        now: Mono,
+    ) -> Option<(&'a HostId, &'a Entry)> {
+        let meets = |entry: &Entry| goal.is_met_by(&entry.zone, settings);
+        let hosts = directory.iter().filter(|(_, entry)| meets(entry));
+        let hosts = hosts.map(|(host, _)| host.as_str());
+        // Every gateway has an order of its own, so that the links spread over the other side.
+        let ranked = ranking(hosts, &settings.me.host);
+        let fresh = Try {
+            index: 0,
+            since: now,
+        };
+        let current = self.tries.entry(goal.clone()).or_insert(fresh);
+        if now.saturating_sub(current.since) >= settings.timing.gateway_try {
+            current.index = current.index.wrapping_add(1);
+            current.since = now;
+        }
+        let index = current.index.checked_rem(ranked.len())?;
+        directory.get_key_value(ranked[index])
+    }
+
+    /// Forgets the tries for a goal that is met.
+    pub(crate) fn met(&mut self, goal: &Goal) {
+        self.tries.remove(goal);
+    }
+
+    /// Forgets the tries for goals that are no longer this router's.
+    pub(crate) fn retain(&mut self, goals: &[Goal]) {
+        self.tries.retain(|goal, _| goals.contains(goal));
+    }
+}
+
+/// Returns the goals that fall to this router.
+pub(crate) fn goals(
+    settings: &Settings,
+    zone: &Zone,
+    fleet: &Fleet,
+    directory: &Directory,
+) -> Vec<Goal> {
+    let mut zones: BTreeSet<&ZoneId> = directory.values().map(|entry| &entry.zone).collect();
+    zones.extend(fleet.known());
+    zones.remove(&settings.zone);
+    let home = settings.region(&settings.zone);
+    let mut wanted = BTreeSet::new();
+    for zone in zones {
+        let region = settings.region(zone);
+        if region == home {
+            wanted.insert(Goal::Zone(zone.clone()));
+        } else {
+            wanted.insert(Goal::Region(region.to_owned()));
+        }
+    }
+    let mine = |goal: &Goal| is_mine(goal, settings, zone, fleet);
+    wanted.into_iter().filter(mine).collect()
+}
+
+/// Whether a goal falls to this router.
+fn is_mine(goal: &Goal, settings: &Settings, zone: &Zone, fleet: &Fleet) -> bool {
+    let duty = goal.duty();
+    let ranked = ranking(zone.duty_hosts(), &duty);
+    let me = settings.me.host.as_str();
+    match goal {
+        Goal::Zone(_) => ranked
+            .iter()
+            .take(settings.gateways)
+            .any(|host| *host == me),
+        Goal::Region(_) => {
+            let home = settings.region(&settings.zone);
+            let near = fleet
+                .reachable()
+                .filter(|zone| settings.region(zone) == home);
+            let zones = near.chain([&settings.zone]).map(String::as_str);
+            let zones = ranking(zones, &duty);
+            let chosen = zones.iter().take(settings.gateways);
+            ranked.first() == Some(&me) && chosen.into_iter().any(|z| *z == settings.zone)
+        }
+    }
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -1,1 +1,67 @@
-//! Part of the router fleet; filled in by its first change.
+//! Membership: which routers are there, who holds a duty, and how to reach them.
+//!
+//! Each router has its own [`View`], a plain state machine `(state, event, now) -> actions`. There
+//! is no election and no store: the view is built from the host list, from the links that are up,
+//! and from the [`Beat`] messages that routers send each other. A duty, such as the dispatcher of
+//! a pool, belongs to the live member of the availability zone that rendezvous hashing names
+//! ([`rendezvous`]), so routers with the same view agree on it without a message.
+//!
+//! The fleet is seen at two levels, each a small link-state protocol. Inside a zone every router
+//! is linked to every other, and each publishes a [`Record`] of its links; the live members are
+//! those connected to this router over links that both ends list. Between zones only a few routers
+//! hold links, and one router of each zone publishes a [`Report`] of its members and of the zones
+//! it is linked to; paths over the zones follow from the reports. A change is sent on at once to
+//! the peers that lack it; every few beats peers compare digests and repair what was lost.
+//!
+//! A full mesh of all routers and a gossip protocol like SWIM (Das et al., 2002) were weighed; the
+//! figures are in `docs/design/membership.md`.
+//!
+//! ```
+//! use std::time::Duration;
+//! use primrose_core::id::Member;
+//! use primrose_member::{Event, Settings, View};
+//!
+//! let me = Member { host: "r1".into(), incarnation: 1 };
+//! let addr = "127.0.0.1:7400".parse().unwrap();
+//! let settings = Settings::new(me.clone(), "barasat".into(), addr);
+//! let mut view = View::new(settings, Duration::ZERO);
+//! view.handle(Event::Tick, Duration::from_millis(50));
+//! // Alone in its zone, a router holds every duty.
+//! assert_eq!(view.holder("dispatch drafting"), Some(&me));
+//! ```
+
+mod beat;
+mod connect;
+mod event;
+mod fleet;
+mod goals;
+mod marks;
+mod news;
+mod peers;
+pub mod rendezvous;
+mod routed;
+mod settings;
+mod view;
+mod zone;
+
+pub use beat::Beat;
+pub use beat::Line;
+pub use beat::Mark;
+pub use beat::Record;
+pub use beat::RecordVersion;
+pub use beat::Report;
+pub use beat::ReportVersion;
+pub use beat::Summary;
+pub use beat::TableMark;
+pub use beat::Versions;
+pub use event::Action;
+pub use event::Event;
+pub use routed::DropReason;
+pub use routed::Forward;
+pub use routed::Routed;
+pub use routed::Routes;
+pub use routed::MAX_HOPS;
+pub use settings::Settings;
+pub use settings::Timing;
+pub use settings::REFRESH_BEATS;
+pub use view::View;
--- /dev/null
+++ b/crates/member/src/news.rs
@@ -0,0 +1,231 @@
+//! Spreads news: takes in beats, passes on what is new, and repairs what was lost.
+
+use std::collections::BTreeMap;
+
+use primrose_core::clock::Mono;
+use primrose_core::id::HostId;
+use primrose_core::id::Member;
+use primrose_core::id::ZoneId;
+
+use crate::beat::Beat;
+use crate::beat::Summary;
+use crate::beat::Versions;
+use crate::event::Action;
+use crate::peers::Outbox;
+use crate::settings::REFRESH_BEATS;
+use crate::view::View;
+
+impl View {
+    /// Queues all that is known for a peer whose link has come up.
+    pub(crate) fn greet(&mut self, member: &Member) {
+        let home = self.settings.zone.clone();
+        let records: Vec<HostId> = self.zone.live().map(|r| r.member.host.clone()).collect();
+        let reports: Vec<ZoneId> = self.fleet.known().cloned().collect();
+        let leaving: Vec<HostId> = self.marks.hosts().cloned().collect();
+        let Some(peer) = self.peers.linked(member) else {
+            return;
+        };
+        if peer.zone == home {
+            peer.outbox.records.extend(records);
+        }
+        peer.outbox.reports.extend(reports);
+        peer.outbox.leaving.extend(leaving);
+        peer.outbox.due = true;
+    }
+
+    /// Takes in a beat.
+    pub(crate) fn take_beat(
+        &mut self,
+        from: &Member,
+        beat: Beat,
+        actions: &mut Vec<Action>,
+        now: Mono,
+    ) {
+        let Some(peer) = self.peers.linked(from) else {
+            return;
+        };
+        let near = peer.zone == self.settings.zone;
+        if peer.count.is_none_or(|count| beat.count > count) {
+            peer.count = Some(beat.count);
+            peer.heard = now;
+            peer.table = beat.table;
+        }
+        for record in beat.records.iter().filter(|_| near) {
+            if self.zone.learn(record, now) {
+                self.announce_record(&record.member.host, Some(&from.host));
+            }
+        }
+        for report in &beat.reports {
+            if self.fleet.learn(report) {
+                self.announce_report(&report.zone, Some(&from.host));
+            }
+        }
+        for mark in &beat.leaving {
+            if self.marks.learn(mark, self.settings.timing.forget, now) {
+                self.announce_mark(&mark.host, Some(&from.host), actions);
+            }
+        }
+        if let Some(theirs) = beat.summary {
+            self.compare_summary(from, theirs);
+        }
+        if let Some(theirs) = beat.versions {
+            self.compare_versions(from, &theirs);
+        }
+    }
+
+    /// Asks a peer for what is missing, or offers it, if its digests differ.
+    fn compare_summary(&mut self, from: &Member, theirs: Summary) {
+        let ours = self.summary(true);
+        let home = self.settings.zone.clone();
+        let Some(peer) = self.peers.linked(from) else {
+            return;
+        };
+        let records = peer.zone == home && theirs.records != ours.records;
+        let differ = theirs.reports != ours.reports || theirs.leaving != ours.leaving;
+        if records || differ {
+            peer.outbox.versions = true;
+        }
+    }
+
+    /// Queues for a peer what it lacks.
+    fn compare_versions(&mut self, from: &Member, theirs: &Versions) {
+        let records = missing(self.zone.versions(), &theirs.records, |v| {
+            v.member.host.clone()
+        });
+        let reports = missing(self.fleet.versions(), &theirs.reports, |v| v.zone.clone());
+        let differ = theirs.leaving != self.marks.digest();
+        let leaving: Vec<HostId> = self.marks.hosts().filter(|_| differ).cloned().collect();
+        let home = self.settings.zone.clone();
+        let Some(peer) = self.peers.linked(from) else {
+            return;
+        };
+        if peer.zone == home {
+            peer.outbox.records.extend(records);
+        }
+        peer.outbox.reports.extend(reports);
+        peer.outbox.leaving.extend(leaving);
+    }
+
+    /// Queues a record for the peers of the zone.
+    pub(crate) fn announce_record(&mut self, host: &HostId, from: Option<&HostId>) {
+        let home = self.settings.zone.clone();
+        for peer in self.peers.iter_mut() {
+            if peer.zone == home && Some(&peer.member.host) != from {
+                peer.outbox.records.insert(host.clone());
+            }
+        }
+    }
+
+    /// Queues a report for the peers.
+    pub(crate) fn announce_report(&mut self, zone: &ZoneId, from: Option<&HostId>) {
+        for peer in self.peers.iter_mut() {
+            if Some(&peer.member.host) != from {
+                peer.outbox.reports.insert(zone.clone());
+            }
+        }
+    }
+
+    /// Queues a leaving mark for the peers, and tells the caller.
+    pub(crate) fn announce_mark(
+        &mut self,
+        host: &HostId,
+        from: Option<&HostId>,
+        actions: &mut Vec<Action>,
+    ) {
+        for peer in self.peers.iter_mut() {
+            if Some(&peer.member.host) != from {
+                peer.outbox.leaving.insert(host.clone());
+            }
+        }
+        if let Some(incarnation) = self.marks.incarnation(host) {
+            let host = host.clone();
+            actions.push(Action::ServerLeaving { host, incarnation });
+        }
+    }
+
+    /// Makes a beat due for every peer when a period begins.
+    pub(crate) fn begin_period(&mut self, now: Mono) {
+        if now < self.next_period {
+            return;
+        }
+        let period = self.settings.timing.period;
+        self.next_period = (self.next_period + period).max(now);
+        self.periods += 1;
+        let compare = self.periods % REFRESH_BEATS == 0;
+        for peer in self.peers.iter_mut() {
+            peer.outbox.due = true;
+            peer.outbox.summary |= compare;
+        }
+    }
+
+    /// Sends the beats that are due and the news that wait.
+    pub(crate) fn flush(&mut self, actions: &mut Vec<Action>, now: Mono) {
+        let mut waiting = BTreeMap::new();
+        for peer in self.peers.iter_mut() {
+            if !peer.outbox.is_empty() {
+                let near = peer.zone == self.settings.zone;
+                let outbox = std::mem::take(&mut peer.outbox);
+                waiting.insert(peer.member.host.clone(), (near, outbox));
+            }
+        }
+        for (to, (near, outbox)) in waiting {
+            let beat = self.beat(near, &outbox, now);
+            actions.push(Action::SendBeat { to, beat });
+        }
+    }
+
+    /// Writes one beat.
+    fn beat(&mut self, near: bool, outbox: &Outbox, now: Mono) -> Beat {
+        self.count += 1;
+        let record = |host: &HostId| self.zone.record(host).cloned();
+        let report = |zone: &ZoneId| self.fleet.report(zone).cloned();
+        let mark = |host: &HostId| self.marks.mark(host, now);
+        Beat {
+            count: self.count,
+            table: self.table.clone(),
+            records: outbox.records.iter().filter_map(record).collect(),
+            reports: outbox.reports.iter().filter_map(report).collect(),
+            leaving: outbox.leaving.iter().filter_map(mark).collect(),
+            summary: outbox.summary.then(|| self.summary(near)),
+            versions: outbox.versions.then(|| self.versions(near)),
+        }
+    }
+
+    /// Returns the digests of all that is known.
+    fn summary(&self, near: bool) -> Summary {
+        Summary {
+            records: if near { self.zone.digest() } else { 0 },
+            reports: self.fleet.digest(),
+            leaving: self.marks.digest(),
+        }
+    }
+
+    /// Returns the versions of all that is known.
+    fn versions(&self, near: bool) -> Versions {
+        let records = if near {
+            self.zone.versions()
+        } else {
+            Vec::new()
+        };
+        Versions {
+            records,
+            reports: self.fleet.versions(),
+            leaving: self.marks.digest(),
+        }
+    }
+}
+
+/// Returns the keys of our versions that the other side has not, or has in an older form.
+///
+/// The derived order of versions of the same key is that of their age.
+fn missing<V, K, F>(ours: Vec<V>, theirs: &[V], key: F) -> Vec<K>
+where
+    V: Ord,
+    K: Ord,
+    F: Fn(&V) -> K,
+{
+    let theirs: BTreeMap<K, &V> = theirs.iter().map(|v| (key(v), v)).collect();
+    let lacks = |v: &V| theirs.get(&key(v)).is_none_or(|had| *had < v);
+    let lacking = ours.into_iter().filter(lacks);
+    lacking.map(|v| key(&v)).collect()
+}
--- /dev/null
+++ b/crates/member/src/rendezvous.rs
@@ -0,0 +1,40 @@
+//! Rendezvous hashing: who of a set holds a duty.
+//!
+//! Every candidate gets a score from its name and the name of the duty, and the highest holds it
+//! (Thaler and Ravishankar, 1998). When a candidate leaves, only its duties move; the incarnation
+//! is not part of the score, so a restarted router gets its duties back.
+
+use xxhash_rust::xxh3::Xxh3;
+
+/// Score of one candidate for one duty.
+pub type Score = u64;
+
+/// Returns the score of a candidate.
+pub fn score(host: &str, duty: &str) -> Score {
+    let mut hash = Xxh3::new();
+    // The length goes first, so that two splits of the same bytes differ.
+    hash.update(&(duty.len() as u64).to_le_bytes());
+    hash.update(duty.as_bytes());
+    hash.update(host.as_bytes());
+    hash.digest()
+}
+
+/// Returns the candidate that holds the duty.
+pub fn holder<'a, I>(hosts: I, duty: &str) -> Option<&'a str>
+where
+    I: IntoIterator<Item = &'a str>,
+{
+    hosts
+        .into_iter()
+        .max_by_key(|host| (score(host, duty), *host))
+}
+
+/// Returns the candidates in the order in which they would hold the duty.
+pub fn ranking<'a, I>(hosts: I, duty: &str) -> Vec<&'a str>
+where
+    I: IntoIterator<Item = &'a str>,
+{
+    let mut ranked: Vec<&str> = hosts.into_iter().collect();
+    ranked.sort_by_cached_key(|host| std::cmp::Reverse((score(host, duty), *host)));
+    ranked
+}
--- /dev/null
+++ b/crates/member/src/settings.rs
@@ -0,0 +1,100 @@
+//! What a view is told at its start.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use primrose_core::id::Member;
+use primrose_core::id::RegionId;
+use primrose_core::id::ZoneId;
+
+/// Every how many beats peers compare digests of what they know.
+pub const REFRESH_BEATS: u64 = 4;
+/// Service name of the routers in the host list.
+const ROUTER_SERVICE: &str = "primrosed";
+/// Routers of a zone that link it to each neighbour.
+const GATEWAYS: usize = 2;
+
+/// Settings of a view.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This router process.
+    pub me: Member,
+    /// Availability zone of this router.
+    pub zone: ZoneId,
+    /// Where this router listens for peers.
+    pub addr: SocketAddr,
+    /// Service name under which the host list shows the routers; their addresses there must be
+    /// those on which they listen for peers.
+    pub service: String,
+    /// Regions of the zones; zones that are not listed form one region.
+    pub regions: BTreeMap<ZoneId, RegionId>,
+    /// Addresses of some routers, dialed while no other router is known; may include this one.
+    pub seeds: Vec<SocketAddr>,
+    /// Routers of a zone that link it to each other zone of the region, and zones of a region that
+    /// link it to each other region.
+    pub gateways: usize,
+    /// Periods and timeouts.
+    pub timing: Timing,
+}
+
+impl Settings {
+    /// Makes settings without seeds and regions.
+    pub fn new(me: Member, zone: ZoneId, addr: SocketAddr) -> Self {
+        Self {
+            me,
+            zone,
+            addr,
+            service: ROUTER_SERVICE.to_owned(),
+            regions: BTreeMap::new(),
+            seeds: Vec::new(),
+            gateways: GATEWAYS,
+            timing: Timing::default(),
+        }
+    }
+
+    /// Returns the region of a zone; empty for zones that are not listed.
+    pub(crate) fn region(&self, zone: &str) -> &str {
+        self.regions.get(zone).map_or("", String::as_str)
+    }
+}
+
+/// Periods and timeouts.
+#[derive(Debug, Clone, Copy)]
+pub struct Timing {
+    /// How often the caller sends [`crate::Event::Tick`]; news wait at most this long.
+    pub tick: Duration,
+    /// Time between two beats to the same peer when there is no news.
+    pub period: Duration,
+    /// Missed beats after which a peer counts as gone.
+    pub missed: u32,
+    /// A tick that is later than this means that this process was paused.
+    pub pause: Duration,
+    /// How long a gateway waits for a link before it tries another router.
+    pub gateway_try: Duration,
+    /// Shortest time between two reports of a zone by the same router.
+    pub report_gap: Duration,
+    /// How long a record or a leaving mark outlives the last sign of its host.
+    pub forget: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            tick: Duration::from_millis(50),
+            period: Duration::from_secs(1),
+            missed: 3,
+            pause: Duration::from_secs(1),
+            gateway_try: Duration::from_secs(3),
+            report_gap: Duration::from_millis(500),
+            forget: Duration::from_secs(600),
+        }
+    }
+}
+
+impl Timing {
+    /// Returns the silence after which a peer counts as gone.
+    pub fn suspicion(&self) -> Duration {
+        self.period * self.missed + self.tick
+    }
+}
--- /dev/null
+++ b/crates/member/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the membership view.
+
+mod converge;
+mod net;
