--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod trace;
 
 pub use broker::Broker;
+pub use front::CutRequest;
 pub use front::Front;
 pub use front::StartError;
 pub use limits::Limits;
--- /dev/null
+++ b/crates/local/src/documents.rs
@@ -0,0 +1,74 @@
+//! The operators' documents of a local deployment.
+
+use std::fmt::Write;
+
+use primrose_core::id::Generation;
+use primrose_table::accounts::KeyHash;
+
+use crate::shape::Shape;
+use crate::shape::MODEL;
+use crate::shape::ORDER_PATH;
+
+/// What the keys of the deployment begin with.
+pub const PREFIX: &str = "primrosehall";
+/// Key of the tables.
+pub const TABLES_KEY: &str = "primrosehall/tables";
+/// Key of the client accounts.
+pub const ACCOUNTS_KEY: &str = "primrosehall/accounts";
+
+/// The tables of a deployment, to be rendered for any generation.
+#[derive(Debug, Clone)]
+pub struct TablesText {
+    shape: Shape,
+}
+
+impl TablesText {
+    /// Takes routes and pools from the shape.
+    pub fn new(shape: &Shape) -> Self {
+        Self {
+            shape: shape.clone(),
+        }
+    }
+
+    /// Renders the document of a generation.
+    pub fn render(&self, generation: Generation) -> String {
+        let shape = &self.shape;
+        let (min, max) = shape.slots;
+        let deadline = shape.deadline.as_millis();
+        let queue = shape.queue;
+        let mut text = format!(
+            "[document]\ngeneration = {generation}\nchange = {generation:016x}\n\n\
+             [route drafts]\nmodel = {MODEL}\npool = drafting\ndeadline = {deadline}ms\n\
+             idempotent = yes\ncost = 100\n\n\
+             [route orders]\npath = {ORDER_PATH}\npool = dispatch\ndeadline = {deadline}ms\n\
+             idempotent = no\ncost = 1\n\n\
+             [pool drafting]\nkind = engine\nservice = drafting\nmin-slots = {min}\n\
+             max-slots = {max}\nlongest-run = 60s\nqueue-account-requests = {queue}\n"
+        );
+        for account in &shape.accounts {
+            // Writing to a string cannot fail.
+            let _ = writeln!(text, "weight.{} = {}", account.name, account.weight);
+        }
+        text.push_str(
+            "\n[pool dispatch]\nkind = plain\nservice = dispatch\nmin-slots = 4\nmax-slots = 4\n\
+             longest-run = 30s\n",
+        );
+        text
+    }
+}
+
+/// Bearer key of an account.
+pub(crate) fn bearer(account: &str) -> String {
+    format!("key-of-{account}")
+}
+
+/// Renders the document of the client accounts.
+pub(crate) fn accounts_text(shape: &Shape) -> String {
+    let mut text = "[document]\ngeneration = 1\nchange = 0000000000000001\n".to_owned();
+    for account in &shape.accounts {
+        let hash = KeyHash::of(bearer(&account.name).as_bytes());
+        // Writing to a string cannot fail.
+        let _ = write!(text, "\n[account {}]\nkey-sha256.first = {hash}\n", account.name);
+    }
+    text
+}
--- /dev/null
+++ b/crates/local/src/shape.rs
@@ -0,0 +1,118 @@
+//! How large a deployment is.
+
+use std::time::Duration;
+
+use primrose_core::table::Weight;
+use primrose_standin::engine::EngineConfig;
+use primrose_standin::engine::Pace;
+
+/// One availability zone.
+#[derive(Debug, Clone)]
+pub struct ZoneShape {
+    /// Name.
+    pub name: String,
+    /// Entry hosts.
+    pub routers: usize,
+    /// Model engines.
+    pub engines: usize,
+    /// Plain services.
+    pub plains: usize,
+}
+
+/// One client account.
+#[derive(Debug, Clone)]
+pub struct AccountShape {
+    /// Name.
+    pub name: String,
+    /// Weight in every pool.
+    pub weight: Weight,
+}
+
+/// A deployment.
+#[derive(Debug, Clone)]
+pub struct Shape {
+    /// Availability zones.
+    pub zones: Vec<ZoneShape>,
+    /// Client accounts.
+    pub accounts: Vec<AccountShape>,
+    /// Lowest and highest slot limit of an engine.
+    pub slots: (u32, u32),
+    /// How engines behave; the address is set for each.
+    pub engine: EngineConfig,
+    /// How long a plain service takes for a call.
+    pub plain_time: Duration,
+    /// Deadline of the routes.
+    pub deadline: Duration,
+    /// Requests of one account that may wait at one router.
+    pub queue: usize,
+    /// How long a change of the host list takes to show.
+    pub host_lag: Duration,
+}
+
+/// Model that the engines serve.
+pub(crate) const MODEL: &str = "draft-7b";
+/// Path of the plain services.
+pub(crate) const ORDER_PATH: &str = "/orders";
+
+fn zones(names: [&str; 3], routers: [usize; 3], engines: [usize; 3]) -> Vec<ZoneShape> {
+    let mut zones = Vec::new();
+    for (place, name) in names.into_iter().enumerate() {
+        zones.push(ZoneShape {
+            name: name.to_owned(),
+            routers: routers[place],
+            engines: engines[place],
+            plains: 1,
+        });
+    }
+    zones
+}
+
+fn accounts(prefix: &str, count: usize) -> Vec<AccountShape> {
+    let account = |number| AccountShape {
+        name: format!("{prefix}-{number:02}"),
+        weight: 1,
+    };
+    (1..=count).map(account).collect()
+}
+
+impl Shape {
+    /// Three zones with one router and one engine each.
+    pub fn three_zones() -> Self {
+        Self {
+            zones: zones(["barasat", "madhyamgram", "habra"], [1, 1, 1], [1, 1, 1]),
+            accounts: accounts("parish", 3),
+            slots: (1, 8),
+            engine: EngineConfig {
+                model: MODEL.to_owned(),
+                pace: Pace::Timed {
+                    token: Duration::from_millis(15),
+                    slowdown: 0.02,
+                    prefill: Duration::from_micros(200),
+                },
+                ..EngineConfig::default()
+            },
+            plain_time: Duration::from_millis(5),
+            deadline: Duration::from_secs(30),
+            queue: 100,
+            host_lag: Duration::from_millis(200),
+        }
+    }
+
+    /// The Utility of today: nine routers, ten drafting and three dispatch workers, 16 accounts.
+    pub fn utility() -> Self {
+        Self {
+            zones: zones(["barasat", "madhyamgram", "habra"], [3, 3, 3], [4, 3, 3]),
+            accounts: accounts("parish", 16),
+            ..Self::three_zones()
+        }
+    }
+
+    /// The Co-op of today: eight routers, 20 model and three auction-floor workers, 16 accounts.
+    pub fn co_op() -> Self {
+        Self {
+            zones: zones(["oudtshoorn", "george", "mosselbaai"], [3, 3, 2], [7, 7, 6]),
+            accounts: accounts("member", 16),
+            ..Self::three_zones()
+        }
+    }
+}
--- a/crates/primrosed/src/decide/documents.rs
+++ b/crates/primrosed/src/decide/documents.rs
@@ -111,7 +111,7 @@
         for (name, pool) in &table.pools {
             if let Some(dispatcher) = self.dispatchers.get_mut(name) {
                 let actions = dispatcher.handle(dispatcher::Event::Pool(pool.clone()), now);
-                self.dispatcher_actions(actions, now);
+                self.dispatcher_actions(actions);
             }
         }
         if let Some(header) = self.header(DocumentKind::Tables) {
@@ -135,7 +135,9 @@
         if let Some(header) = self.header(kind) {
             self.published.set_generation(kind, header.generation);
         }
-        let complete = DOCUMENT_KINDS.iter().all(|kind| self.header(*kind).is_some());
+        let complete = DOCUMENT_KINDS
+            .iter()
+            .all(|kind| self.header(*kind).is_some());
         self.published.set_ready(complete && !self.draining);
         self.tell_header(kind);
     }
--- a/crates/primrosed/src/decide/mod.rs
+++ b/crates/primrosed/src/decide/mod.rs
@@ -42,6 +42,7 @@
 use crate::message::PeerMessage;
 use crate::published::Published;
 
+pub(crate) use directory::ROUTER_SERVICE;
 pub(crate) use run::run;
 pub(crate) use wires::Wires;
 
--- a/crates/primrosed/src/duty/hosts.rs
+++ b/crates/primrosed/src/duty/hosts.rs
@@ -1,38 +1,101 @@
-//! The host list thread of one service.
+//! Threads that follow the host list: one for each service that a pool selects by, and one for
+//! the routers themselves.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use crossbeam_channel::Sender;
+use primrose_core::table::Selector;
 use primrose_platform::hosts::HostList;
 use primrose_retry::Backoff;
 use primrose_retry::BackoffConfig;
 
+use crate::decide::ROUTER_SERVICE;
 use crate::duty::Stop;
 use crate::input::Input;
 use crate::input::ServiceHosts;
+use crate::published::Published;
+use crate::router::HostLists as ListOf;
 
 /// Longest wait of one call at the host list.
 const WAIT_TIME: Duration = Duration::from_secs(10);
 /// Shortest time between two calls, so that a list that changes all the time costs little.
 const GAP: Duration = Duration::from_millis(200);
+/// How often the tables are looked at for new services.
+const CHECK_TIME: Duration = Duration::from_millis(250);
 /// Delays after the list did not answer.
 const BACKOFF: BackoffConfig = BackoffConfig {
     base: Duration::from_millis(200),
     cap: Duration::from_secs(2),
 };
 
-/// The host list duty for one service.
-pub(crate) struct Hosts {
-    pub(crate) service: String,
-    pub(crate) list: Arc<dyn HostList>,
+/// Follows every service that the tables in force name.
+pub(crate) struct HostLists {
+    pub(crate) lists: ListOf,
+    pub(crate) published: Arc<Published>,
     pub(crate) ring: Sender<Input>,
     pub(crate) stop: Arc<Stop>,
 }
 
-impl Hosts {
+impl HostLists {
     /// Runs until stopped.
     pub(crate) fn run(self) {
+        let mut threads = BTreeMap::new();
+        while !self.stop.stopped() {
+            for service in self.services() {
+                let thread = || self.follow(&service);
+                threads.entry(service.clone()).or_insert_with(thread);
+            }
+            self.stop.wait(CHECK_TIME);
+        }
+        for thread in threads.into_values().flatten() {
+            if thread.join().is_err() {
+                log::error!("a host list thread panicked");
+            }
+        }
+    }
+
+    /// Services to follow: the routers, and what pools select by.
+    fn services(&self) -> BTreeSet<String> {
+        let table = self.published.table();
+        let selected = table.pools.values().filter_map(|pool| match &pool.servers {
+            Selector::Service(service) => Some(service.clone()),
+            Selector::Listed(_) => None,
+        });
+        selected.chain([ROUTER_SERVICE.to_owned()]).collect()
+    }
+
+    fn follow(&self, service: &str) -> Option<JoinHandle<()>> {
+        let hosts = Hosts {
+            service: service.to_owned(),
+            list: (self.lists)(service),
+            ring: self.ring.clone(),
+            stop: Arc::clone(&self.stop),
+        };
+        let started = std::thread::Builder::new()
+            .name("hosts".to_owned())
+            .spawn(move || hosts.run());
+        if let Err(error) = &started {
+            log::error!(service; "failed to start a host list thread: {error}");
+        }
+        started.ok()
+    }
+}
+
+/// Follows one service.
+struct Hosts {
+    service: String,
+    list: Arc<dyn HostList>,
+    ring: Sender<Input>,
+    stop: Arc<Stop>,
+}
+
+impl Hosts {
+    /// Runs until stopped.
+    fn run(self) {
         let mut index = 0;
         let mut backoff = Backoff::new(BACKOFF);
         while !self.stop.stopped() {
--- a/crates/primrosed/src/ops/run.rs
+++ b/crates/primrosed/src/ops/run.rs
@@ -47,7 +47,6 @@
             settings.platform.addresses.clone(),
         ))),
         hosts: host_lists(&settings),
-        services: Vec::new(),
         keys,
         incarnation: incarnation(&*clock),
         metrics: PrometheusBuilder::new().install_recorder().ok(),
--- a/crates/primrosed/src/router.rs
+++ b/crates/primrosed/src/router.rs
@@ -35,7 +35,7 @@
 use crate::decide::Decider;
 use crate::duty::claims;
 use crate::duty::claims::Claims;
-use crate::duty::hosts::Hosts;
+use crate::duty::hosts::HostLists as Follower;
 use crate::duty::loads::Loads;
 use crate::duty::operator::Operator;
 use crate::duty::operator::OperatorError;
@@ -47,7 +47,7 @@
 use crate::message::DOCUMENT_KINDS;
 use crate::published::Published;
 
-pub use primrose_front::front::CutRequest;
+pub use primrose_front::CutRequest;
 
 /// Link events that may wait for the deciding thread.
 const LINK_RING: usize = 1024;
@@ -64,8 +64,6 @@
     pub store: Arc<dyn Store>,
     /// The platform's host list; nothing if the deployment has none.
     pub hosts: Option<HostLists>,
-    /// Services of the host list that pools select by.
-    pub services: Vec<String>,
     /// Keys of the peer links.
     pub keys: Keys,
     /// Number of this run of the process.
@@ -187,7 +185,9 @@
             drained,
             clock: Arc::clone(&parts.clock),
         };
-        router.spawn("decide", move || decide::run(decider, &inputs, &link_events))?;
+        router.spawn("decide", move || {
+            decide::run(decider, &inputs, &link_events)
+        })?;
         let desk = Claims {
             me,
             desk: Desk::new(&settings.platform.prefix, primrose_claim::Limits::default()),
@@ -231,15 +231,13 @@
         let Some(lists) = &parts.hosts else {
             return Ok(());
         };
-        for service in &parts.services {
-            let hosts = Hosts {
-                service: service.clone(),
-                list: lists(service),
-                ring: self.ring.clone(),
-                stop: Arc::clone(&self.stop),
-            };
-            self.spawn("hosts", move || hosts.run())?;
-        }
+        let hosts = Follower {
+            lists: Arc::clone(lists),
+            published: Arc::clone(published),
+            ring: self.ring.clone(),
+            stop: Arc::clone(&self.stop),
+        };
+        self.spawn("hosts", move || hosts.run())?;
         Ok(())
     }
 
