Add the Consul adapters and stand-ins for the key-value service and host list

A write is lost unless the connection could not be made or the service answered 429: only these are sure not to have been applied. The HTTP client reports a failed connect and a later break alike, so its connector marks the first.

The test of watches first passed for the wrong reason, by running out its 20 s wait: the empty service began at index 0, so that the first write had the index on which a watch of an absent key waits, and a copy restored between a watch's arrival and its wait went unseen. The service now begins at 1, the count of restored copies is taken first, and the test fails if a watch is not woken.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -35,6 +35,7 @@
 //! # }
 //! ```
 
+pub mod consul;
 pub mod hosts;
 pub mod memory;
 pub mod store;
--- a/crates/platform/src/memory/mod.rs
+++ b/crates/platform/src/memory/mod.rs
@@ -12,4 +12,6 @@
 pub use faults::Fault;
 pub use hosts::MemoryHosts;
 pub use state::State;
+pub use store::Calls;
 pub use store::MemoryStore;
+pub use store::Progress;
--- a/crates/platform/src/memory/state.rs
+++ b/crates/platform/src/memory/state.rs
@@ -14,6 +14,9 @@
 use crate::store::Version;
 use crate::store::Written;
 
+/// Index of an empty service; a query that waits on an absent key names it, so no write has it.
+const FIRST_INDEX: Version = 1;
+
 #[derive(Debug, Clone)]
 struct Lease {
     ttl: Duration,
@@ -28,7 +31,7 @@
 }
 
 /// Entries, versions and leases; a clone is a copy to restore from.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct State {
     index: Version,
     next_lease: u64,
@@ -37,6 +40,18 @@
     leases: BTreeMap<LeaseId, Lease>,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            index: FIRST_INDEX,
+            next_lease: 0,
+            entries: BTreeMap::new(),
+            deleted: BTreeMap::new(),
+            leases: BTreeMap::new(),
+        }
+    }
+}
+
 impl State {
     /// Returns the version of the last change.
     pub fn index(&self) -> Version {
--- a/crates/platform/src/memory/store.rs
+++ b/crates/platform/src/memory/store.rs
@@ -1,5 +1,6 @@
 //! The in-memory store: plain state, faults by call number, and counters.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
@@ -8,6 +9,7 @@
 use std::time::Instant;
 
 use primrose_core::clock::Clock;
+use primrose_core::clock::Mono;
 
 use super::faults::Plan;
 use super::Fault;
@@ -51,12 +53,61 @@
     Revoked,
 }
 
+/// Calls by what they cost the service.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Calls {
+    /// Reads of keys and lists.
+    pub reads: u64,
+    /// Commits and calls about leases.
+    pub writes: u64,
+    /// Watches, each counted once however long it waits.
+    pub watches: u64,
+}
+
+impl Calls {
+    /// Returns the sum.
+    pub fn total(self) -> u64 {
+        self.reads + self.writes + self.watches
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Kind {
+    Read,
+    Write,
+    Watch,
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     state: State,
     plan: Plan,
     late: Vec<LateWrite>,
-    calls: u64,
+    calls: Calls,
+    seconds: BTreeMap<u64, u64>,
+    restored: u64,
+}
+
+impl Inner {
+    /// Counts a call and returns its number.
+    fn count(&mut self, kind: Kind, now: Mono) -> u64 {
+        match kind {
+            Kind::Read => self.calls.reads += 1,
+            Kind::Write => self.calls.writes += 1,
+            Kind::Watch => self.calls.watches += 1,
+        }
+        *self.seconds.entry(now.as_secs()).or_default() += 1;
+        self.calls.total()
+    }
+}
+
+/// How far a store has come.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// Version of the last change.
+    pub index: Version,
+    /// Copies restored so far.
+    pub restored: u64,
 }
 
 /// A [`Store`] in memory whose faults a test sets by hand.
@@ -77,10 +128,15 @@
     }
 
     /// Returns how many calls have arrived; a waiting watch counts as one, a refused call as one.
-    pub fn calls(&self) -> u64 {
+    pub fn calls(&self) -> Calls {
         self.lock().calls
     }
 
+    /// Returns the most calls that have arrived within one second of the clock.
+    pub fn busiest_second(&self) -> u64 {
+        self.lock().seconds.values().copied().max().unwrap_or(0)
+    }
+
     /// Refuses every call from now on, or ends that.
     pub fn set_down(&self, down: bool) {
         self.lock().plan.set_down(down);
@@ -90,7 +146,7 @@
     /// Plans a fault for a call that is yet to come: 1 is the next one.
     pub fn fault_in(&self, calls: u64, fault: Fault) {
         let mut inner = self.lock();
-        let call = inner.calls + calls;
+        let call = inner.calls.total() + calls;
         inner.plan.add(call, fault);
     }
 
@@ -101,20 +157,61 @@
 
     /// Puts an earlier copy in the place of what the service holds.
     pub fn restore(&self, copy: State) {
-        self.lock().state = copy;
+        let mut inner = self.lock();
+        inner.state = copy;
+        inner.restored += 1;
         self.changed.notify_all();
     }
 
+    /// Returns one entry without counting a call.
+    pub fn peek(&self, key: &str) -> Option<Entry> {
+        self.settle().state.get(key).cloned()
+    }
+
+    /// Returns the version of the last change of a key, without counting a call.
+    pub fn peek_changed(&self, key: &str) -> Version {
+        self.settle().state.changed(key)
+    }
+
+    /// Returns numbers that differ after every change and every restored copy, without counting a call.
+    pub fn peek_progress(&self) -> Progress {
+        let inner = self.settle();
+        Progress {
+            index: inner.state.index(),
+            restored: inner.restored,
+        }
+    }
+
+    /// Counts a watch and takes the fault that was planned for it.
+    pub fn begin_watch(&self) -> Result<()> {
+        let fault = self.enter(Kind::Watch).1;
+        fault.map_or(Ok(()), unavailable)
+    }
+
+    /// Returns the time for which a lease lasts after a renewal, without counting a call.
+    pub fn peek_ttl(&self, lease: &str) -> Option<Duration> {
+        self.settle().state.ttl(lease)
+    }
+
+    /// Ends leases whose time has passed.
+    fn settle(&self) -> MutexGuard<'_, Inner> {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        if inner.state.expire(now) {
+            self.changed.notify_all();
+        }
+        inner
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().expect("store lock poisoned")
     }
 
     /// Counts a call, applies what is due, and returns the call's fault.
-    fn enter(&self) -> (MutexGuard<'_, Inner>, Option<Fault>) {
+    fn enter(&self, kind: Kind) -> (MutexGuard<'_, Inner>, Option<Fault>) {
         let now = self.clock.now();
         let mut inner = self.lock();
-        inner.calls += 1;
-        let calls = inner.calls;
+        let calls = inner.count(kind, now);
         let mut changed = inner.state.expire(now);
         let (due, waiting) = inner.late.drain(..).partition(|late| late.due < calls);
         inner.late = waiting;
@@ -131,7 +228,7 @@
     }
 
     fn read<T>(&self, read: impl FnOnce(&State) -> T) -> Result<T> {
-        let (inner, fault) = self.enter();
+        let (inner, fault) = self.enter(Kind::Read);
         match fault {
             None => Ok(read(&inner.state)),
             Some(fault) => unavailable(fault),
@@ -139,7 +236,7 @@
     }
 
     fn write(&self, write: &Write) -> Result<Effect> {
-        let (mut inner, fault) = self.enter();
+        let (mut inner, fault) = self.enter(Kind::Write);
         let now = self.clock.now();
         match fault {
             None => {
@@ -155,7 +252,7 @@
                 lost()
             }
             Some(Fault::Late(calls)) => {
-                let due = inner.calls + calls;
+                let due = inner.calls.total() + calls;
                 let write = write.clone();
                 inner.late.push(LateWrite { due, write });
                 lost()
@@ -198,7 +295,7 @@
 
     fn watch(&self, key: &str, after: Version, wait: Duration) -> Result<Option<Entry>> {
         check_key(key)?;
-        let (mut inner, fault) = self.enter();
+        let (mut inner, fault) = self.enter(Kind::Watch);
         if let Some(fault) = fault {
             return unavailable(fault);
         }
--- /dev/null
+++ b/crates/platform/tests/testsuite/consul_faults.rs
@@ -0,0 +1,225 @@
+//! What the adapter makes of faults: surely not applied, or perhaps applied.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use primrose_platform::consul::ConsulConfig;
+use primrose_platform::consul::ConsulStore;
+use primrose_platform::memory::Fault;
+use primrose_platform::store::CommitResult;
+use primrose_platform::store::Op;
+use primrose_platform::store::Store;
+use primrose_platform::store::StoreError;
+use primrose_standin::kv::Kv;
+use primrose_standin::kv::KvConfig;
+use primrose_standin::runtime::Runtime;
+
+use crate::consul::adapter;
+
+fn service(runtime: &Runtime) -> Kv {
+    Kv::start(runtime, KvConfig::default()).unwrap()
+}
+
+/// Returns an address on which nothing listens.
+fn closed_addr() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+#[test]
+fn faults_of_a_write_are_told_apart() {
+    struct Case {
+        fault: Fault,
+        lost: bool,
+        there: bool,
+    }
+    let cases = [
+        Case {
+            fault: Fault::Refused,
+            lost: false,
+            there: false,
+        },
+        Case {
+            fault: Fault::LostBefore,
+            lost: true,
+            there: false,
+        },
+        Case {
+            fault: Fault::LostAfter,
+            lost: true,
+            there: true,
+        },
+        Case {
+            fault: Fault::Late(1),
+            lost: true,
+            there: false,
+        },
+    ];
+    let runtime = Runtime::new().unwrap();
+    for case in cases {
+        let kv = service(&runtime);
+        let store = adapter(vec![kv.addr()]);
+        kv.store().fault_in(1, case.fault);
+        let error = store.commit(&[Op::create("a", vec![1])]).unwrap_err();
+        let lost = matches!(error, StoreError::Lost { .. });
+        assert_eq!(lost, case.lost, "{:?}: {error}", case.fault);
+        let there = store.get("a").unwrap().is_some();
+        assert_eq!(there, case.there, "{:?}", case.fault);
+    }
+}
+
+#[test]
+fn a_lost_write_is_not_sent_to_the_next_address() {
+    let runtime = Runtime::new().unwrap();
+    let (first, second) = (service(&runtime), service(&runtime));
+    let store = adapter(vec![first.addr(), second.addr()]);
+    first.store().fault_in(1, Fault::LostAfter);
+    let error = store.commit(&[Op::create("a", vec![1])]).unwrap_err();
+    assert!(matches!(error, StoreError::Lost { .. }), "{error}");
+    assert_eq!(second.store().calls().total(), 0);
+    // The next call begins at the address that has not failed.
+    store.get("a").unwrap();
+    assert_eq!(second.store().calls().total(), 1);
+}
+
+#[test]
+fn a_refused_connection_is_surely_not_applied_and_the_next_address_is_tried() {
+    let runtime = Runtime::new().unwrap();
+    let kv = service(&runtime);
+    let store = adapter(vec![closed_addr(), kv.addr()]);
+    let result = store.commit(&[Op::create("a", vec![1])]).unwrap();
+    assert!(matches!(result, CommitResult::Applied(_)));
+
+    let store = adapter(vec![closed_addr(), closed_addr()]);
+    let error = store.commit(&[Op::create("a", vec![1])]).unwrap_err();
+    assert!(matches!(error, StoreError::Unavailable { .. }), "{error}");
+    let error = adapter(Vec::new()).get("a").unwrap_err();
+    assert!(matches!(error, StoreError::Unavailable { .. }), "{error}");
+}
+
+#[test]
+fn an_outage_ends_with_the_state_that_was_there() {
+    let runtime = Runtime::new().unwrap();
+    let kv = service(&runtime);
+    let store = adapter(vec![kv.addr()]);
+    store.commit(&[Op::create("a", vec![1])]).unwrap();
+    kv.stop();
+    let error = store.commit(&[Op::create("b", vec![1])]).unwrap_err();
+    assert!(matches!(error, StoreError::Unavailable { .. }), "{error}");
+    let error = store.watch("a", 0, Duration::from_secs(1)).unwrap_err();
+    assert!(matches!(error, StoreError::Unavailable { .. }), "{error}");
+    kv.restart().unwrap();
+    assert!(store.get("a").unwrap().is_some());
+    assert!(store.get("b").unwrap().is_none());
+}
+
+#[test]
+fn a_write_that_times_out_is_lost_and_may_still_take_effect() {
+    let runtime = Runtime::new().unwrap();
+    let kv = service(&runtime);
+    kv.stall(true);
+    let store = ConsulStore::new(ConsulConfig {
+        call_timeout: Duration::from_millis(100),
+        ..ConsulConfig::new(vec![kv.addr()])
+    });
+    let error = store.commit(&[Op::create("a", vec![1])]).unwrap_err();
+    assert!(matches!(error, StoreError::Lost { .. }), "{error}");
+    let error = store.get("a").unwrap_err();
+    assert!(matches!(error, StoreError::Unavailable { .. }), "{error}");
+    assert_eq!(kv.store().peek("a"), None);
+    kv.stall(false);
+    let patient = adapter(vec![kv.addr()]);
+    let entry = patient.watch("a", 0, Duration::from_secs(20)).unwrap();
+    assert!(entry.is_some());
+}
+
+/// Answers one connection with fixed bytes and returns what it was sent.
+fn answer_once(answer: &'static [u8]) -> (SocketAddr, JoinHandle<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let served = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buffer = [0; 4096];
+        let read = stream.read(&mut buffer).unwrap();
+        stream.write_all(answer).unwrap();
+        read
+    });
+    (addr, served)
+}
+
+#[test]
+fn what_a_reply_means_depends_on_whether_the_call_writes() {
+    #[derive(Debug, PartialEq)]
+    enum Seen {
+        Unavailable,
+        Lost,
+        Invalid,
+    }
+    struct Case {
+        name: &'static str,
+        answer: &'static [u8],
+        read: Seen,
+        write: Seen,
+    }
+    let cases = [
+        Case {
+            name: "server error",
+            answer: b"HTTP/1.1 500 E\r\nContent-Length: 9\r\n\r\nno leader",
+            read: Seen::Unavailable,
+            write: Seen::Lost,
+        },
+        Case {
+            name: "rate limit",
+            answer: b"HTTP/1.1 429 E\r\nContent-Length: 0\r\n\r\n",
+            read: Seen::Unavailable,
+            write: Seen::Unavailable,
+        },
+        Case {
+            name: "access denied",
+            answer: b"HTTP/1.1 403 E\r\nContent-Length: 0\r\n\r\n",
+            read: Seen::Invalid,
+            write: Seen::Invalid,
+        },
+        Case {
+            name: "garbage JSON",
+            answer: b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n[{\"",
+            read: Seen::Invalid,
+            write: Seen::Lost,
+        },
+        Case {
+            name: "body broken off",
+            answer: b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n[",
+            read: Seen::Unavailable,
+            write: Seen::Lost,
+        },
+        Case {
+            name: "no HTTP",
+            answer: b"\x00\x01\x02\r\n\r\n",
+            read: Seen::Unavailable,
+            write: Seen::Lost,
+        },
+    ];
+    let seen = |error: StoreError| match error {
+        StoreError::Unavailable { .. } => Seen::Unavailable,
+        StoreError::Lost { .. } => Seen::Lost,
+        StoreError::Invalid { .. } => Seen::Invalid,
+        StoreError::LeaseEnded { .. } => panic!("{error}"),
+    };
+    for case in cases {
+        let (addr, served) = answer_once(case.answer);
+        let error = adapter(vec![addr]).get("a").unwrap_err();
+        assert_eq!(seen(error), case.read, "read: {}", case.name);
+        assert!(served.join().unwrap() > 0);
+
+        let (addr, served) = answer_once(case.answer);
+        let store = adapter(vec![addr]);
+        let error = store.commit(&[Op::create("a", vec![])]).unwrap_err();
+        assert_eq!(seen(error), case.write, "write: {}", case.name);
+        assert!(served.join().unwrap() > 0);
+    }
+}
--- a/crates/platform/tests/testsuite/memory.rs
+++ b/crates/platform/tests/testsuite/memory.rs
@@ -127,7 +127,7 @@
         assert_eq!(lost, case.lost, "{:?}", case.fault);
         let there = store.get("a").unwrap().is_some();
         assert_eq!(there, case.there, "{:?}", case.fault);
-        assert_eq!(store.calls(), 2, "{:?}", case.fault);
+        assert_eq!(store.calls().total(), 2, "{:?}", case.fault);
     }
 }
 
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -111,6 +111,13 @@
     }
 }
 
+/// Reads a whole request.
+pub(crate) async fn whole(request: Request<Incoming>) -> Result<Request<Bytes>, Reply> {
+    let (parts, incoming) = request.into_parts();
+    let body = body(Request::new(incoming)).await?;
+    Ok(Request::from_parts(parts, body))
+}
+
 /// Returns a header's text.
 pub(crate) fn header<'a, B>(request: &'a Request<B>, name: &str) -> Option<&'a str> {
     request.headers().get(name)?.to_str().ok()
--- /dev/null
+++ b/crates/standin/src/kv/serve.rs
@@ -0,0 +1,311 @@
+//! The HTTP interface of the key-value service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use primrose_platform::memory::MemoryStore;
+use primrose_platform::store::CommitResult;
+use primrose_platform::store::Entry;
+use primrose_platform::store::Op;
+use primrose_platform::store::Store;
+use primrose_platform::store::StoreError;
+use primrose_platform::store::Version;
+use tokio::sync::watch;
+
+use super::progress::Signal;
+use super::wire;
+use super::wire::Pair;
+use super::wire::TxnReply;
+use super::KvConfig;
+use crate::hosts;
+use crate::http;
+use crate::http::Reply;
+use crate::server::Answer;
+use crate::server::Service;
+
+/// Wait of a blocking query that states none.
+const DEFAULT_WAIT: Duration = Duration::from_secs(300);
+
+/// What the handle and the requests share.
+pub(super) struct Core {
+    config: KvConfig,
+    store: Arc<MemoryStore>,
+    signal: Signal,
+    stalled: watch::Sender<bool>,
+}
+
+impl Core {
+    pub(super) fn new(config: KvConfig) -> Arc<Self> {
+        let store = Arc::new(MemoryStore::new(config.clock.clone()));
+        Arc::new(Self {
+            signal: Signal::new(store.peek_progress()),
+            stalled: watch::Sender::new(false),
+            store,
+            config,
+        })
+    }
+
+    pub(super) fn store(&self) -> &Arc<MemoryStore> {
+        &self.store
+    }
+
+    pub(super) fn stall(&self, stall: bool) {
+        self.stalled.send_replace(stall);
+    }
+
+    /// Wakes waiting queries if the state has changed.
+    pub(super) fn look(&self) {
+        let progress = self.store.peek_progress();
+        self.signal.send_if_modified(|seen| {
+            let changed = *seen != progress;
+            *seen = progress;
+            changed
+        });
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Option<Reply> {
+        let request = match http::whole(request).await {
+            Ok(request) => request,
+            Err(reply) => return Some(reply),
+        };
+        if request.method() == Method::GET {
+            return self.work(request).await;
+        }
+        // A write takes effect also when its caller has gone away meanwhile.
+        tokio::spawn(self.work(request)).await.ok()?
+    }
+
+    async fn work(self: Arc<Self>, request: Request<Bytes>) -> Option<Reply> {
+        let mut stalled = self.stalled.subscribe();
+        // The sender lives in this core, so waiting cannot fail.
+        let _ = stalled.wait_for(|stalls| !stalls).await;
+        let answer = self.route(request).await;
+        self.look();
+        match answer {
+            Ok(reply) => Some(reply),
+            Err(StoreError::Lost { .. }) => None,
+            Err(error) => Some(refusal(&error)),
+        }
+    }
+
+    async fn route(&self, request: Request<Bytes>) -> Result<Reply, StoreError> {
+        let path = request.uri().path().to_owned();
+        let method = request.method().clone();
+        if let Some(key) = path.strip_prefix("/v1/kv/") {
+            let Some(key) = decode(key) else {
+                return Ok(bad_request("key is badly encoded"));
+            };
+            return match method {
+                Method::GET => self.read(&key, &request).await,
+                Method::PUT => self.put(key, request),
+                Method::DELETE => self.delete(key, &request),
+                _ => Ok(not_served()),
+            };
+        }
+        if let Some(service) = path.strip_prefix("/v1/health/service/") {
+            return match &self.config.hosts {
+                Some(board) => Ok(hosts::answer(board, service, &request).await),
+                None => Ok(not_served()),
+            };
+        }
+        if method != Method::PUT {
+            return Ok(not_served());
+        }
+        if path == "/v1/txn" {
+            return self.transact(&request);
+        }
+        if path == "/v1/session/create" {
+            return self.create_session(&request);
+        }
+        if let Some(lease) = path.strip_prefix("/v1/session/renew/") {
+            self.store.renew(lease)?;
+            let id = lease.to_owned();
+            return Ok(http::json(StatusCode::OK, &[wire::Session { id }]));
+        }
+        if let Some(lease) = path.strip_prefix("/v1/session/destroy/") {
+            self.store.revoke(lease)?;
+            return Ok(http::json(StatusCode::OK, &true));
+        }
+        Ok(not_served())
+    }
+
+    async fn read(&self, key: &str, request: &Request<Bytes>) -> Result<Reply, StoreError> {
+        if http::query(request, "recurse").is_some() {
+            let entries = self.store.list(key)?;
+            return Ok(pairs(entries, self.store.peek_progress().index));
+        }
+        let index = http::query(request, "index").and_then(|text| text.parse().ok());
+        let entry = match index {
+            None | Some(0) => self.store.get(key)?,
+            Some(index) => {
+                // Taken before the call is counted, so that whoever sees the count may restore.
+                let restored = self.store.peek_progress().restored;
+                self.store.begin_watch()?;
+                let wait = http::query(request, "wait").and_then(duration);
+                let changed = self.change_of(key, index, restored);
+                // Running out of time is an answer like any other.
+                let _ = tokio::time::timeout(wait.unwrap_or(DEFAULT_WAIT), changed).await;
+                self.store.peek(key)
+            }
+        };
+        let changed = self.store.peek_changed(key);
+        Ok(pairs(entry.into_iter().collect(), changed.max(1)))
+    }
+
+    /// Waits until the key has changed after the index, or another copy has been restored.
+    async fn change_of(&self, key: &str, index: Version, restored: u64) {
+        let mut signal = self.signal.subscribe();
+        let unchanged = || {
+            let same = self.store.peek_progress().restored == restored;
+            same && self.store.peek_changed(key) <= index
+        };
+        while unchanged() {
+            // The sender lives in this core, so waiting cannot fail.
+            let _ = signal.changed().await;
+        }
+    }
+
+    fn put(&self, key: String, request: Request<Bytes>) -> Result<Reply, StoreError> {
+        let text = |name| http::query(&request, name).map(str::to_owned);
+        let cas = text("cas").and_then(|text| text.parse().ok());
+        let (acquire, release) = (text("acquire"), text("release"));
+        let value = request.into_body().to_vec();
+        let op = match (cas, acquire, release) {
+            (Some(0), ..) => Op::Create { key, value },
+            (Some(version), ..) => Op::Swap {
+                key,
+                value,
+                version,
+            },
+            (None, Some(lease), _) => Op::Hold { key, value, lease },
+            (None, None, Some(lease)) => Op::Release { key, value, lease },
+            (None, None, None) => Op::Put { key, value },
+        };
+        self.single(&op)
+    }
+
+    fn delete(&self, key: String, request: &Request<Bytes>) -> Result<Reply, StoreError> {
+        let cas = http::query(request, "cas").and_then(|text| text.parse().ok());
+        let Some(version) = cas else {
+            return Ok(bad_request("only deletes with cas are served"));
+        };
+        self.single(&Op::Delete { key, version })
+    }
+
+    fn single(&self, op: &Op) -> Result<Reply, StoreError> {
+        let result = self.store.commit(std::slice::from_ref(op))?;
+        let applied = matches!(result, CommitResult::Applied(_));
+        Ok(http::json(StatusCode::OK, &applied))
+    }
+
+    fn transact(&self, request: &Request<Bytes>) -> Result<Reply, StoreError> {
+        let parsed: Result<Vec<wire::TxnOp>, _> = serde_json::from_slice(request.body());
+        let ops = match parsed {
+            Ok(ops) => ops,
+            Err(error) => return Ok(bad_request(&error.to_string())),
+        };
+        let ops: Result<Vec<Op>, String> = ops.into_iter().map(wire::TxnOp::into_op).collect();
+        let ops = match ops {
+            Ok(ops) => ops,
+            Err(error) => return Ok(bad_request(&error)),
+        };
+        Ok(match self.store.commit(&ops)? {
+            CommitResult::Applied(written) => {
+                http::json(StatusCode::OK, &TxnReply::applied(written))
+            }
+            CommitResult::Conflict(conflict) => {
+                http::json(StatusCode::CONFLICT, &TxnReply::conflict(conflict))
+            }
+        })
+    }
+
+    fn create_session(&self, request: &Request<Bytes>) -> Result<Reply, StoreError> {
+        let parsed: Result<wire::NewSession, _> = serde_json::from_slice(request.body());
+        let ttl = parsed.ok().and_then(|session| duration(&session.ttl));
+        match ttl {
+            Some(ttl) if ttl >= self.config.min_ttl => {
+                let id = self.store.lease(ttl)?;
+                Ok(http::json(StatusCode::OK, &wire::Session { id }))
+            }
+            _ => Ok(bad_request("invalid session TTL")),
+        }
+    }
+}
+
+impl Service for Core {
+    fn call(self: Arc<Self>, request: Request<Incoming>) -> Answer {
+        Box::pin(self.answer(request))
+    }
+}
+
+fn pairs(entries: Vec<Entry>, index: Version) -> Reply {
+    let status = if entries.is_empty() {
+        StatusCode::NOT_FOUND
+    } else {
+        StatusCode::OK
+    };
+    let pairs: Vec<Pair> = entries.into_iter().map(Pair::from).collect();
+    let mut reply = http::json(status, &pairs);
+    set_index(&mut reply, index);
+    reply
+}
+
+/// Writes the index of the state that a reply shows.
+pub(crate) fn set_index(reply: &mut Reply, index: u64) {
+    reply
+        .headers_mut()
+        .insert("x-consul-index", HeaderValue::from(index));
+}
+
+fn refusal(error: &StoreError) -> Reply {
+    let status = match error {
+        StoreError::Unavailable { .. } => StatusCode::TOO_MANY_REQUESTS,
+        StoreError::LeaseEnded { .. } => StatusCode::NOT_FOUND,
+        StoreError::Invalid { .. } | StoreError::Lost { .. } => StatusCode::BAD_REQUEST,
+    };
+    http::error(status, &error.to_string())
+}
+
+fn bad_request(message: &str) -> Reply {
+    http::error(StatusCode::BAD_REQUEST, message)
+}
+
+/// Makes the reply for what is not served; its status is not that of an absent key.
+fn not_served() -> Reply {
+    http::error(StatusCode::METHOD_NOT_ALLOWED, "not served here")
+}
+
+/// Parses a duration such as `10s` or `250ms`.
+pub(crate) fn duration(text: &str) -> Option<Duration> {
+    if let Some(ms) = text.strip_suffix("ms") {
+        return ms.parse().ok().map(Duration::from_millis);
+    }
+    if let Some(minutes) = text.strip_suffix('m') {
+        let minutes: u64 = minutes.parse().ok()?;
+        return Some(Duration::from_secs(minutes.checked_mul(60)?));
+    }
+    let seconds = text.strip_suffix('s')?.parse().ok()?;
+    Some(Duration::from_secs(seconds))
+}
+
+/// Decodes a percent-encoded key.
+fn decode(text: &str) -> Option<String> {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        if byte != b'%' {
+            bytes.push(byte);
+            continue;
+        }
+        let digits = [rest.next()?, rest.next()?];
+        let digits = std::str::from_utf8(&digits).ok()?;
+        bytes.push(u8::from_str_radix(digits, 16).ok()?);
+    }
+    String::from_utf8(bytes).ok()
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,8 @@
 //!
 //! - [`engine::Engine`]: a model engine that batches, streams, caches prefixes and can crash.
 //! - [`plain::Plain`]: a plain service that counts its runs by key.
+//! - [`kv::Kv`]: a key-value service with outages, lost replies and restored copies.
+//! - [`hosts::Hosts`]: a host list with a lag.
 //!
 //! ```
 //! use primrose_standin::plain::{Plain, PlainConfig};
@@ -19,7 +21,9 @@
 //! ```
 
 pub mod engine;
+pub mod hosts;
 mod http;
+pub mod kv;
 pub mod plain;
 pub mod runtime;
 mod server;
