Add orders to backend servers: one writer a server, under a lease

Servers of a pool are compared with the pools table and ordered where they differ, level-triggered. A holder stops sending before its lease's end by its own clock, the successor of a lapsed holder waits out the lease before servers that check no fencing number, and loads need one of a few permits that name the server they are used for.

--- /dev/null
+++ b/crates/order/src/config.rs
@@ -0,0 +1,75 @@
+//! Times and limits of a writer.
+
+use std::time::Duration;
+
+use primrose_retry::BackoffConfig;
+
+/// Times and limits of a writer; the same on every router of the fleet.
+#[derive(Debug, Clone)]
+pub struct OrderConfig {
+    /// Name of this process, for whoever reads the keys.
+    pub holder: String,
+    /// Time to live of the lease.
+    pub ttl: Duration,
+    /// No order is sent in this last part of the lease.
+    pub margin: Duration,
+    /// Time between two looks at a server that is as it should be.
+    pub look: Duration,
+    /// Time between two looks at a server that carries out an order.
+    pub settle_look: Duration,
+    /// Longest time until an order shows in the server's state; then it is sent again.
+    pub accept_time: Duration,
+    /// Longest time that a server takes to carry out an order.
+    pub settle_time: Duration,
+    /// Time after which a server that cannot be reached no longer counts as loading.
+    pub unreachable_time: Duration,
+    /// Loads that may be under way in the whole fleet.
+    pub load_limit: u32,
+    /// How long an unused lease is kept.
+    pub linger: Duration,
+    /// Delays after failures.
+    pub retry: BackoffConfig,
+    /// Seed of the random delays; another one in each process.
+    pub seed: u64,
+}
+
+impl OrderConfig {
+    /// Makes the default configuration of a process.
+    pub fn new(holder: impl Into<String>, seed: u64) -> Self {
+        Self {
+            holder: holder.into(),
+            ttl: Duration::from_secs(15),
+            margin: Duration::from_secs(5),
+            look: Duration::from_secs(10),
+            settle_look: Duration::from_secs(1),
+            accept_time: Duration::from_secs(5),
+            settle_time: Duration::from_secs(15 * 60),
+            unreachable_time: Duration::from_secs(2 * 60),
+            load_limit: 8,
+            linger: Duration::from_secs(20),
+            retry: BackoffConfig {
+                base: Duration::from_secs(1),
+                cap: Duration::from_secs(60),
+            },
+            seed,
+        }
+    }
+
+    /// Returns how long the successor of a lapsed holder waits before it sends an order.
+    ///
+    /// It does not rest on the service having ended the old lease in time: counted from any renewal
+    /// that the old holder may have seen, that holder has stopped by its own clock.
+    pub fn quiet_time(&self) -> Duration {
+        self.ttl + self.margin
+    }
+
+    /// Returns the part of the lease, counted from its last renewal, in which orders are sent.
+    pub(crate) fn send_time(&self) -> Duration {
+        self.ttl.saturating_sub(self.margin)
+    }
+
+    /// Returns the time between renewals.
+    pub(crate) fn renew_time(&self) -> Duration {
+        self.ttl / 3
+    }
+}
--- /dev/null
+++ b/crates/order/tests/testsuite/fleet.rs
@@ -0,0 +1,223 @@
+//! Several writers, one key-value service and a few servers, with a clock that is set by hand.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrose_core::clock::Clock;
+use primrose_order::Action;
+use primrose_order::Desired;
+use primrose_order::Executor;
+use primrose_order::OrderConfig;
+use primrose_order::Target;
+use primrose_order::Writer;
+use primrose_platform::memory::MemoryStore;
+use primrose_support::clock::FakeClock;
+
+use crate::servers::FakeServers;
+use crate::servers::Port;
+use crate::slow::SlowStore;
+
+/// Time that a load takes.
+pub(crate) const LOAD_TIME: Duration = Duration::from_secs(30);
+
+/// Most actions of one turn.
+const TURN: usize = 200;
+
+/// One writer and what carries out its actions.
+pub(crate) struct Process {
+    pub(crate) writer: Writer,
+    pub(crate) executor: Executor,
+    /// Action that the process was given before it was paused.
+    pub(crate) paused: Option<Action>,
+}
+
+/// Writers, service and servers of a test.
+pub(crate) struct Fleet {
+    pub(crate) clock: Arc<FakeClock>,
+    pub(crate) store: Arc<MemoryStore>,
+    /// The same service as the writers reach it.
+    pub(crate) slow: Arc<SlowStore>,
+    pub(crate) servers: Arc<FakeServers>,
+    pub(crate) processes: Vec<Process>,
+    config: OrderConfig,
+    checks: Vec<bool>,
+    writers: usize,
+}
+
+impl Fleet {
+    /// Makes a fleet of so many writers before servers that check, or do not.
+    pub(crate) fn new(writers: usize, checks: &[bool]) -> Self {
+        let config = OrderConfig {
+            unreachable_time: Duration::from_secs(3600),
+            settle_time: Duration::from_secs(3600),
+            load_limit: 1,
+            ..OrderConfig::new("", 0)
+        };
+        Self::with_config(config, writers, checks)
+    }
+
+    pub(crate) fn with_config(config: OrderConfig, writers: usize, checks: &[bool]) -> Self {
+        let clock = Arc::new(FakeClock::new());
+        let store = Arc::new(MemoryStore::new(clock.clone()));
+        let mut fleet = Self {
+            slow: Arc::new(SlowStore::new(store.clone(), clock.clone())),
+            store,
+            servers: FakeServers::new(clock.clone(), LOAD_TIME, checks),
+            processes: Vec::new(),
+            clock,
+            config,
+            checks: checks.to_vec(),
+            writers: 0,
+        };
+        for _ in 0..writers {
+            let process = fleet.start();
+            fleet.processes.push(process);
+        }
+        fleet
+    }
+
+    /// Starts a process that nobody has seen before.
+    fn start(&mut self) -> Process {
+        let writer = self.writers;
+        self.writers += 1;
+        let config = OrderConfig {
+            holder: format!("host-{writer}"),
+            seed: writer as u64,
+            ..self.config.clone()
+        };
+        let port = Port {
+            writer,
+            servers: self.servers.clone(),
+        };
+        Process {
+            writer: Writer::new(config),
+            executor: Executor::new(self.slow.clone(), Arc::new(port), self.clock.clone()),
+            paused: None,
+        }
+    }
+
+    /// Ends a process without a word and starts another in its place.
+    pub(crate) fn replace(&mut self, process: usize) {
+        self.processes[process] = self.start();
+    }
+
+    /// Gives a writer every server, to be at this version and role.
+    pub(crate) fn desire(&mut self, process: usize, version: &str, role: &str) {
+        let desired = Desired {
+            model: "linen".into(),
+            version: version.into(),
+            role: role.into(),
+        };
+        let targets = self
+            .checks
+            .iter()
+            .enumerate()
+            .map(|(server, checks)| Target {
+                server: format!("s{server}"),
+                addr: FakeServers::addr(server),
+                desired: desired.clone(),
+                checks: *checks,
+            });
+        let now = self.clock.now();
+        let writer = &mut self.processes[process].writer;
+        writer.set_targets(targets.collect(), now);
+    }
+
+    /// Takes a writer its servers.
+    pub(crate) fn dismiss(&mut self, process: usize) {
+        let now = self.clock.now();
+        self.processes[process].writer.set_targets(Vec::new(), now);
+    }
+
+    /// Lets a process do what it has to do now.
+    pub(crate) fn turn(&mut self, process: usize) {
+        self.resume(process);
+        let process = &mut self.processes[process];
+        process.executor.turn(&mut process.writer, TURN);
+    }
+
+    /// Stops a process right before it carries out its next action.
+    pub(crate) fn pause(&mut self, process: usize) {
+        let now = self.clock.now();
+        let process = &mut self.processes[process];
+        if process.paused.is_none() {
+            process.paused = process.writer.poll(now);
+        }
+    }
+
+    /// Lets a paused process carry out its action.
+    pub(crate) fn resume(&mut self, process: usize) {
+        let process = &mut self.processes[process];
+        let Some(action) = process.paused.take() else {
+            return;
+        };
+        if let Some(event) = process.executor.perform(action) {
+            process.writer.on(event, self.clock.now());
+        }
+    }
+
+    /// Lets every process run for a time, second by second.
+    pub(crate) fn run(&mut self, time: Duration) {
+        let step = Duration::from_secs(1);
+        for _ in 0..time.as_secs() {
+            for process in 0..self.processes.len() {
+                self.turn(process);
+            }
+            self.clock.advance(step);
+        }
+    }
+
+    /// Lets every other process run for a time while this one sleeps.
+    pub(crate) fn sleep(&mut self, process: usize, secs: u64) {
+        for _ in 0..secs {
+            for other in 0..self.processes.len() {
+                if other != process {
+                    self.turn(other);
+                }
+            }
+            self.clock.advance(Duration::from_secs(1));
+        }
+    }
+
+    /// Lets a process run until it is about to carry out a chosen action; true if it came to that.
+    pub(crate) fn pause_before(&mut self, process: usize, chosen: fn(&Action) -> bool) -> bool {
+        for _ in 0..TURN {
+            self.pause(process);
+            match &self.processes[process].paused {
+                Some(action) if chosen(action) => return true,
+                Some(_) => self.resume(process),
+                None => self.clock.advance(Duration::from_millis(500)),
+            }
+        }
+        false
+    }
+
+    /// Lets a process do what it has to do now, up to the sending of an order.
+    pub(crate) fn halt(&mut self, process: usize) {
+        for _ in 0..TURN {
+            self.pause(process);
+            match &self.processes[process].paused {
+                None | Some(Action::Send { .. }) => return,
+                Some(_) => self.resume(process),
+            }
+        }
+    }
+
+    /// Returns the versions of all servers.
+    pub(crate) fn versions(&self) -> Vec<String> {
+        let servers = 0..self.checks.len();
+        servers
+            .map(|server| self.servers.state(server).version)
+            .collect()
+    }
+}
+
+/// Chooses the sending of an order.
+pub(crate) fn is_send(action: &Action) -> bool {
+    matches!(action, Action::Send { .. })
+}
+
+/// Chooses a commit.
+pub(crate) fn is_commit(action: &Action) -> bool {
+    matches!(action, Action::Commit { .. })
+}
--- /dev/null
+++ b/crates/order/tests/testsuite/main.rs
@@ -0,0 +1,10 @@
+//! Tests of orders to backend servers.
+
+mod desired;
+mod faults;
+mod fleet;
+mod http;
+mod random;
+mod servers;
+mod slow;
+mod steps;
--- /dev/null
+++ b/crates/order/tests/testsuite/random.rs
@@ -0,0 +1,126 @@
+//! Random histories with every fault at every step, and proof that their checker can fail.
+
+use std::time::Duration;
+
+use primrose_order::Action;
+use primrose_order::OrderConfig;
+use primrose_order::Servers;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::TestResult;
+
+use crate::fleet::is_send;
+use crate::fleet::Fleet;
+use crate::servers::violations;
+use crate::servers::Port;
+use crate::steps::Step;
+
+const HISTORIES: u64 = 250;
+const STEPS: usize = 120;
+const SEED: u64 = 20_261_204;
+const PROCESSES: usize = 3;
+const CHECKS: [bool; 3] = [true, false, false];
+const VERSION: &str = "7";
+
+/// Time after the last fault in which every server must be as it should be.
+const SETTLE: Duration = Duration::from_secs(1200);
+
+/// Runs a history, heals every fault, and returns what went wrong.
+fn broken_rules(steps: &[Step]) -> Vec<String> {
+    let mut fleet = Fleet::new(PROCESSES, &CHECKS);
+    for process in 0..PROCESSES {
+        fleet.desire(process, "2", "");
+    }
+    for step in steps {
+        step.apply(&mut fleet, CHECKS.len());
+    }
+    heal(&mut fleet);
+    fleet.run(SETTLE);
+
+    let mut broken = violations(&fleet.servers.sent());
+    if fleet.servers.most_loading() > 1 {
+        broken.push(format!("{} loads at once", fleet.servers.most_loading()));
+    }
+    for (server, version) in fleet.versions().iter().enumerate() {
+        if version != VERSION {
+            broken.push(format!("server {server} ended at version {version}"));
+        }
+    }
+    broken
+}
+
+fn heal(fleet: &mut Fleet) {
+    fleet.store.set_down(false);
+    for server in 0..CHECKS.len() {
+        fleet.servers.set_reachable(server, true);
+        fleet.servers.set_fault(server, None);
+    }
+    for process in 0..PROCESSES {
+        fleet.desire(process, VERSION, "");
+    }
+}
+
+#[test]
+fn no_history_breaks_a_rule_and_each_ends_as_the_table_says() {
+    fn property(steps: Vec<Step>) -> TestResult {
+        let broken = broken_rules(&steps);
+        if broken.is_empty() {
+            return TestResult::passed();
+        }
+        TestResult::error(format!("{broken:?}"))
+    }
+    QuickCheck::new()
+        .tests(HISTORIES)
+        .rng(Gen::from_size_and_seed(STEPS, SEED))
+        .quickcheck(property as fn(Vec<Step>) -> TestResult);
+}
+
+/// Sends the order of a paused process without reading the clock, as an executor must not.
+fn send_regardless(fleet: &mut Fleet, process: usize) {
+    let Some(Action::Send { addr, order, .. }) = fleet.processes[process].paused.take() else {
+        panic!("the process is not about to send");
+    };
+    let port = Port {
+        writer: process,
+        servers: fleet.servers.clone(),
+    };
+    port.send(addr, &order);
+}
+
+#[test]
+fn the_checker_sees_a_holder_that_sends_without_reading_the_clock() {
+    let mut fleet = Fleet::new(2, &[false]);
+    fleet.desire(0, "2", "");
+    assert!(fleet.pause_before(0, is_send));
+    fleet.clock.advance(SETTLE);
+    fleet.desire(1, "3", "");
+    assert!(fleet.pause_before(1, is_send));
+    fleet.resume(1);
+    assert!(violations(&fleet.servers.sent()).is_empty());
+    send_regardless(&mut fleet, 0);
+    assert_eq!(violations(&fleet.servers.sent()).len(), 1);
+}
+
+#[test]
+fn the_checker_sees_a_writer_that_uses_the_number_of_another() {
+    let mut fleet = Fleet::new(2, &[true]);
+    fleet.desire(0, "2", "");
+    assert!(fleet.pause_before(0, is_send));
+    let action = fleet.processes[0].paused.clone();
+    fleet.resume(0);
+    fleet.processes[1].paused = action;
+    send_regardless(&mut fleet, 1);
+    assert_eq!(violations(&fleet.servers.sent()).len(), 1);
+}
+
+#[test]
+fn the_checker_sees_loads_that_ignore_the_limit() {
+    let config = OrderConfig {
+        load_limit: 2,
+        ..OrderConfig::new("", 0)
+    };
+    let mut fleet = Fleet::with_config(config, 1, &[true, true]);
+    fleet.desire(0, "2", "");
+    fleet.run(SETTLE);
+    assert_eq!(fleet.servers.most_loading(), 2);
+}
--- /dev/null
+++ b/crates/order/tests/testsuite/servers.rs
@@ -0,0 +1,270 @@
+//! Servers in memory that keep their own record of the orders they were sent.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use primrose_core::clock::Clock;
+use primrose_core::clock::Mono;
+use primrose_order::FencedOrder;
+use primrose_order::Observed;
+use primrose_order::Order;
+use primrose_order::SendResult;
+use primrose_order::Servers;
+use primrose_order::Unreachable;
+use primrose_support::clock::FakeClock;
+
+/// Version of every server at its start.
+pub(crate) const FIRST_VERSION: &str = "1";
+
+/// What befalls the next order to a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OrderFault {
+    /// It is lost on its way.
+    LoseOrder,
+    /// It takes effect and its reply is lost.
+    LoseReply,
+    /// Its reply is lost and it takes effect after this time.
+    Delay(Duration),
+}
+
+/// One order that a writer sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Sent {
+    pub(crate) writer: usize,
+    pub(crate) server: usize,
+    pub(crate) order: FencedOrder,
+    /// Whether the server could refuse it.
+    pub(crate) checked: bool,
+}
+
+#[derive(Debug)]
+struct Server {
+    checks: bool,
+    state: Observed,
+    load_end: Mono,
+    reachable: bool,
+    fault: Option<OrderFault>,
+    delayed: Vec<(Mono, FencedOrder)>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    servers: Vec<Server>,
+    sent: Vec<Sent>,
+    most_loading: usize,
+}
+
+/// The servers of a test.
+pub(crate) struct FakeServers {
+    clock: Arc<FakeClock>,
+    load_time: Duration,
+    inner: Mutex<Inner>,
+}
+
+impl FakeServers {
+    pub(crate) fn new(clock: Arc<FakeClock>, load_time: Duration, checks: &[bool]) -> Arc<Self> {
+        let servers = checks.iter().map(|checks| Server {
+            checks: *checks,
+            state: first_state(),
+            load_end: Mono::ZERO,
+            reachable: true,
+            fault: None,
+            delayed: Vec::new(),
+        });
+        let inner = Inner {
+            servers: servers.collect(),
+            ..Inner::default()
+        };
+        Arc::new(Self {
+            clock,
+            load_time,
+            inner: Mutex::new(inner),
+        })
+    }
+
+    /// Returns the address of a server.
+    pub(crate) fn addr(server: usize) -> SocketAddr {
+        let port = u16::try_from(server).expect("a test has few servers");
+        SocketAddr::from(([10, 0, 0, 1], port))
+    }
+
+    pub(crate) fn state(&self, server: usize) -> Observed {
+        self.settled().servers[server].state.clone()
+    }
+
+    pub(crate) fn sent(&self) -> Vec<Sent> {
+        self.settled().sent.clone()
+    }
+
+    /// Returns the most servers that were loading at the same time.
+    pub(crate) fn most_loading(&self) -> usize {
+        self.settled().most_loading
+    }
+
+    pub(crate) fn set_fault(&self, server: usize, fault: Option<OrderFault>) {
+        self.settled().servers[server].fault = fault;
+    }
+
+    pub(crate) fn set_reachable(&self, server: usize, reachable: bool) {
+        self.settled().servers[server].reachable = reachable;
+    }
+
+    /// Restarts a server: it forgets what it loaded and every fencing number.
+    pub(crate) fn restart(&self, server: usize) {
+        let mut inner = self.settled();
+        let server = &mut inner.servers[server];
+        server.state = first_state();
+        server.delayed.clear();
+    }
+
+    /// Sets what a server is, behind the back of every writer.
+    pub(crate) fn set_state(&self, server: usize, change: impl FnOnce(&mut Observed)) {
+        change(&mut self.settled().servers[server].state);
+    }
+
+    /// Ends loads and delivers orders whose time has come.
+    fn settled(&self) -> MutexGuard<'_, Inner> {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock().expect("servers lock poisoned");
+        for number in 0..inner.servers.len() {
+            let server = &mut inner.servers[number];
+            server.settle(now);
+            let (due, waiting) = server.delayed.drain(..).partition(|(at, _)| *at <= now);
+            server.delayed = waiting;
+            let due: Vec<(Mono, FencedOrder)> = due;
+            for (_, order) in due {
+                self.deliver(&mut inner, number, &order, now);
+            }
+        }
+        inner
+    }
+
+    fn deliver(
+        &self,
+        inner: &mut Inner,
+        server: usize,
+        order: &FencedOrder,
+        now: Mono,
+    ) -> SendResult {
+        let result = inner.servers[server].obey(order, now, self.load_time);
+        let loading = |server: &&Server| !server.state.loading.is_empty();
+        let loading = inner.servers.iter().filter(loading).count();
+        inner.most_loading = inner.most_loading.max(loading);
+        result
+    }
+
+    fn find(addr: SocketAddr) -> usize {
+        usize::from(addr.port())
+    }
+}
+
+impl Server {
+    fn settle(&mut self, now: Mono) {
+        if !self.state.loading.is_empty() && self.load_end <= now {
+            self.state.version = std::mem::take(&mut self.state.loading);
+        }
+    }
+
+    fn obey(&mut self, fenced: &FencedOrder, now: Mono, load_time: Duration) -> SendResult {
+        if self.checks && fenced.fence < self.state.fence {
+            return SendResult::Stale(self.state.clone());
+        }
+        self.state.fence = self.state.fence.max(fenced.fence);
+        match &fenced.order {
+            Order::Load { model, version } => {
+                self.state.model.clone_from(model);
+                if self.state.version != *version || !self.state.loading.is_empty() {
+                    self.state.loading.clone_from(version);
+                    self.load_end = now + load_time;
+                    self.settle(now);
+                }
+            }
+            Order::Role { role } => self.state.role.clone_from(role),
+        }
+        SendResult::Accepted
+    }
+}
+
+fn first_state() -> Observed {
+    Observed {
+        model: "linen".into(),
+        version: FIRST_VERSION.into(),
+        ..Observed::default()
+    }
+}
+
+/// The servers as one writer reaches them.
+pub(crate) struct Port {
+    pub(crate) writer: usize,
+    pub(crate) servers: Arc<FakeServers>,
+}
+
+impl Servers for Port {
+    fn observe(&self, addr: SocketAddr) -> Result<Observed, Unreachable> {
+        let inner = self.servers.settled();
+        let server = &inner.servers[FakeServers::find(addr)];
+        if server.reachable {
+            return Ok(server.state.clone());
+        }
+        Err(Unreachable {
+            refused: false,
+            detail: "fault set by the test".into(),
+        })
+    }
+
+    fn send(&self, addr: SocketAddr, order: &FencedOrder) -> SendResult {
+        let now = self.servers.clock.now();
+        let mut inner = self.servers.settled();
+        let number = FakeServers::find(addr);
+        if !inner.servers[number].reachable {
+            return SendResult::Lost;
+        }
+        let checked = inner.servers[number].checks;
+        inner.sent.push(Sent {
+            writer: self.writer,
+            server: number,
+            order: order.clone(),
+            checked,
+        });
+        match inner.servers[number].fault.take() {
+            None => self.servers.deliver(&mut inner, number, order, now),
+            Some(OrderFault::LoseOrder) => SendResult::Lost,
+            Some(OrderFault::LoseReply) => {
+                self.servers.deliver(&mut inner, number, order, now);
+                SendResult::Lost
+            }
+            Some(OrderFault::Delay(time)) => {
+                let due = now + time;
+                inner.servers[number].delayed.push((due, order.clone()));
+                SendResult::Lost
+            }
+        }
+    }
+}
+
+/// Breaks of the rules, read from what the servers were sent.
+///
+/// The checker knows nothing of the writers but their numbers: every fencing number belongs to one
+/// writer, and a server that obeys anybody is never sent an older number after a newer one.
+pub(crate) fn violations(sent: &[Sent]) -> Vec<String> {
+    let mut found = Vec::new();
+    let mut owners: BTreeMap<(usize, u64), usize> = BTreeMap::new();
+    let mut newest: BTreeMap<usize, u64> = BTreeMap::new();
+    for one in sent {
+        let fence = one.order.fence;
+        let owner = *owners.entry((one.server, fence)).or_insert(one.writer);
+        if owner != one.writer {
+            found.push(format!("two writers share a fencing number: {one:?}"));
+        }
+        let newest = newest.entry(one.server).or_insert(fence);
+        if fence < *newest && !one.checked {
+            found.push(format!("sent after fencing number {newest}: {one:?}"));
+        }
+        *newest = fence.max(*newest);
+    }
+    found
+}
--- /dev/null
+++ b/crates/order/tests/testsuite/slow.rs
@@ -0,0 +1,73 @@
+//! A key-value service whose replies can take their time.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use primrose_platform::memory::MemoryStore;
+use primrose_platform::store::CommitResult;
+use primrose_platform::store::Entry;
+use primrose_platform::store::LeaseId;
+use primrose_platform::store::Op;
+use primrose_platform::store::Result;
+use primrose_platform::store::Store;
+use primrose_platform::store::Version;
+use primrose_support::clock::FakeClock;
+
+/// Passes calls on; the clock moves on between a chosen call's effect and its reply.
+pub(crate) struct SlowStore {
+    store: Arc<MemoryStore>,
+    clock: Arc<FakeClock>,
+    delay: Mutex<Duration>,
+}
+
+impl SlowStore {
+    pub(crate) fn new(store: Arc<MemoryStore>, clock: Arc<FakeClock>) -> Self {
+        Self {
+            store,
+            clock,
+            delay: Mutex::new(Duration::ZERO),
+        }
+    }
+
+    /// Delays the reply to the next call.
+    pub(crate) fn delay_next(&self, delay: Duration) {
+        *self.delay.lock().expect("delay lock poisoned") = delay;
+    }
+
+    fn slowly<T>(&self, reply: T) -> T {
+        let mut delay = self.delay.lock().expect("delay lock poisoned");
+        self.clock.advance(std::mem::take(&mut *delay));
+        reply
+    }
+}
+
+impl Store for SlowStore {
+    fn get(&self, key: &str) -> Result<Option<Entry>> {
+        self.slowly(self.store.get(key))
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<Entry>> {
+        self.slowly(self.store.list(prefix))
+    }
+
+    fn commit(&self, ops: &[Op]) -> Result<CommitResult> {
+        self.slowly(self.store.commit(ops))
+    }
+
+    fn watch(&self, key: &str, after: Version, wait: Duration) -> Result<Option<Entry>> {
+        self.slowly(self.store.watch(key, after, wait))
+    }
+
+    fn lease(&self, ttl: Duration) -> Result<LeaseId> {
+        self.slowly(self.store.lease(ttl))
+    }
+
+    fn renew(&self, lease: &str) -> Result<()> {
+        self.slowly(self.store.renew(lease))
+    }
+
+    fn revoke(&self, lease: &str) -> Result<()> {
+        self.slowly(self.store.revoke(lease))
+    }
+}
--- /dev/null
+++ b/crates/order/tests/testsuite/steps.rs
@@ -0,0 +1,112 @@
+//! Random steps of a fleet, and how they are carried out.
+
+use std::time::Duration;
+
+use primrose_platform::memory::Fault;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+
+use crate::fleet::Fleet;
+use crate::servers::OrderFault;
+
+/// Shorter than the time after which an order is sent again.
+const DELAYS_SECS: [u64; 3] = [1, 2, 4];
+
+/// Around the end of a lease, and around that of the wait of a successor.
+const SLEEPS_SECS: [u64; 5] = [3, 9, 14, 40, 60];
+
+/// One step of a random history.
+#[derive(Debug, Clone)]
+pub(crate) enum Step {
+    Turn(usize),
+    Pause(usize),
+    Halt(usize),
+    Resume(usize),
+    Crash(usize),
+    Advance(Duration),
+    Desire(usize, u8),
+    Store(Fault),
+    Outage(bool),
+    Order(usize, OrderFault),
+    Reach(usize, bool),
+    Restart(usize),
+    EndLeases,
+    Sleep(usize, u64),
+    SlowCall(Duration),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let number = usize::arbitrary(g);
+        let kind = u8::arbitrary(g) % 32;
+        match kind {
+            0..=7 => Self::Turn(number),
+            8 => Self::Pause(number),
+            9..=11 => Self::Halt(number),
+            12..=13 => Self::Resume(number),
+            14 => Self::Crash(number),
+            15..=18 => Self::Advance(Duration::from_millis(u64::from(u16::arbitrary(g)) / 4)),
+            19 => Self::Advance(Duration::from_secs(20)),
+            20..=21 => Self::Desire(number, u8::arbitrary(g) % 4),
+            22 => Self::Store(store_fault(g)),
+            23 => Self::Outage(bool::arbitrary(g)),
+            24 => Self::Order(number, order_fault(g)),
+            25 => Self::Reach(number, bool::arbitrary(g)),
+            26 => Self::Restart(number),
+            27 => Self::EndLeases,
+            28 => Self::SlowCall(Duration::from_secs(u64::from(u8::arbitrary(g) % 20))),
+            _ => Self::Sleep(number, *g.choose(&SLEEPS_SECS).expect("there are times")),
+        }
+    }
+}
+
+fn store_fault(g: &mut Gen) -> Fault {
+    let late = u64::from(u8::arbitrary(g) % 8);
+    *g.choose(&[
+        Fault::Refused,
+        Fault::LostBefore,
+        Fault::LostAfter,
+        Fault::Late(late),
+    ])
+    .expect("there are faults")
+}
+
+fn order_fault(g: &mut Gen) -> OrderFault {
+    let secs = *g.choose(&DELAYS_SECS).expect("there are delays");
+    *g.choose(&[
+        OrderFault::LoseOrder,
+        OrderFault::LoseReply,
+        OrderFault::Delay(Duration::from_secs(secs)),
+    ])
+    .expect("there are faults")
+}
+
+impl Step {
+    /// Carries the step out.
+    pub(crate) fn apply(&self, fleet: &mut Fleet, servers: usize) {
+        let processes = fleet.processes.len();
+        match self {
+            Self::Turn(number) => fleet.turn(number % processes),
+            Self::Pause(number) => fleet.pause(number % processes),
+            Self::Halt(number) => fleet.halt(number % processes),
+            Self::Sleep(number, secs) => fleet.sleep(number % processes, *secs),
+            Self::SlowCall(delay) => fleet.slow.delay_next(*delay),
+            Self::EndLeases => fleet.store.end_leases(),
+            Self::Resume(number) => fleet.resume(number % processes),
+            Self::Crash(number) => fleet.replace(number % processes),
+            Self::Advance(time) => fleet.clock.advance(*time),
+            Self::Desire(number, version) => {
+                fleet.desire(number % processes, &version.to_string(), "");
+            }
+            Self::Store(fault) => fleet.store.fault_in(1, *fault),
+            Self::Outage(down) => fleet.store.set_down(*down),
+            Self::Order(number, fault) => {
+                fleet.servers.set_fault(number % servers, Some(*fault));
+            }
+            Self::Reach(number, reachable) => {
+                fleet.servers.set_reachable(number % servers, *reachable);
+            }
+            Self::Restart(number) => fleet.servers.restart(number % servers),
+        }
+    }
+}
--- a/crates/platform/src/memory/state.rs
+++ b/crates/platform/src/memory/state.rs
@@ -106,6 +106,11 @@
         lease
     }
 
+    /// Returns the leases that have not ended.
+    pub fn leases(&self) -> Vec<LeaseId> {
+        self.leases.keys().cloned().collect()
+    }
+
     /// Prolongs a lease; false if it has ended.
     pub fn renew(&mut self, lease: &str, now: Mono) -> bool {
         let Some(found) = self.leases.get_mut(lease) else {
--- a/crates/platform/src/memory/store.rs
+++ b/crates/platform/src/memory/store.rs
@@ -150,6 +150,15 @@
         inner.plan.add(call, fault);
     }
 
+    /// Ends every lease before its time, as a service may that loses a session.
+    pub fn end_leases(&self) {
+        let mut inner = self.lock();
+        for lease in inner.state.leases() {
+            inner.state.revoke(&lease);
+        }
+        self.changed.notify_all();
+    }
+
     /// Returns a copy of everything the service holds.
     pub fn copy(&self) -> State {
         self.lock().state.clone()
