--- a/crates/local/src/deployment.rs
+++ b/crates/local/src/deployment.rs
@@ -30,7 +30,6 @@
 use primrose_settings::Security;
 use primrose_settings::Settings;
 use primrose_standin::engine::Engine;
-use primrose_standin::engine::EngineConfig;
 use primrose_standin::hosts::HostBoard;
 use primrose_standin::hosts::Hosts;
 use primrose_standin::kv::Kv;
@@ -138,8 +137,10 @@
         let kv = Kv::start(
             &runtime,
             KvConfig {
+                listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+                clock: Arc::clone(&clock),
                 min_ttl: MIN_TTL,
-                ..KvConfig::new(Arc::clone(&clock))
+                hosts: None,
             },
         )
         .context(StandinSnafu)?;
@@ -315,7 +316,9 @@
                 && status["pools"].as_array().is_some_and(|pools| {
                     let served = |pool: &serde_json::Value| {
                         !pool["dispatcher"].is_null()
-                            && pool["servers"].as_array().is_some_and(|all| !all.is_empty())
+                            && pool["servers"]
+                                .as_array()
+                                .is_some_and(|all| !all.is_empty())
                     };
                     !pools.is_empty() && pools.iter().all(served)
                 })
--- a/crates/primrosed/src/duty/mod.rs
+++ b/crates/primrosed/src/duty/mod.rs
@@ -40,7 +40,7 @@
     /// Waits for the time or for the end, whichever comes first.
     pub(crate) fn wait(&self, time: Duration) {
         let guard = self.lock.lock().expect("stop lock poisoned");
-        let waits = |_: &mut ()| !self.stopped();
+        let waits = |(): &mut ()| !self.stopped();
         // A poisoned lock ends the wait early, and the duty looks at the flag next.
         drop(self.changed.wait_timeout_while(guard, time, waits));
     }
