Race an apply against one, two and twenty other edits

A trial that made the search among past generations always find the change passed the tests: no case had two later generations. The second operator now makes 1, 2 or 20 edits at each step, and each of them is recorded.

--- a/crates/primrosectl/tests/testsuite/accounts.rs
+++ b/crates/primrosectl/tests/testsuite/accounts.rs
@@ -68,8 +68,8 @@
     edit(&store, &NoPause, KEY, &add("first", "k"), 1).expect("first");
     store.meddle(
         3,
-        Box::new(|inner| {
-            edit(inner, &NoPause, KEY, &add("other", "k"), 2).expect("other");
+        Box::new(|store| {
+            edit(store, &NoPause, KEY, &add("other", "k"), 2).expect("other");
         }),
     );
     let header = edit(&store, &NoPause, KEY, &add("ours", "k"), 3).expect("ours");
--- a/crates/primrosectl/tests/testsuite/apply.rs
+++ b/crates/primrosectl/tests/testsuite/apply.rs
@@ -138,8 +138,8 @@
     let store = Recorded::new();
     store.meddle(
         CALLS,
-        Box::new(|inner| {
-            apply_file(inner, &file(1, 1, 99), 7).expect("the other operator");
+        Box::new(|store| {
+            apply_file(store, &file(1, 1, 99), 7).expect("the other operator");
         }),
     );
     let error = apply_file(&store, &file(1, 1, 45), 2).expect_err("lost race");
@@ -221,28 +221,30 @@
     assert_eq!(runs, 900);
 }
 
+/// Lets another operator make this many edits, each of them on the newest.
+///
+/// The other operator may meet the fault in our place, and may fail by it.
+fn other_edits(store: &Recorded, edits: u64) {
+    for edit in 1..=edits {
+        let text = format!("; edit {edit}\n{}", store.text());
+        let _ = apply_file(store, &text, 70 + edit);
+    }
+}
+
 #[test]
 fn every_fault_with_a_second_operator_is_told_truly() {
     for call in 1..=CALLS + 2 {
         for fault in FAULTS {
             for other in 1..=CALLS + 3 {
-                let store = Recorded::new();
-                store.inner.fault_in(call, fault);
-                let meddling = move |inner: &primrose_platform::memory::MemoryStore| {
-                    let stored = inner.copy();
-                    let entry = stored.get(KEY).expect("stored");
-                    let text = String::from_utf8(entry.value.clone()).expect("text");
-                    let text = text.replace("max-slots = 8", "max-slots = 9");
-                    // The other operator may meet the fault in our place, and may fail by it.
-                    let _ = apply_file(inner, &text, 7);
-                };
-                store.meddle(other, Box::new(meddling));
-                let result = apply_file(&store, &file(1, 1, 45), 2);
-                check(
-                    &result,
-                    &store,
-                    &format!("{fault:?} at {call}, other at {other}"),
-                );
+                for edits in [1, 2, 20] {
+                    let store = Recorded::new();
+                    store.inner.fault_in(call, fault);
+                    let meddling = move |store: &Recorded| other_edits(store, edits);
+                    store.meddle(other, Box::new(meddling));
+                    let result = apply_file(&store, &file(1, 1, 45), 2);
+                    let faults = format!("{fault:?} at {call}, {edits} others at {other}");
+                    check(&result, &store, &faults);
+                }
             }
         }
     }
@@ -263,7 +265,7 @@
     for fault in [Fault::LostBefore, Fault::LostAfter] {
         let store = Recorded::new();
         store.inner.fault_in(CALLS, fault);
-        store.meddle(CALLS + 1, Box::new(|inner| inner.set_down(true)));
+        store.meddle(CALLS + 1, Box::new(|store| store.inner.set_down(true)));
         let error = apply_file(&store, &file(1, 1, 45), 2).expect_err("unknown");
         let ApplyError::Swap {
             source: SwapError::Unknown { change, .. },
--- a/crates/primrosectl/tests/testsuite/support.rs
+++ b/crates/primrosectl/tests/testsuite/support.rs
@@ -36,7 +36,7 @@
 }
 
 /// Something that happens at the service just before a call.
-type Meddling = Box<dyn FnOnce(&MemoryStore) + Send>;
+type Meddling = Box<dyn FnOnce(&Recorded) + Send>;
 
 /// A store that writes down every header the tables ever had.
 pub(crate) struct Recorded {
@@ -87,8 +87,7 @@
         let due = meddling.take_if(|(at, _)| *at == self.inner.calls() + 1);
         drop(meddling);
         if let Some((_, meddling)) = due {
-            meddling(&self.inner);
-            self.write_down();
+            meddling(self);
         }
         let result = call(&self.inner);
         self.write_down();
