--- /dev/null
+++ b/crates/primrosectl/src/commands/check.rs
@@ -0,0 +1,59 @@
+//! `primrosectl check`: reads a file and names every fault.
+
+use std::path::PathBuf;
+
+use bpaf::construct;
+use bpaf::Parser;
+use primrose_table::document::Document;
+use serde::Serialize;
+
+use super::target::file;
+use super::target::json;
+use crate::context::read_file;
+use crate::context::Context;
+use crate::exit::Failure;
+
+/// Arguments.
+#[derive(Debug, Clone)]
+pub struct Args {
+    /// The file.
+    pub file: PathBuf,
+    /// Print JSON.
+    pub json: bool,
+}
+
+/// What was read.
+#[derive(Debug, Serialize)]
+struct View {
+    generation: u64,
+    routes: usize,
+    pools: usize,
+}
+
+/// Accepts the command.
+pub fn cli() -> impl Parser<Args> {
+    let json = json();
+    let file = file();
+    construct!(Args { json, file })
+        .to_options()
+        .descr("Checks a document with the tables; nothing is sent anywhere.")
+        .footer("Example: primrosectl check tables.ini")
+        .command("check")
+}
+
+/// Checks the file.
+pub fn exec(context: &mut Context, args: &Args) -> Result<(), Failure> {
+    let text = read_file(&args.file)?;
+    let name = args.file.display().to_string();
+    let document = Document::parse(&name, &text)
+        .map_err(|faults| Failure::bad_input(faults.clone()).faults(faults))?;
+    let view = View {
+        generation: document.table.generation,
+        routes: document.table.routes.len(),
+        pools: document.table.pools.len(),
+    };
+    let View { routes, pools, .. } = view;
+    let shown = format!("{name}: {routes} routes and {pools} pools, no faults");
+    context.shell.result(&view, &shown);
+    Ok(())
+}
--- /dev/null
+++ b/crates/primrosectl/src/commands/restore.rs
@@ -0,0 +1,52 @@
+//! `primrosectl restore`: puts back the tables that the routers have in force.
+
+use bpaf::construct;
+use bpaf::Parser;
+
+use super::target::target;
+use crate::context::Context;
+use crate::context::Target;
+use crate::exit::Failure;
+use crate::ops::restore::restore;
+use crate::ops::restore::RestoreError;
+use crate::ops::swap::SwapError;
+
+/// Arguments.
+#[derive(Debug, Clone)]
+pub struct Args {
+    /// The deployment.
+    pub target: Target,
+}
+
+/// Accepts the command.
+pub fn cli() -> impl Parser<Args> {
+    let target = target();
+    construct!(Args { target })
+        .to_options()
+        .descr(
+            "Puts the newest tables that a router has in force back into a service that lost them.",
+        )
+        .footer("Example: primrosectl restore --router 10.0.1.2:8082 --router 10.0.2.2:8082")
+        .command("restore")
+}
+
+/// Puts the tables back.
+pub fn exec(context: &mut Context, _args: &Args) -> Result<(), Failure> {
+    let routers = context.routers()?;
+    let store = context.store()?;
+    let (fleet, pause) = (context.fleet.as_ref(), context.pause.as_ref());
+    let restored = restore(store, pause, fleet, routers, &context.keys.tables);
+    let header = restored.map_err(failure)?;
+    context.shell.progress("Restored", &header.to_string());
+    context.shell.result(&header, "");
+    Ok(())
+}
+
+fn failure(error: RestoreError) -> Failure {
+    match &error {
+        RestoreError::Swap {
+            source: SwapError::Unknown { .. },
+        } => Failure::unknown(error).hint("run the command again: it does nothing twice"),
+        _ => Failure::failed(error),
+    }
+}
--- /dev/null
+++ b/crates/primrosectl/src/commands/show.rs
@@ -0,0 +1,72 @@
+//! `primrosectl show`: prints the stored tables, ready to be edited and applied.
+
+use std::net::SocketAddr;
+
+use bpaf::construct;
+use bpaf::long;
+use bpaf::Parser;
+use primrose_table::header::peek;
+use primrose_table::header::Header;
+use serde::Serialize;
+
+use super::target::target;
+use crate::context::Context;
+use crate::context::Target;
+use crate::exit::Failure;
+use crate::ops::tables::show;
+
+/// Arguments.
+#[derive(Debug, Clone)]
+pub struct Args {
+    /// Print what this router has in force instead.
+    pub in_force: Option<SocketAddr>,
+    /// The deployment.
+    pub target: Target,
+}
+
+/// The document.
+#[derive(Debug, Serialize)]
+struct View<'a> {
+    header: Option<Header>,
+    text: &'a str,
+}
+
+/// Accepts the command.
+pub fn cli() -> impl Parser<Args> {
+    let in_force = long("in-force")
+        .help("Print what the router with this operator address has in force instead")
+        .argument::<SocketAddr>("IP:PORT")
+        .optional();
+    let target = target();
+    construct!(Args { in_force, target })
+        .to_options()
+        .descr("Prints the stored tables with the generation that an edit is based on.")
+        .footer("Example: primrosectl show > tables.ini")
+        .command("show")
+}
+
+/// Prints the document.
+pub fn exec(context: &mut Context, args: &Args) -> Result<(), Failure> {
+    let text = match args.in_force {
+        Some(router) => context.fleet.tables(router).map_err(Failure::failed)?,
+        None => stored(context)?,
+    };
+    let header = peek(&text);
+    let view = View {
+        header,
+        text: &text,
+    };
+    context.shell.result(&view, &text);
+    Ok(())
+}
+
+fn stored(context: &Context) -> Result<String, Failure> {
+    let store = context.store()?;
+    let key = &context.keys.tables;
+    let stored = show(store, context.pause.as_ref(), key).map_err(Failure::failed)?;
+    if stored.version == 0 {
+        return Err(Failure::failed(format!("no tables are stored under {key}"))
+            .hint("apply a first document with generation = 0, or check --prefix"));
+    }
+    Ok(stored.text)
+}
--- /dev/null
+++ b/crates/primrosectl/src/context.rs
@@ -0,0 +1,131 @@
+//! What commands work with: where to print, the service, the routers, time and chance.
+//!
+//! There are no globals. `main` builds one [`Context`] from a [`Target`] and hands it down; a test
+//! builds one from fakes.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use primrose_platform::consul::ConsulConfig;
+use primrose_platform::consul::ConsulStore;
+use primrose_platform::store::Store;
+use primrose_settings::operator::Operator;
+
+use crate::exit::Failure;
+use crate::ops::fleet::Fleet;
+use crate::ops::http::HttpFleet;
+use crate::ops::keys::Keys;
+use crate::ops::pause::Pause;
+use crate::ops::pause::Sleep;
+use crate::ops::random::Random;
+use crate::ops::random::SystemRandom;
+use crate::shell::Shell;
+
+/// Which deployment a command is about, as the arguments say.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Target {
+    /// Settings file.
+    pub settings: Option<PathBuf>,
+    /// Addresses of the key-value service; go before the settings.
+    pub platform: Vec<SocketAddr>,
+    /// What every key begins with; goes before the settings.
+    pub prefix: Option<String>,
+    /// Operator listeners of the routers; go before the settings.
+    pub routers: Vec<SocketAddr>,
+    /// Print JSON.
+    pub json: bool,
+}
+
+impl Target {
+    /// Reads the settings file and puts the arguments over it.
+    pub fn resolve(&self) -> Result<Operator, Failure> {
+        let mut operator = match &self.settings {
+            Some(path) => read_settings(path)?,
+            None => Operator::default(),
+        };
+        if !self.platform.is_empty() {
+            operator.addresses.clone_from(&self.platform);
+        }
+        if let Some(prefix) = &self.prefix {
+            operator.prefix.clone_from(prefix);
+        }
+        if !self.routers.is_empty() {
+            operator.routers.clone_from(&self.routers);
+        }
+        Ok(operator)
+    }
+}
+
+fn read_settings(path: &Path) -> Result<Operator, Failure> {
+    let name = path.display().to_string();
+    let text = read_file(path)?;
+    Operator::parse(&name, &text).map_err(Failure::bad_input)
+}
+
+/// Reads a file, or standard input for `-`.
+pub fn read_file(path: &Path) -> Result<String, Failure> {
+    let text = if path == Path::new("-") {
+        std::io::read_to_string(std::io::stdin())
+    } else {
+        std::fs::read_to_string(path)
+    };
+    let shown = path.display();
+    text.map_err(|error| Failure::bad_input(format!("failed to read {shown}: {error}")))
+}
+
+/// Everything that a command works with.
+pub struct Context {
+    /// Where to print.
+    pub shell: Shell,
+    /// The key-value service, if its address is known.
+    pub store: Option<Arc<dyn Store>>,
+    /// Names of the documents.
+    pub keys: Keys,
+    /// The routers' operator listeners.
+    pub fleet: Box<dyn Fleet>,
+    /// Addresses of those listeners; may be empty.
+    pub routers: Vec<SocketAddr>,
+    /// Passes time.
+    pub pause: Box<dyn Pause>,
+    /// Draws change ids and keys.
+    pub random: Box<dyn Random>,
+}
+
+impl Context {
+    /// Makes the context of a deployment; nothing is connected yet.
+    pub fn open(target: &Target) -> Result<Self, Failure> {
+        let operator = target.resolve()?;
+        let store = (!operator.addresses.is_empty()).then(|| {
+            let config = ConsulConfig::new(operator.addresses.clone());
+            Arc::new(ConsulStore::new(config)) as Arc<dyn Store>
+        });
+        Ok(Self {
+            shell: Shell::standard(target.json),
+            store,
+            keys: Keys::new(&operator.prefix),
+            fleet: Box::new(HttpFleet::new()),
+            routers: operator.routers,
+            pause: Box::new(Sleep),
+            random: Box::new(SystemRandom),
+        })
+    }
+
+    /// Returns the key-value service, or says how to name it.
+    pub fn store(&self) -> Result<&dyn Store, Failure> {
+        self.store.as_deref().ok_or_else(|| {
+            Failure::bad_input("no address of the key-value service is known")
+                .hint("give --platform IP:PORT, or --settings FILE")
+        })
+    }
+
+    /// Returns the routers, or says how to name them.
+    pub fn routers(&self) -> Result<&[SocketAddr], Failure> {
+        if self.routers.is_empty() {
+            return Err(Failure::bad_input("no router is known")
+                .hint("give --router IP:PORT of an operator listener, or --settings FILE"));
+        }
+        Ok(&self.routers)
+    }
+}
--- a/crates/primrosectl/src/lib.rs
+++ b/crates/primrosectl/src/lib.rs
@@ -10,4 +10,8 @@
 //! assert_eq!(Keys::new("primrosehall").tables, "primrosehall/tables");
 //! ```
 
+pub mod commands;
+pub mod context;
+pub mod exit;
 pub mod ops;
+pub mod shell;
--- a/crates/primrosectl/src/ops/mod.rs
+++ b/crates/primrosectl/src/ops/mod.rs
@@ -10,6 +10,7 @@
 pub mod http;
 pub mod keys;
 pub mod pause;
+pub mod random;
 pub mod restore;
 pub mod status;
 pub mod swap;
--- a/crates/primrosectl/tests/testsuite/main.rs
+++ b/crates/primrosectl/tests/testsuite/main.rs
@@ -2,6 +2,8 @@
 
 mod accounts;
 mod apply;
+mod commands;
+mod consul;
 mod fleet;
 mod races;
 mod restore;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -30,6 +30,7 @@
 //! assert_eq!(settings.platform.prefix, "primrosehall");
 //! ```
 
+pub mod operator;
 mod parse;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/settings/src/operator.rs
@@ -0,0 +1,69 @@
+//! Settings of the operators' command line: where the platform and the routers are.
+//!
+//! ```
+//! use primrose_settings::operator::Operator;
+//! let text = "[platform]\naddresses = 10.0.0.9:2379\n[routers]\naddresses = 10.0.0.1:82\n";
+//! let operator = Operator::parse("primrosectl.ini", text).unwrap();
+//! assert_eq!(operator.routers.len(), 1);
+//! ```
+
+use std::net::SocketAddr;
+
+use primrose_table::ini;
+use primrose_table::ini::Faults;
+use primrose_table::ini::Reporter;
+use primrose_table::value;
+
+use crate::parse::parse_addresses;
+use crate::parse::report_strange;
+use crate::parse::Reader;
+use crate::parse::PREFIX;
+
+/// Sections that the file may have.
+const SECTIONS: [&str; 2] = ["platform", "routers"];
+
+/// Where the platform and the routers are.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Operator {
+    /// Addresses of the key-value service; may be empty.
+    pub addresses: Vec<SocketAddr>,
+    /// What every key begins with.
+    pub prefix: String,
+    /// Operator listeners of the routers; may be empty.
+    pub routers: Vec<SocketAddr>,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Self {
+            addresses: Vec::new(),
+            prefix: PREFIX.to_owned(),
+            routers: Vec::new(),
+        }
+    }
+}
+
+impl Operator {
+    /// Reads settings; `file` is named in every fault.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Faults> {
+        let mut out = Reporter::new(file);
+        let sections = ini::read(text, &mut out);
+        report_strange(&sections, &SECTIONS, &mut out);
+        let mut reader = Reader::new(&sections, &mut out);
+        let platform = reader.optional("platform", |fields| {
+            let addresses = fields.or("addresses", Vec::new(), parse_addresses);
+            let prefix = fields.or("prefix", PREFIX.to_owned(), value::name);
+            Some((addresses?, prefix?))
+        });
+        let routers = reader.optional("routers", |fields| {
+            fields.or("addresses", Vec::new(), parse_addresses)
+        });
+        let operator = platform.zip(routers);
+        let operator = operator.map(|((addresses, prefix), routers)| Self {
+            addresses,
+            prefix,
+            routers,
+        });
+        out.finish(operator)
+    }
+}
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -29,7 +29,7 @@
 ];
 
 /// What the keys of one deployment begin with, if the settings do not say.
-const PREFIX: &str = "primrosehall";
+pub(crate) const PREFIX: &str = "primrosehall";
 /// Time zone, if the settings do not say.
 const TIME_ZONE: &str = "UTC";
 
@@ -49,11 +49,8 @@
 pub(crate) fn parse(file: &str, text: &str) -> Result<Settings, Faults> {
     let mut out = Reporter::new(file);
     let sections = ini::read(text, &mut out);
-    report_strange(&sections, &mut out);
-    let mut reader = Reader {
-        sections: &sections,
-        out: &mut out,
-    };
+    report_strange(&sections, &SECTIONS, &mut out);
+    let mut reader = Reader::new(&sections, &mut out);
     let router = reader.required("router", parse_router);
     let listen = reader.required("listen", parse_listen);
     let peers = reader.optional("peers", parse_peers);
@@ -75,32 +72,35 @@
     out.finish(settings())
 }
 
-fn report_strange(sections: &[Section<'_>], out: &mut Reporter) {
-    let known =
-        |section: &&Section<'_>| section.name.is_empty() && SECTIONS.contains(&section.kind);
-    let expected = format!("one of the sections {}", SECTIONS.join(", "));
-    for section in sections.iter().filter(|section| !known(section)) {
+/// Reports every section that is not among the known ones.
+pub(crate) fn report_strange(sections: &[Section<'_>], known: &[&str], out: &mut Reporter) {
+    let expected = format!("one of the sections {}", known.join(", "));
+    for section in sections {
+        if section.name.is_empty() && known.contains(&section.kind) {
+            continue;
+        }
         let header = section.header();
         let place = Place {
             line: section.line,
             section: &header,
             key: "",
         };
-        out.report(
-            FaultKind::UnknownSection,
-            place,
-            &expected,
-            "an unknown section",
-        );
+        let found = "an unknown section";
+        out.report(FaultKind::UnknownSection, place, &expected, found);
     }
 }
 
-struct Reader<'a, 'r> {
+/// Reads sections by name.
+pub(crate) struct Reader<'a, 'r> {
     sections: &'r [Section<'a>],
     out: &'r mut Reporter,
 }
 
 impl<'a, 'r> Reader<'a, 'r> {
+    pub(crate) fn new(sections: &'r [Section<'a>], out: &'r mut Reporter) -> Self {
+        Self { sections, out }
+    }
+
     fn required<T>(
         &mut self,
         kind: &'static str,
@@ -121,7 +121,7 @@
     }
 
     /// Reads a section; one that is not there is read as empty, for its defaults.
-    fn optional<T>(
+    pub(crate) fn optional<T>(
         &mut self,
         kind: &'static str,
         parse: fn(&mut Fields<'_, '_>) -> Option<T>,
@@ -217,7 +217,7 @@
     })
 }
 
-fn parse_addresses(text: &str) -> Result<Vec<SocketAddr>, String> {
+pub(crate) fn parse_addresses(text: &str) -> Result<Vec<SocketAddr>, String> {
     let expected = "addresses by IP number with a port, parted by commas";
     list(text, value::addr).map_err(|_| expected.into())
 }
