--- a/crates/primrosectl/tests/testsuite/fleet.rs
+++ b/crates/primrosectl/tests/testsuite/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -175,6 +176,13 @@
     assert_eq!(fleet.lift(addr, "00ff"), Err(refused));
     stop.send(()).expect("server runs");
     handle.join().expect("server ends");
-    let gone = fleet.status(addr).expect_err("gone");
+}
+
+#[test]
+fn a_router_that_is_gone_is_unreachable() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let addr = listener.local_addr().expect("bound");
+    drop(listener);
+    let gone = HttpFleet::new().status(addr).expect_err("gone");
     assert!(matches!(gone, FleetError::Unreachable { .. }), "{gone}");
 }
--- a/crates/primrosectl/tests/testsuite/support.rs
+++ b/crates/primrosectl/tests/testsuite/support.rs
@@ -36,7 +36,7 @@
 }
 
 /// Something that happens at the service just before a call.
-type Meddling = Box<dyn FnOnce(&MemoryStore) + Send>;
+type Meddling = Box<dyn FnOnce(&Recorded) + Send>;
 
 /// A store that writes down every header the tables ever had.
 pub(crate) struct Recorded {
@@ -62,7 +62,7 @@
 
     /// Lets something happen just before a call that is yet to come: 1 is the next one.
     pub(crate) fn meddle(&self, call: u64, meddling: Meddling) {
-        let call = self.inner.calls() + call;
+        let call = self.inner.calls().total() + call;
         *self.meddling.lock().expect("lock") = Some((call, meddling));
     }
 
@@ -84,11 +84,10 @@
 
     fn call<T>(&self, call: impl FnOnce(&MemoryStore) -> T) -> T {
         let mut meddling = self.meddling.lock().expect("lock");
-        let due = meddling.take_if(|(at, _)| *at == self.inner.calls() + 1);
+        let due = meddling.take_if(|(at, _)| *at == self.inner.calls().total() + 1);
         drop(meddling);
         if let Some((_, meddling)) = due {
-            meddling(&self.inner);
-            self.write_down();
+            meddling(self);
         }
         let result = call(&self.inner);
         self.write_down();
