--- a/crates/member/src/news.rs
+++ b/crates/member/src/news.rs
@@ -33,18 +33,20 @@
         peer.outbox.due = true;
     }
 
-    /// Takes in a beat.
+    /// Takes in a beat; true if the live routers or the ways to other zones may have changed.
     pub(crate) fn take_beat(
         &mut self,
         from: &Member,
         beat: Beat,
         actions: &mut Vec<Action>,
         now: Mono,
-    ) {
+    ) -> bool {
         let Some(peer) = self.peers.linked(from) else {
-            return;
+            return false;
         };
         let near = peer.zone == self.settings.zone;
+        let silent = now.saturating_sub(peer.heard) >= self.settings.timing.suspicion();
+        let mut changed = peer.count.is_none() || silent;
         if peer.count.is_none_or(|count| beat.count > count) {
             peer.count = Some(beat.count);
             peer.heard = now;
@@ -53,11 +55,13 @@
         for record in beat.records.iter().filter(|_| near) {
             if self.zone.learn(record, now) {
                 self.announce_record(&record.member.host, Some(&from.host));
+                changed = true;
             }
         }
         for report in &beat.reports {
             if self.fleet.learn(report) {
                 self.announce_report(&report.zone, Some(&from.host));
+                changed = true;
             }
         }
         for mark in &beat.leaving {
@@ -71,6 +75,7 @@
         if let Some(theirs) = beat.versions {
             self.compare_versions(from, &theirs);
         }
+        changed
     }
 
     /// Asks a peer for what is missing, or offers it, if its digests differ.
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -99,7 +99,11 @@
                 self.peers.down(&member);
                 self.dialer.hurry();
             }
-            Event::Heartbeat { from, beat } => self.take_beat(&from, beat, &mut actions, now),
+            Event::Heartbeat { from, beat } => {
+                if !self.take_beat(&from, beat, &mut actions, now) {
+                    return actions;
+                }
+            }
             Event::Table(table) => self.take_table(table),
             Event::Drain => self.draining = true,
             Event::Tick => {
