--- /dev/null
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the dispatch crate: cases for each state machine, and a small fleet of them joined by
+//! queues, with a clock that is passed in.
+
+mod fleet;
+mod requester;
--- /dev/null
+++ b/crates/dispatch/tests/testsuite/requester.rs
@@ -0,0 +1,1 @@
+//! The requester alone: bounds, deadlines, leases, re-registration.
--- a/crates/share/src/lib.rs
+++ b/crates/share/src/lib.rs
@@ -27,10 +27,12 @@
 //! assert!(ledger.service("temple") < ledger.service("mosque"));
 //! ```
 
+mod bound;
 mod estimate;
 mod ledger;
 mod writer;
 
+pub use bound::Bound;
 pub use estimate::Estimator;
 pub use ledger::weighted;
 pub use ledger::Ledger;
