--- /dev/null
+++ b/crates/suspect/src/entry.rs
@@ -0,0 +1,126 @@
+//! All records of one fingerprint.
+
+use std::collections::BTreeMap;
+
+use primrose_core::id::AttemptId;
+use primrose_core::id::ServerId;
+
+use crate::record::Clearing;
+use crate::record::ServerRun;
+use crate::record::Strike;
+use crate::record::UnixMillis;
+
+/// Two reports on one server whose run is not known are of one death within this time, in ms.
+const SAME_DEATH_MS: UnixMillis = 10_000;
+
+/// One death at which a fingerprint was present.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Crash {
+    pub(crate) server: ServerId,
+    pub(crate) run: ServerRun,
+    /// When it was last reported.
+    pub(crate) at: UnixMillis,
+}
+
+/// Strikes of one fingerprint, and what takes them back.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Entry {
+    strikes: BTreeMap<AttemptId, Strike>,
+    cleared: BTreeMap<AttemptId, UnixMillis>,
+    lifted: UnixMillis,
+}
+
+impl Entry {
+    /// Adds a strike; true if it was new.
+    pub(crate) fn strike(&mut self, strike: &Strike) -> bool {
+        match self.strikes.get_mut(&strike.attempt) {
+            // Copies may differ in time; the earlier one counts everywhere.
+            Some(known) if known.at > strike.at => known.at = strike.at,
+            Some(_) => return false,
+            None => {
+                self.strikes.insert(strike.attempt, strike.clone());
+            }
+        }
+        true
+    }
+
+    /// Adds a clearing; true if it was new.
+    pub(crate) fn clear(&mut self, clearing: &Clearing) -> bool {
+        let known = self.cleared.entry(clearing.attempt);
+        let mut new = false;
+        known.or_insert_with(|| {
+            new = true;
+            clearing.at
+        });
+        new
+    }
+
+    /// Adds a lift; true if it was new.
+    pub(crate) fn lift(&mut self, at: UnixMillis) -> bool {
+        let new = at > self.lifted;
+        self.lifted = self.lifted.max(at);
+        new
+    }
+
+    /// Time of the last lift; 0 for none.
+    pub(crate) fn lifted(&self) -> UnixMillis {
+        self.lifted
+    }
+
+    /// Time of the latest strike; 0 for none.
+    pub(crate) fn latest(&self) -> UnixMillis {
+        self.strikes.values().map(|s| s.at).max().unwrap_or(0)
+    }
+
+    /// All strikes, whether they count or not.
+    pub(crate) fn strikes(&self) -> impl Iterator<Item = &Strike> {
+        self.strikes.values()
+    }
+
+    /// Strikes that count.
+    pub(crate) fn live(&self) -> impl Iterator<Item = &Strike> {
+        self.strikes
+            .values()
+            .filter(|s| s.at > self.lifted && !self.cleared.contains_key(&s.attempt))
+    }
+
+    /// Attempts whose strikes were cleared, with the strikes' times.
+    pub(crate) fn cleared(&self) -> impl Iterator<Item = (AttemptId, UnixMillis)> + '_ {
+        self.cleared.iter().map(|(attempt, at)| (*attempt, *at))
+    }
+
+    /// Deaths that count, oldest first; several strikes of one death are one.
+    pub(crate) fn crashes(&self) -> Vec<Crash> {
+        let mut strikes: Vec<&Strike> = self.live().collect();
+        strikes.sort_by_key(|s| s.at);
+        let mut crashes: Vec<Crash> = Vec::new();
+        for strike in strikes {
+            match crashes.iter_mut().find(|crash| same_death(crash, strike)) {
+                Some(crash) => crash.at = strike.at,
+                None => crashes.push(Crash {
+                    server: strike.server.clone(),
+                    run: strike.run,
+                    at: strike.at,
+                }),
+            }
+        }
+        crashes
+    }
+
+    /// Drops what is older than a time; true if nothing is left.
+    pub(crate) fn expire(&mut self, before: UnixMillis) -> bool {
+        self.strikes.retain(|_, strike| strike.at >= before);
+        self.cleared.retain(|_, at| *at >= before);
+        if self.lifted < before {
+            self.lifted = 0;
+        }
+        self.strikes.is_empty() && self.cleared.is_empty() && self.lifted == 0
+    }
+}
+
+fn same_death(crash: &Crash, strike: &Strike) -> bool {
+    if crash.server != strike.server || crash.run != strike.run {
+        return false;
+    }
+    strike.run != 0 || strike.at.saturating_sub(crash.at) < SAME_DEATH_MS
+}
