suspect: cases, merging in any order, and fleets with delayed messages

The register had only its doc example. The merge property found a fault: two copies of a strike that differ in more than their time left two registers apart, by order of arrival; every register now keeps the earlier copy whole.

--- a/crates/claim/tests/testsuite/desk.rs
+++ b/crates/claim/tests/testsuite/desk.rs
@@ -105,6 +105,14 @@
             },
             told: ClaimResult::Made,
         },
+        Case {
+            name: "an old copy of the order comes after its release",
+            first: vec![Wish::Claim, Wish::Release],
+            second: order(1, Wish::Claim),
+            told: ClaimResult::Unavailable {
+                retry_after: Duration::ZERO,
+            },
+        },
         Case {
             name: "the same order delivered twice",
             first: vec![Wish::Claim],
--- a/crates/suspect/src/entry.rs
+++ b/crates/suspect/src/entry.rs
@@ -31,28 +31,26 @@
 }
 
 impl Entry {
-    /// Adds a strike; true if it was new.
+    /// Adds a strike; true if it changed anything.
+    ///
+    /// Of two copies that differ, every register keeps the same one: the earlier.
     pub(crate) fn strike(&mut self, strike: &Strike) -> bool {
-        match self.strikes.get_mut(&strike.attempt) {
-            // Copies may differ in time; the earlier one counts everywhere.
-            Some(known) if known.at > strike.at => known.at = strike.at,
-            Some(_) => return false,
-            None => {
-                self.strikes.insert(strike.attempt, strike.clone());
-            }
+        let known = self.strikes.get(&strike.attempt);
+        if known.is_some_and(|known| rank(known) <= rank(strike)) {
+            return false;
         }
+        self.strikes.insert(strike.attempt, strike.clone());
         true
     }
 
-    /// Adds a clearing; true if it was new.
+    /// Adds a clearing; true if it changed anything.
     pub(crate) fn clear(&mut self, clearing: &Clearing) -> bool {
-        let known = self.cleared.entry(clearing.attempt);
-        let mut new = false;
-        known.or_insert_with(|| {
-            new = true;
-            clearing.at
-        });
-        new
+        let known = self.cleared.get(&clearing.attempt);
+        if known.is_some_and(|at| *at <= clearing.at) {
+            return false;
+        }
+        self.cleared.insert(clearing.attempt, clearing.at);
+        true
     }
 
     /// Adds a lift; true if it was new.
@@ -118,6 +116,11 @@
     }
 }
 
+/// Order of the copies of one strike.
+fn rank(strike: &Strike) -> (UnixMillis, &ServerId, ServerRun) {
+    (strike.at, &strike.server, strike.run)
+}
+
 fn same_death(crash: &Crash, strike: &Strike) -> bool {
     if crash.server != strike.server || crash.run != strike.run {
         return false;
--- /dev/null
+++ b/crates/suspect/tests/testsuite/main.rs
@@ -0,0 +1,38 @@
+//! Tests of the register: cases, merging in any order, and fleets with delayed messages.
+
+mod cases;
+mod fleet;
+mod merging;
+
+use primrose_core::fingerprint::Fingerprint;
+use primrose_core::id::AttemptId;
+use primrose_core::id::RequestId;
+use primrose_suspect::Aboard;
+use primrose_suspect::Death;
+use primrose_suspect::Limits;
+use primrose_suspect::Register;
+
+/// A moment of the wall clock, in milliseconds.
+const NOW: u64 = 1_700_000_000_000;
+
+fn register() -> Register {
+    Register::new(Limits::default())
+}
+
+fn aboard(fingerprint: Fingerprint, request: RequestId) -> Aboard {
+    Aboard {
+        attempt: AttemptId { request, number: 1 },
+        fingerprint,
+        account: "parish-3".to_owned(),
+        route: "drafts".to_owned(),
+    }
+}
+
+fn death(server: &str, aboard: Vec<Aboard>) -> Death {
+    Death {
+        server: server.to_owned(),
+        run: 1,
+        pool: "drafting".to_owned(),
+        aboard,
+    }
+}
--- /dev/null
+++ b/crates/suspect/tests/testsuite/merging.rs
@@ -0,0 +1,119 @@
+//! Messages may arrive late, twice and in any order.
+
+use primrose_suspect::Message;
+use primrose_suspect::Register;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+use crate::aboard;
+use crate::death;
+use crate::register;
+use crate::NOW;
+
+const SEED: u64 = 0x5eed_0003;
+const TESTS: u64 = 5_000;
+const FINGERPRINTS: u64 = 4;
+
+/// What happens at one router: kind, fingerprint, server, time.
+#[derive(Debug, Clone, Copy)]
+struct Step(u8, u64, u8, u8);
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let print = u64::arbitrary(g) % FINGERPRINTS;
+        Self(
+            u8::arbitrary(g) % 8,
+            print,
+            u8::arbitrary(g) % 5,
+            u8::arbitrary(g),
+        )
+    }
+}
+
+/// Lets one router do things and returns its messages.
+fn messages(steps: &[Step]) -> Vec<Message> {
+    let mut register = register();
+    let mut out = Vec::new();
+    for (place, Step(kind, print, server, time)) in steps.iter().copied().enumerate() {
+        let now = NOW + u64::from(time) * 100 + place as u64 * 1000;
+        let request = place as u64 % 16;
+        out.push(match kind {
+            0..=4 => {
+                let server = format!("s{server}");
+                register.server_died(&death(&server, vec![aboard(print, request)]), now)
+            }
+            5 | 6 => register.completed(print, now, now),
+            _ => register.lift(print, now),
+        });
+    }
+    out
+}
+
+fn view(register: &Register) -> Vec<String> {
+    let now = NOW + 100_000;
+    let standing = |print| format!("{:?}", register.standing(print, now));
+    (0..FINGERPRINTS).map(standing).collect()
+}
+
+#[test]
+fn any_order_and_any_number_of_copies_give_the_same_register() {
+    fn property(steps: Vec<Step>, order: Vec<u16>) -> bool {
+        let sent = messages(&steps);
+        let now = NOW + 100_000;
+        let (mut one, mut other) = (register(), register());
+        for message in &sent {
+            one.merge(message, now);
+        }
+        for place in &order {
+            if let Some(message) = sent.get(usize::from(*place) % sent.len().max(1)) {
+                other.merge(message, now);
+            }
+        }
+        for message in sent.iter().rev() {
+            other.merge(message, now);
+        }
+        view(&one) == view(&other) && one.snapshot() == other.snapshot()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, SEED))
+        .tests(TESTS)
+        .max_tests(TESTS)
+        .quickcheck(property as fn(Vec<Step>, Vec<u16>) -> bool);
+}
+
+#[test]
+fn a_second_copy_brings_no_news_so_that_gossip_ends() {
+    fn property(steps: Vec<Step>) -> bool {
+        let now = NOW + 100_000;
+        let mut register = register();
+        let sent = messages(&steps);
+        sent.iter().for_each(|message| {
+            register.merge(message, now);
+        });
+        sent.iter().all(|m| register.merge(m, now).is_empty())
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, SEED))
+        .tests(TESTS)
+        .max_tests(TESTS)
+        .quickcheck(property as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn an_empty_restart_learns_all_from_a_snapshot() {
+    let mut old = register();
+    for n in 0..1000 {
+        let server = format!("s{}", n % 7);
+        old.server_died(&death(&server, vec![aboard(n, n)]), NOW + n * 60_000);
+    }
+    old.completed(3, NOW + 3 * 60_000, NOW + 5 * 60_000);
+    old.lift(4, NOW + 5 * 60_000);
+    let mut empty = register();
+    let snapshot = old.snapshot();
+    assert!(snapshot.len() >= 8, "a snapshot travels in small messages");
+    for message in snapshot {
+        empty.merge(&message, NOW + 1000 * 60_000);
+    }
+    assert_eq!(empty.snapshot(), old.snapshot());
+}
