request: a broken answer tells whether its server died

A request whose whole answer broke off was reported as broken, without a word on whether the server died, so a poison request without a stream could cost as many servers as it had attempts and leave no strike. The machine now connects once more and sends nothing: refused means that the server is lost. It does so too when the caller leaves while a stream is being resumed, because the caller's resend may come at once through another router. The front carries the probe out over a fresh connection.

--- a/crates/claim/src/desk.rs
+++ b/crates/claim/src/desk.rs
@@ -387,6 +387,17 @@
         replies.extend(self.answered(result, clock.now(), unix_millis(clock)));
         replies
     }
+
+    /// Writes what still waits, without gathering any longer, as long as the service answers.
+    ///
+    /// For the end of a process; returns how many orders were left unwritten.
+    pub fn finish(&mut self, store: &dyn Store, clock: &dyn Clock) -> usize {
+        self.limits.window = Duration::ZERO;
+        while self.waiting() > 0 && self.outage.blocked(clock.now()).is_none() {
+            self.step(store, clock);
+        }
+        self.waiting()
+    }
 }
 
 /// Takes tasks that can be written, each key once, in the order in which they came.
--- a/crates/claim/tests/testsuite/calls.rs
+++ b/crates/claim/tests/testsuite/calls.rs
@@ -100,3 +100,18 @@
     assert_eq!(desk.counts().dropped, 1);
     assert_eq!(desk.waiting(), 4);
 }
+
+#[test]
+fn the_last_closings_do_not_wait_for_the_window() {
+    let bench = Bench::new();
+    let mut desk = desk();
+    let claims = (0..3).map(|n| keyed(n, Wish::Claim)).collect();
+    group(&bench, &mut desk, claims);
+    for n in 0..3 {
+        bench.submit(&mut desk, keyed(n, Wish::Release));
+    }
+    assert_eq!(desk.finish(&bench.store, &*bench.clock), 0);
+    bench.submit(&mut desk, keyed(4, Wish::Release));
+    bench.store.set_down(true);
+    assert_eq!(desk.finish(&bench.store, &*bench.clock), 1);
+}
--- a/crates/front/src/act.rs
+++ b/crates/front/src/act.rs
@@ -82,6 +82,12 @@
                 let call = self.job.resume_call(conn, addr, after, idle);
                 self.later(delay, Later::Connect(Box::new(call))).await;
             }
+            Action::Probe { conn, addr, .. } => {
+                let mut call = self.job.call(conn, addr, self.shared.limits.idle_time);
+                // A kept connection would not tell whether the server listens now.
+                call.fresh = true;
+                self.connect(call);
+            }
             Action::Disconnect { .. } => self.disconnect(),
             Action::Cancel { conn } => self.cancel(conn),
             Action::AskRetry { attempt, stage } => {
--- a/crates/primrosed/src/broker.rs
+++ b/crates/primrosed/src/broker.rs
@@ -44,7 +44,9 @@
 
     fn ask(&self, ask: Ask) -> Result<(), Overloaded> {
         match ask {
-            Ask::Claim { .. } | Ask::Release { .. } | Ask::Settle { .. } => offer_claim(&self.claims, ask),
+            Ask::Claim { .. } | Ask::Release { .. } | Ask::Settle { .. } => {
+                offer_claim(&self.claims, ask)
+            }
             _ => offer_input(&self.decide, ask),
         }
     }
@@ -52,7 +54,9 @@
 
 fn offer_claim(ring: &Sender<Ask>, ask: Ask) -> Result<(), Overloaded> {
     ring.try_send(ask).map_err(|error| match error {
-        TrySendError::Full(ask) | TrySendError::Disconnected(ask) => Overloaded { ask: Box::new(ask) },
+        TrySendError::Full(ask) | TrySendError::Disconnected(ask) => {
+            Overloaded { ask: Box::new(ask) }
+        }
     })
 }
 
--- a/crates/primrosed/src/cli.rs
+++ b/crates/primrosed/src/cli.rs
@@ -18,8 +18,8 @@
     let check = bpaf::long("check-settings")
         .help("Check the settings file, say what is wrong with it, and start nothing")
         .switch();
-    let settings = bpaf::positional::<PathBuf>("SETTINGS")
-        .help("Settings file, as in samples/primrosed.ini");
+    let settings =
+        bpaf::positional::<PathBuf>("SETTINGS").help("Settings file, as in samples/primrosed.ini");
     bpaf::construct!(Options { check, settings })
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
--- a/crates/primrosed/src/decide/directory.rs
+++ b/crates/primrosed/src/decide/directory.rs
@@ -100,7 +100,10 @@
     pub(crate) fn addr(&self, pool: &str, server: &str) -> Option<SocketAddr> {
         let pool = self.table.pools.get(pool)?;
         let servers = self.servers(pool);
-        servers.iter().find(|one| one.id == server).map(|one| one.addr)
+        servers
+            .iter()
+            .find(|one| one.id == server)
+            .map(|one| one.addr)
     }
 
     /// The servers that the dispatcher of a zone has: its own, and those it has taken over.
--- a/crates/primrosed/src/decide/documents.rs
+++ b/crates/primrosed/src/decide/documents.rs
@@ -135,7 +135,9 @@
         if let Some(header) = self.header(kind) {
             self.published.set_generation(kind, header.generation);
         }
-        let complete = DOCUMENT_KINDS.iter().all(|kind| self.header(*kind).is_some());
+        let complete = DOCUMENT_KINDS
+            .iter()
+            .all(|kind| self.header(*kind).is_some());
         self.published.set_ready(complete && !self.draining);
         self.tell_header(kind);
     }
--- a/crates/primrosed/src/decide/fleet.rs
+++ b/crates/primrosed/src/decide/fleet.rs
@@ -102,7 +102,8 @@
         self.view_event(Event::Tick, now);
         self.update_holders(now);
         let mine = |duty: &&str| self.view.holder(duty) == Some(&self.me);
-        self.published.set_watching(WATCH_DUTIES.iter().any(|duty| mine(&duty)));
+        self.published
+            .set_watching(WATCH_DUTIES.iter().any(|duty| mine(&duty)));
     }
 
     /// Sends a message to another router, over other routers if there is no link to it.
--- a/crates/primrosed/src/decide/requests.rs
+++ b/crates/primrosed/src/decide/requests.rs
@@ -196,7 +196,10 @@
 
     /// Time in milliseconds for which the account's oldest request has waited here.
     pub(super) fn oldest(&self, pool: &str, account: &str, now: Mono) -> u64 {
-        let waiting = self.pending.values().filter(|one| one.pool == pool && one.account == account);
+        let waiting = self
+            .pending
+            .values()
+            .filter(|one| one.pool == pool && one.account == account);
         let since = waiting.filter_map(|one| one.since).min().unwrap_or(now);
         u64::try_from(now.saturating_sub(since).as_millis()).unwrap_or(u64::MAX)
     }
--- a/crates/primrosed/src/decide/show.rs
+++ b/crates/primrosed/src/decide/show.rs
@@ -28,7 +28,11 @@
             accounts: self.accounts.standing(),
             platform_silence: self.platform_silence(now),
             peers: self.links.values().map(peer_status).collect(),
-            pools: table.pools.values().map(|pool| self.pool(pool, now)).collect(),
+            pools: table
+                .pools
+                .values()
+                .map(|pool| self.pool(pool, now))
+                .collect(),
         }
     }
 
@@ -52,7 +56,10 @@
         let shown = dispatcher.map(|dispatcher| dispatcher.status(now));
         let slots = shown.iter().flat_map(|status| &status.servers);
         let (slots, busy) = slots.fold((0, 0), |(slots, busy), server| {
-            (slots + u64::from(server.limit), busy + u64::from(server.busy))
+            (
+                slots + u64::from(server.limit),
+                busy + u64::from(server.busy),
+            )
         });
         let accounts = self.queues(pool, now);
         PoolStatus {
--- a/crates/primrosed/src/decide/slots.rs
+++ b/crates/primrosed/src/decide/slots.rs
@@ -105,7 +105,8 @@
     /// Compares who holds which dispatcher with what was known, and acts on the changes.
     pub(super) fn update_holders(&mut self, now: Mono) {
         let table = self.published.table();
-        self.dispatchers.retain(|pool, _| table.pools.contains_key(pool));
+        self.dispatchers
+            .retain(|pool, _| table.pools.contains_key(pool));
         for pool in table.pools.keys() {
             let holder = self.view.holder(&duty_of(pool)).cloned();
             self.hold(pool, holder.as_ref() == Some(&self.me), now);
@@ -181,12 +182,16 @@
         let table = self.published.table();
         let mut targets = Vec::new();
         for (name, pool) in &table.pools {
-            if pool.kind != primrose_core::table::PoolKind::Engine || !self.dispatchers.contains_key(name) {
+            if pool.kind != primrose_core::table::PoolKind::Engine
+                || !self.dispatchers.contains_key(name)
+            {
                 continue;
             }
             let mine = self.directory.entries(pool, &self.zone);
             let located = self.directory.servers(pool);
-            let asked = located.into_iter().filter(|one| mine.iter().any(|entry| entry.id == one.id));
+            let asked = located
+                .into_iter()
+                .filter(|one| mine.iter().any(|entry| entry.id == one.id));
             targets.extend(asked.map(|server| LoadTarget {
                 pool: name.clone(),
                 server: server.id,
--- a/crates/primrosed/src/router.rs
+++ b/crates/primrosed/src/router.rs
@@ -187,7 +187,9 @@
             drained,
             clock: Arc::clone(&parts.clock),
         };
-        router.spawn("decide", move || decide::run(decider, &inputs, &link_events))?;
+        router.spawn("decide", move || {
+            decide::run(decider, &inputs, &link_events)
+        })?;
         let desk = Claims {
             me,
             desk: Desk::new(&settings.platform.prefix, primrose_claim::Limits::default()),
--- a/crates/request/src/action.rs
+++ b/crates/request/src/action.rs
@@ -54,9 +54,9 @@
     Refused,
     /// The server could not be reached; nothing was sent.
     Unreachable,
-    /// The answer broke off, and the server may have been at fault.
+    /// The answer broke off, and the server still listens.
     Broken,
-    /// The server is gone.
+    /// The answer broke off, and the server no longer listens.
     ServerLost,
     /// The router gave the attempt up.
     Cancelled,
@@ -128,6 +128,16 @@
         /// How long to wait first.
         delay: Duration,
     },
+    /// Connect anew to see whether the server still listens, and send nothing; answer with
+    /// `Connected` or `Failed`, in any case and within a bounded time.
+    Probe {
+        /// The connection to make.
+        conn: ConnId,
+        /// The server.
+        server: ServerId,
+        /// Where it listens.
+        addr: SocketAddr,
+    },
     /// Close the connection, but leave the run at the server alone.
     Disconnect {
         /// The connection.
--- a/crates/request/src/answer.rs
+++ b/crates/request/src/answer.rs
@@ -32,6 +32,10 @@
         let Phase::Running(run) = replace(&mut self.phase, Phase::Over) else {
             return;
         };
+        if run.probing {
+            self.probed(run, event, out);
+            return;
+        }
         match event {
             ConnEvent::Connected => self.connected(run, out),
             ConnEvent::Head { status } => self.head(run, status),
@@ -40,8 +44,8 @@
             ConnEvent::BodyEnd => self.body_end(run, out),
             ConnEvent::Failed(stage) => self.failed(run, stage, out),
             ConnEvent::Resumed => self.resumed(run),
-            ConnEvent::ResumeRefused => self.lost(run, AttemptResult::Broken, out),
-            ConnEvent::ServerGone => self.lost(run, AttemptResult::ServerLost, out),
+            ConnEvent::ResumeRefused => self.lost(&run, AttemptResult::Broken, out),
+            ConnEvent::ServerGone => self.lost(&run, AttemptResult::ServerLost, out),
         }
     }
 
@@ -164,8 +168,7 @@
     fn broken(&mut self, mut run: Run, out: &mut Vec<Action>) {
         let resumable = self.spec.can_resume() && run.status.is_some();
         if !resumable || run.breaks >= MAX_BREAKS {
-            out.push(Action::Cancel { conn: run.conn });
-            self.lost(run, AttemptResult::Broken, out);
+            self.give_up(run, out);
             return;
         }
         out.push(Action::Disconnect { conn: run.conn });
@@ -181,21 +184,63 @@
         self.phase = Phase::Running(run);
     }
 
-    /// Ends an attempt whose answer will never be whole.
-    fn lost(&mut self, run: Run, result: AttemptResult, out: &mut Vec<Action>) {
-        self.report(&run.grant, result, out);
-        self.drop_held(out);
+    /// Gives up an attempt whose answer broke off, and finds out whether the server died of it.
+    fn give_up(&mut self, run: Run, out: &mut Vec<Action>) {
+        out.push(Action::Cancel { conn: run.conn });
         if !run.sent {
-            self.avoid.push(run.grant.server.clone());
-            self.ask_retry(&run, Stage::BeforeSend, ErrorCode::ServerLost, out);
+            self.lost(&run, AttemptResult::Broken, out);
             return;
         }
-        if self.spec.route.idempotent && !self.forwarded {
-            self.avoid.push(run.grant.server.clone());
-            self.ask_retry(&run, Stage::AfterSend, ErrorCode::ServerLost, out);
+        if !self.may_repeat() {
+            // The caller need not wait for the probe.
+            self.end(Outcome::Unknown, Some(ErrorCode::ServerLost), None, out);
+        }
+        self.probe(run, out);
+    }
+
+    pub(crate) fn probe(&mut self, mut run: Run, out: &mut Vec<Action>) {
+        run.probe();
+        out.push(Action::Probe {
+            conn: run.conn,
+            server: run.grant.server.clone(),
+            addr: run.grant.addr,
+        });
+        self.phase = Phase::Running(run);
+    }
+
+    fn probed(&mut self, run: Run, event: ConnEvent, out: &mut Vec<Action>) {
+        let result = match event {
+            ConnEvent::Connected => AttemptResult::Broken,
+            ConnEvent::Failed(_) | ConnEvent::ServerGone => AttemptResult::ServerLost,
+            _ => {
+                self.phase = Phase::Running(run);
+                return;
+            }
+        };
+        out.push(Action::Disconnect { conn: run.conn });
+        self.lost(&run, result, out);
+    }
+
+    /// Whether a further attempt may send the request, though this one may have run it.
+    fn may_repeat(&self) -> bool {
+        self.spec.route.idempotent && !self.forwarded && !self.finished
+    }
+
+    /// Ends an attempt whose answer will never be whole.
+    fn lost(&mut self, run: &Run, result: AttemptResult, out: &mut Vec<Action>) {
+        self.report(&run.grant, result, out);
+        self.drop_held(out);
+        let stage = if run.sent {
+            Stage::AfterSend
+        } else {
+            Stage::BeforeSend
+        };
+        if run.sent && !self.may_repeat() {
+            self.end(Outcome::Unknown, Some(ErrorCode::ServerLost), None, out);
             return;
         }
-        self.end(Outcome::Unknown, Some(ErrorCode::ServerLost), None, out);
+        self.avoid.push(run.grant.server.clone());
+        self.ask_retry(run, stage, ErrorCode::ServerLost, out);
     }
 
     pub(crate) fn drop_held(&mut self, out: &mut Vec<Action>) {
@@ -206,7 +251,7 @@
     }
 
     fn ask_retry(&mut self, run: &Run, stage: Stage, code: ErrorCode, out: &mut Vec<Action>) {
-        if self.opened >= MAX_ATTEMPTS {
+        if self.finished || self.opened >= MAX_ATTEMPTS {
             self.end(self.outcome(), Some(code), None, out);
             return;
         }
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -41,6 +41,7 @@
 
 pub mod action;
 mod answer;
+mod ending;
 pub mod event;
 pub mod lifecycle;
 mod run;
--- a/crates/request/src/lifecycle.rs
+++ b/crates/request/src/lifecycle.rs
@@ -294,55 +294,6 @@
         }
     }
 
-    fn caller_gone(&mut self, out: &mut Vec<Action>) {
-        self.listening = false;
-        if !self.must_settle() {
-            self.stop(None, out);
-        }
-    }
-
-    fn deadline(&mut self, out: &mut Vec<Action>) {
-        let code = match &self.phase {
-            Phase::Running(run) if run.sent => ErrorCode::Timeout,
-            _ => ErrorCode::Deadline,
-        };
-        if self.must_settle() {
-            // The run goes on, so that its outcome can be recorded for a resend.
-            self.finish(Outcome::Unknown, Some(code), None, out);
-        } else {
-            self.stop(Some(code), out);
-        }
-    }
-
-    fn run_limit(&mut self, out: &mut Vec<Action>) {
-        if self.running().is_some() {
-            self.stop(Some(ErrorCode::Timeout), out);
-        }
-    }
-
-    /// Whether a run is under way whose outcome has to be recorded.
-    fn must_settle(&self) -> bool {
-        match &self.phase {
-            Phase::Running(run) => run.sent && !self.spec.route.idempotent,
-            _ => false,
-        }
-    }
-
-    /// Gives up whatever is under way and ends the request.
-    fn stop(&mut self, code: Option<ErrorCode>, out: &mut Vec<Action>) {
-        match std::mem::replace(&mut self.phase, Phase::Over) {
-            Phase::Queued(attempt) => out.push(Action::Withdraw { attempt }),
-            Phase::Running(run) => {
-                out.push(Action::Cancel { conn: run.conn });
-                self.report(&run.grant, AttemptResult::Cancelled, out);
-                self.drop_held(out);
-            }
-            Phase::New | Phase::Claiming | Phase::Deciding(_) => {}
-            Phase::Over => return,
-        }
-        self.end(self.outcome(), code, None, out);
-    }
-
     /// What can truthfully be said of a request without a whole answer.
     pub(crate) fn outcome(&self) -> Outcome {
         if self.exposed {
--- a/crates/request/src/run.rs
+++ b/crates/request/src/run.rs
@@ -36,6 +36,8 @@
     pub(crate) breaks: u32,
     /// Whether a resumed connection has not yet been accepted.
     pub(crate) resuming: bool,
+    /// Whether the connection only finds out if the server still listens.
+    pub(crate) probing: bool,
 }
 
 impl Run {
@@ -53,6 +55,7 @@
             last: 0,
             breaks: 0,
             resuming: false,
+            probing: false,
         }
     }
 
@@ -75,4 +78,16 @@
         self.breaks += 1;
         self.resuming = true;
     }
+
+    /// Moves on to a further connection, which only finds out if the server still listens.
+    pub(crate) fn probe(&mut self) {
+        self.conn.number += 1;
+        self.resuming = false;
+        self.probing = true;
+    }
+
+    /// Whether the answer has broken off and it is not yet known why.
+    pub(crate) fn in_doubt(&self) -> bool {
+        self.sent && (self.resuming || self.probing)
+    }
 }
