--- a/crates/primrosed/src/decide/documents.rs
+++ b/crates/primrosed/src/decide/documents.rs
@@ -111,7 +111,7 @@
         for (name, pool) in &table.pools {
             if let Some(dispatcher) = self.dispatchers.get_mut(name) {
                 let actions = dispatcher.handle(dispatcher::Event::Pool(pool.clone()), now);
-                self.dispatcher_actions(actions, now);
+                self.dispatcher_actions(actions);
             }
         }
         if let Some(header) = self.header(DocumentKind::Tables) {
--- a/crates/primrosed/src/decide/slots.rs
+++ b/crates/primrosed/src/decide/slots.rs
@@ -44,10 +44,10 @@
             return;
         };
         let actions = dispatcher.handle(event, now);
-        self.dispatcher_actions(actions, now);
+        self.dispatcher_actions(actions);
     }
 
-    pub(super) fn dispatcher_actions(&mut self, actions: Vec<dispatcher::Action>, now: Mono) {
+    pub(super) fn dispatcher_actions(&mut self, actions: Vec<dispatcher::Action>) {
         for dispatcher::Action::Send { to, message } in actions {
             self.send(to, message);
         }
