--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -41,6 +41,7 @@
 //! assert_eq!(replies[0].result, ClaimResult::Made);
 //! ```
 
+pub mod call;
 pub mod desk;
 pub mod key;
 pub mod order;
@@ -48,8 +49,10 @@
 pub mod record;
 mod task;
 
+pub use call::Call;
+pub use call::CallResult;
+pub use call::Limits;
 pub use desk::Desk;
-pub use desk::Limits;
 pub use order::ClaimResult;
 pub use order::Order;
 pub use order::Reply;
--- a/crates/claim/tests/testsuite/calls.rs
+++ b/crates/claim/tests/testsuite/calls.rs
@@ -23,13 +23,13 @@
 
 /// Submits all orders at once and returns the replies and the number of calls.
 fn group(bench: &Bench, desk: &mut Desk, orders: Vec<Order>) -> (Vec<Reply>, u64) {
-    let before = bench.store.calls();
+    let before = bench.store.calls().total();
     let mut replies = Vec::new();
     for order in orders {
         replies.extend(bench.submit(desk, order));
     }
     replies.extend(bench.settle(desk));
-    (replies, bench.store.calls() - before)
+    (replies, bench.store.calls().total() - before)
 }
 
 #[test]
@@ -72,7 +72,7 @@
     let mut desk = desk();
     bench.submit(&mut desk, keyed(1, Wish::Claim));
     assert!(desk.step(&bench.store, &*bench.clock).is_empty());
-    assert_eq!(bench.store.calls(), 0);
+    assert_eq!(bench.store.calls().total(), 0);
     assert_eq!(
         desk.wake(),
         Some(bench.clock.now() + Duration::from_millis(5))
--- a/crates/local/examples/quickstart.rs
+++ b/crates/local/examples/quickstart.rs
@@ -31,7 +31,10 @@
     for place in 0..deployment.places() {
         let router = deployment.router(place);
         let (zone, callers) = (deployment.zone_of(place), router.callers());
-        println!("  {zone}: callers {callers}, operators {}", router.operators());
+        println!(
+            "  {zone}: callers {callers}, operators {}",
+            router.operators()
+        );
     }
     let account = deployment.shape().accounts[0].name.clone();
     let bearer = deployment.bearer(&account);
@@ -77,9 +80,18 @@
     for place in [1, 2] {
         let router = deployment.router(place).callers();
         let answer = client.order(router, "van-12", "{\"van\": 12}")?;
-        println!("  {}: {} {}", deployment.zone_of(place), answer.status, answer.outcome);
+        println!(
+            "  {}: {} {}",
+            deployment.zone_of(place),
+            answer.status,
+            answer.outcome
+        );
     }
-    let runs: usize = deployment.plains().iter().map(|plain| plain.runs_of("van-12")).sum();
+    let runs: usize = deployment
+        .plains()
+        .iter()
+        .map(|plain| plain.runs_of("van-12"))
+        .sum();
     println!("Ran {runs} time(s), by the services' own record");
     Ok(())
 }
@@ -99,7 +111,10 @@
         "  curl -i http://{}/orders -H 'authorization: Bearer {bearer}' -H 'idempotency-key: van-13' -d '{{}}'",
         router.callers(),
     );
-    println!("  primrosectl status --router {}", operators.join(" --router "));
+    println!(
+        "  primrosectl status --router {}",
+        operators.join(" --router ")
+    );
     println!("  primrosectl show --platform {}", deployment.kv().addr());
     println!("  curl http://{}/metrics", router.operators());
 }
--- a/crates/local/src/client.rs
+++ b/crates/local/src/client.rs
@@ -135,6 +135,9 @@
         .timeout_global(Some(STATUS_TIME))
         .build()
         .into();
-    let mut response = agent.get(format!("http://{operators}/status")).call().ok()?;
+    let mut response = agent
+        .get(format!("http://{operators}/status"))
+        .call()
+        .ok()?;
     response.body_mut().read_json().ok()
 }
--- a/crates/local/src/deployment.rs
+++ b/crates/local/src/deployment.rs
@@ -315,7 +315,9 @@
                 && status["pools"].as_array().is_some_and(|pools| {
                     let served = |pool: &serde_json::Value| {
                         !pool["dispatcher"].is_null()
-                            && pool["servers"].as_array().is_some_and(|all| !all.is_empty())
+                            && pool["servers"]
+                                .as_array()
+                                .is_some_and(|all| !all.is_empty())
                     };
                     !pools.is_empty() && pools.iter().all(served)
                 })
--- a/crates/local/src/documents.rs
+++ b/crates/local/src/documents.rs
@@ -68,7 +68,11 @@
     for account in &shape.accounts {
         let hash = KeyHash::of(bearer(&account.name).as_bytes());
         // Writing to a string cannot fail.
-        let _ = write!(text, "\n[account {}]\nkey-sha256.first = {hash}\n", account.name);
+        let _ = write!(
+            text,
+            "\n[account {}]\nkey-sha256.first = {hash}\n",
+            account.name
+        );
     }
     text
 }
