Measure the time that a router adds to the first token

Cause: the target of 2 ms added at 1, 16 and 256 streams had no figure. Change: measure first-token: single requests in turn to an engine of fine steps and through a router that carries the other streams. Ruled out: all streams at one engine; its 36 ms step hides the router (the figure then moved by 20 ms with the phase while the queue hop took 1.8 ms).

--- /dev/null
+++ b/crates/local/examples/measure.rs
@@ -0,0 +1,81 @@
+//! Prints a line for each measured figure: name, value, unit, target, and whether it is met.
+//!
+//! Ends with exit code 1 if any figure is short of its target.
+
+use std::process::ExitCode;
+
+use bpaf::Parser;
+use primrose_local::measure;
+use primrose_local::measure::Figure;
+use primrose_local::Shape;
+
+/// What to measure.
+#[derive(Debug, Clone, Copy)]
+enum What {
+    Fairness,
+    Utilisation,
+    FirstToken,
+}
+
+fn what() -> impl Parser<What> {
+    let command = |name: &'static str, help: &'static str, what| {
+        bpaf::pure(what).to_options().descr(help).command(name)
+    };
+    let fairness = command(
+        "fairness",
+        "Service gap between client accounts, beside baselines",
+        What::Fairness,
+    );
+    let utilisation = command(
+        "utilisation",
+        "Slots busy while work waits, beside baselines",
+        What::Utilisation,
+    );
+    let first_token = command(
+        "first-token",
+        "Time that a router adds to the first token",
+        What::FirstToken,
+    );
+    bpaf::construct!([fairness, utilisation, first_token])
+}
+
+fn main() -> ExitCode {
+    primrose_util::logger::init(log::LevelFilter::Error);
+    let what = what()
+        .to_options()
+        .descr("Measures a deployment in this process against its targets")
+        .run();
+    match run(what) {
+        Ok(figures) => {
+            let short = figures.iter().filter(|figure| !figure.is_ok()).count();
+            for figure in &figures {
+                println!("{figure}");
+            }
+            println!("{} figures, {short} short", figures.len());
+            ExitCode::from(u8::from(short > 0))
+        }
+        Err(error) => {
+            eprintln!("error: {}", snafu::Report::from_error(error));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(what: What) -> measure::Result<Vec<Figure>> {
+    let deployments = [("utility", Shape::utility()), ("co-op", Shape::co_op())];
+    let mut figures = Vec::new();
+    match what {
+        What::FirstToken => figures = measure::first_token()?,
+        What::Fairness => {
+            for (name, shape) in &deployments {
+                figures.extend(measure::fairness(name, shape)?);
+            }
+        }
+        What::Utilisation => {
+            for (name, shape) in &deployments {
+                figures.extend(measure::utilisation(name, shape)?);
+            }
+        }
+    }
+    Ok(figures)
+}
--- a/crates/local/examples/quickstart.rs
+++ b/crates/local/examples/quickstart.rs
@@ -56,7 +56,7 @@
     let body = chat_body("draft a rota notice", TOKENS, None, true);
     let router = deployment.router(0).callers();
     let mut shown = 0;
-    let answer = client.stream(router, &body, &**deployment.clock(), |event| {
+    let answer = client.stream(router, &body, "notice-1", &**deployment.clock(), |event| {
         if let Some(text) = content(event) {
             print!("{text}");
             shown += 1;
--- a/crates/local/src/client.rs
+++ b/crates/local/src/client.rs
@@ -45,8 +45,19 @@
 ///
 /// `tokens` is the true length of the answer; `bound` is what the caller allows.
 pub fn chat_body(text: &str, tokens: u64, bound: Option<u64>, stream: bool) -> String {
+    model_body(MODEL, text, tokens, bound, stream)
+}
+
+/// Makes the body of a completion request to a model.
+pub(crate) fn model_body(
+    model: &str,
+    text: &str,
+    tokens: u64,
+    bound: Option<u64>,
+    stream: bool,
+) -> String {
     let mut body = serde_json::json!({
-        "model": MODEL,
+        "model": model,
         "stream": stream,
         "messages": [{"role": "user", "content": text}],
         "metadata": {"tokens": tokens.to_string()},
@@ -71,16 +82,20 @@
     }
 
     /// Requests a completion and reads it event by event; `seen` is told each event's data.
+    ///
+    /// The key goes along as `Idempotency-Key`, by which a stand-in's record names the request.
     pub fn stream(
         &self,
         router: SocketAddr,
         body: &str,
+        key: &str,
         clock: &dyn Clock,
         mut seen: impl FnMut(&str),
     ) -> io::Result<Streamed> {
         let url = format!("http://{router}/v1/chat/completions");
         let request = self.agent.post(url).header("authorization", &self.bearer);
         let request = request.header("content-type", "application/json");
+        let request = request.header("idempotency-key", key);
         let response = request.send(body).map_err(io::Error::other)?;
         let mut streamed = Streamed {
             status: response.status().as_u16(),
--- a/crates/local/src/deployment.rs
+++ b/crates/local/src/deployment.rs
@@ -41,6 +41,7 @@
 use primrosed::router::Parts;
 use primrosed::router::Router;
 use primrosed::router::RouterError;
+use primrosed::router::Sharing;
 use snafu::ResultExt;
 use snafu::Snafu;
 
@@ -49,6 +50,7 @@
 use crate::documents::ACCOUNTS_KEY;
 use crate::documents::PREFIX;
 use crate::documents::TABLES_KEY;
+use crate::shape::Policy;
 use crate::shape::Shape;
 
 /// Key of the peer links; they never leave this process.
@@ -57,6 +59,8 @@
 const ROUTERS: &str = "primrosed";
 /// Service name of the engines.
 const ENGINES: &str = "drafting";
+/// Service name of the engine for single requests.
+const PROBES: &str = "probing";
 /// Service name of the plain services.
 const PLAINS: &str = "dispatch";
 /// Shortest lease of the key-value stand-in.
@@ -121,6 +125,7 @@
     routers: Vec<Option<Placed>>,
     engines: Vec<Engine>,
     plains: Vec<Plain>,
+    probe: Option<Engine>,
     board: HostBoard,
     hosts: Hosts,
     kv: Kv,
@@ -150,6 +155,7 @@
             routers: Vec::new(),
             engines: Vec::new(),
             plains: Vec::new(),
+            probe: None,
             board,
             hosts,
             kv,
@@ -196,6 +202,12 @@
                 self.plains.push(plain);
             }
         }
+        if let Some(config) = self.shape.probe.clone() {
+            let engine = Engine::start(&self.runtime, config).context(StandinSnafu)?;
+            let zone = self.shape.zones[0].name.clone();
+            self.list("probe-engine", &zone, PROBES, engine.addr());
+            self.probe = Some(engine);
+        }
         Ok(())
     }
 
@@ -203,17 +215,18 @@
         for zone in self.shape.zones.clone() {
             for number in 1..=zone.routers {
                 let host = format!("{}-entry-{number}", zone.name);
-                let placed = self.start_router(&zone.name, &host)?;
+                let sharing = self.sharing(number - 1, zone.routers);
+                let placed = self.start_router(&zone.name, &host, sharing)?;
                 self.routers.push(Some(placed));
             }
         }
         Ok(())
     }
 
-    fn start_router(&mut self, zone: &str, host: &str) -> Result<Placed> {
+    fn start_router(&mut self, zone: &str, host: &str, sharing: Sharing) -> Result<Placed> {
         self.incarnation += 1;
         let settings = self.settings(zone, host);
-        let router = Router::start(&settings, self.parts()).context(RouterSnafu)?;
+        let router = Router::start(&settings, self.parts(sharing)).context(RouterSnafu)?;
         self.list(host, zone, ROUTERS, router.peers());
         Ok(Placed {
             zone: zone.to_owned(),
@@ -222,6 +235,17 @@
         })
     }
 
+    fn sharing(&self, index: usize, count: usize) -> Sharing {
+        match self.shape.policy {
+            Policy::Fleet => Sharing::Fleet,
+            Policy::FirstCome => Sharing::FirstCome,
+            Policy::Alone => Sharing::Alone {
+                index: u32::try_from(index).unwrap_or(u32::MAX),
+                count: u32::try_from(count).unwrap_or(u32::MAX),
+            },
+        }
+    }
+
     fn settings(&self, zone: &str, host: &str) -> Settings {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         Settings {
@@ -258,7 +282,7 @@
         }
     }
 
-    fn parts(&self) -> Parts {
+    fn parts(&self, sharing: Sharing) -> Parts {
         let config = ConsulConfig::new(vec![self.kv.addr()]);
         let hosts = ConsulConfig::new(vec![self.hosts.addr()]);
         let key = Key::from_bytes(PEER_KEY).expect("the key is long enough");
@@ -269,6 +293,7 @@
                 Arc::new(ConsulHosts::new(hosts.clone(), service)) as Arc<dyn HostList>
             })),
             keys: Keys::new(vec![key]).expect("there is a key"),
+            sharing,
             incarnation: self.incarnation,
             metrics: None,
         }
@@ -373,6 +398,11 @@
         &self.plains
     }
 
+    /// The engine for single requests, if the shape has one.
+    pub fn probe(&self) -> Option<&Engine> {
+        self.probe.as_ref()
+    }
+
     /// The key-value service.
     pub fn kv(&self) -> &Kv {
         &self.kv
@@ -416,7 +446,7 @@
             }
             None => self.names_of(place),
         };
-        let placed = self.start_router(&zone, &host)?;
+        let placed = self.start_router(&zone, &host, Sharing::Fleet)?;
         self.routers[place] = Some(placed);
         Ok(())
     }
--- a/crates/local/src/documents.rs
+++ b/crates/local/src/documents.rs
@@ -8,6 +8,7 @@
 use crate::shape::Shape;
 use crate::shape::MODEL;
 use crate::shape::ORDER_PATH;
+use crate::shape::PROBE_MODEL;
 
 /// What the keys of the deployment begin with.
 pub const PREFIX: &str = "primrosehall";
@@ -53,10 +54,23 @@
             "\n[pool dispatch]\nkind = plain\nservice = dispatch\nmin-slots = 4\nmax-slots = 4\n\
              longest-run = 30s\n",
         );
+        if shape.probe.is_some() {
+            text.push_str(&probe_text(deadline));
+        }
         text
     }
 }
 
+/// Renders the route and the pool of the engine for single requests.
+fn probe_text(deadline: u128) -> String {
+    format!(
+        "\n[route probes]\nmodel = {PROBE_MODEL}\npool = probing\ndeadline = {deadline}ms\n\
+         idempotent = yes\ncost = 100\n\n\
+         [pool probing]\nkind = engine\nservice = probing\nmin-slots = 8\nmax-slots = 8\n\
+         longest-run = 60s\n"
+    )
+}
+
 /// Bearer key of an account.
 pub(crate) fn bearer(account: &str) -> String {
     format!("key-of-{account}")
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -13,6 +13,7 @@
 mod client;
 mod deployment;
 mod documents;
+pub mod measure;
 mod shape;
 
 pub use client::chat_body;
@@ -25,5 +26,6 @@
 pub use documents::PREFIX;
 pub use documents::TABLES_KEY;
 pub use shape::AccountShape;
+pub use shape::Policy;
 pub use shape::Shape;
 pub use shape::ZoneShape;
--- a/crates/local/src/shape.rs
+++ b/crates/local/src/shape.rs
@@ -28,6 +28,20 @@
     pub weight: Weight,
 }
 
+/// How slots are shared; anything but [`Policy::Fleet`] is a baseline.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum Policy {
+    /// Fair over the whole fleet.
+    #[display("fleet")]
+    Fleet,
+    /// First come first served.
+    #[display("first-come")]
+    FirstCome,
+    /// Fair in each router alone.
+    #[display("router-alone")]
+    Alone,
+}
+
 /// A deployment.
 #[derive(Debug, Clone)]
 pub struct Shape {
@@ -39,18 +53,24 @@
     pub slots: (u32, u32),
     /// How engines behave; the address is set for each.
     pub engine: EngineConfig,
+    /// One more engine in a pool of its own, for single requests beside the load.
+    pub probe: Option<EngineConfig>,
     /// How long a plain service takes for a call.
     pub plain_time: Duration,
     /// Deadline of the routes.
     pub deadline: Duration,
     /// Requests of one account that may wait at one router.
     pub queue: usize,
+    /// How slots are shared.
+    pub policy: Policy,
     /// How long a change of the host list takes to show.
     pub host_lag: Duration,
 }
 
 /// Model that the engines serve.
 pub(crate) const MODEL: &str = "draft-7b";
+/// Model that the engine for single requests serves.
+pub(crate) const PROBE_MODEL: &str = "probe-1b";
 /// Path of the plain services.
 pub(crate) const ORDER_PATH: &str = "/orders";
 
@@ -91,9 +111,11 @@
                 },
                 ..EngineConfig::default()
             },
+            probe: None,
             plain_time: Duration::from_millis(5),
             deadline: Duration::from_secs(30),
             queue: 100,
+            policy: Policy::Fleet,
             host_lag: Duration::from_millis(200),
         }
     }
--- a/crates/primrosed/src/decide/fleet.rs
+++ b/crates/primrosed/src/decide/fleet.rs
@@ -101,9 +101,9 @@
         self.next_view = now + VIEW_TICK;
         self.view_event(Event::Tick, now);
         self.update_holders(now);
-        let mine = |duty: &&str| self.view.holder(duty) == Some(&self.me);
+        let is_mine = |duty: &&str| self.view.holder(duty) == Some(&self.me);
         self.published
-            .set_watching(WATCH_DUTIES.iter().any(|duty| mine(duty)));
+            .set_watching(WATCH_DUTIES.iter().any(is_mine));
     }
 
     /// Sends a message to another router, over other routers if there is no link to it.
--- a/crates/primrosed/src/decide/mod.rs
+++ b/crates/primrosed/src/decide/mod.rs
@@ -41,6 +41,7 @@
 use crate::message::DocumentKind;
 use crate::message::PeerMessage;
 use crate::published::Published;
+use crate::router::Sharing;
 
 pub(crate) use directory::ROUTER_SERVICE;
 pub(crate) use run::run;
@@ -67,6 +68,7 @@
     clock: Arc<dyn Clock>,
     wires: Box<dyn Wires>,
     published: Arc<Published>,
+    sharing: Sharing,
     rng: StdRng,
     view: View,
     directory: Directory,
@@ -91,6 +93,7 @@
         clock: Arc<dyn Clock>,
         wires: Box<dyn Wires>,
         published: Arc<Published>,
+        sharing: Sharing,
         seed: u64,
     ) -> Self {
         let now = clock.now();
@@ -102,6 +105,7 @@
             platform_heard: None,
             wires,
             published,
+            sharing,
             rng: StdRng::seed_from_u64(seed),
             view: View::new(view, now),
             directory: Directory::default(),
--- a/crates/primrosed/src/decide/slots.rs
+++ b/crates/primrosed/src/decide/slots.rs
@@ -5,17 +5,25 @@
 use primrose_core::clock::Mono;
 use primrose_core::id::Member;
 use primrose_core::id::PoolId;
+use primrose_core::id::ServerId;
 use primrose_core::id::ZoneId;
+use primrose_core::table::Pool;
 use primrose_dispatch::dispatcher;
 use primrose_dispatch::dispatcher::Dispatcher;
+use primrose_dispatch::dispatcher::ServerEntry;
 use primrose_dispatch::message::Duty;
 use primrose_dispatch::message::Message;
+use primrose_dispatch::policy::partition;
+use primrose_dispatch::policy::Fcfs;
+use primrose_dispatch::policy::FleetFair;
+use primrose_dispatch::policy::Policy;
 use primrose_dispatch::requester;
 use rand::Rng;
 
 use crate::decide::Decider;
 use crate::input::PoolLoad;
 use crate::published::LoadTarget;
+use crate::router::Sharing;
 
 /// Name of the duty of dispatching a pool.
 pub(super) fn duty_of(pool: &str) -> String {
@@ -108,7 +116,7 @@
         self.dispatchers
             .retain(|pool, _| table.pools.contains_key(pool));
         for pool in table.pools.keys() {
-            let holder = self.view.holder(&duty_of(pool)).cloned();
+            let holder = self.holder(pool);
             self.hold(pool, holder.as_ref() == Some(&self.me), now);
             if self.holders.get(pool) != Some(&holder) {
                 self.holders.insert(pool.clone(), holder.clone());
@@ -119,6 +127,13 @@
         }
     }
 
+    fn holder(&self, pool: &str) -> Option<Member> {
+        match self.sharing {
+            Sharing::Alone { .. } => Some(self.me.clone()),
+            _ => self.view.holder(&duty_of(pool)).cloned(),
+        }
+    }
+
     /// Takes up or gives up the dispatcher of a pool.
     fn hold(&mut self, pool: &PoolId, mine: bool, now: Mono) {
         if !mine {
@@ -139,14 +154,16 @@
         log::info!(pool = pool.as_str(); "took up the dispatcher");
         let (me, zone) = (self.me.clone(), self.zone.clone());
         let seed = self.rng.random();
-        let dispatcher = Dispatcher::new(me, zone, row.clone(), seed, now);
+        let policy = policy_of(self.sharing);
+        let dispatcher = Dispatcher::with_policy(me, zone, row.clone(), seed, now, policy);
         self.dispatchers.insert(pool.clone(), dispatcher);
         self.update_servers(now);
     }
 
     /// Tells a dispatcher who holds its pool in the other zones.
     fn update_peers(&mut self, pool: &PoolId, now: Mono) {
-        if !self.dispatchers.contains_key(pool) {
+        let alone = matches!(self.sharing, Sharing::Alone { .. });
+        if alone || !self.dispatchers.contains_key(pool) {
             return;
         }
         let duty = duty_of(pool);
@@ -170,13 +187,32 @@
         let table = self.published.table();
         for (name, pool) in &table.pools {
             if self.dispatchers.contains_key(name) {
-                let servers = self.directory.entries(pool, &self.zone);
+                let servers = self.entries(pool);
                 self.dispatcher_event(name, dispatcher::Event::Servers(servers), now);
             }
         }
         self.publish_targets();
     }
 
+    /// Servers that this router's dispatcher of a pool has.
+    fn entries(&self, pool: &Pool) -> Vec<ServerEntry> {
+        let entries = self.directory.entries(pool, &self.zone);
+        let Sharing::Alone { index, count } = self.sharing else {
+            return entries;
+        };
+        let ids: Vec<ServerId> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let parts = partition(&ids, pool.slots, index, count);
+        let capped = parts.into_iter().filter_map(|part| {
+            let entry = entries.iter().find(|entry| entry.id == part.server)?;
+            let cap = Some(part.slots);
+            Some(ServerEntry {
+                cap,
+                ..entry.clone()
+            })
+        });
+        capped.collect()
+    }
+
     /// Tells the load thread which servers to ask.
     fn publish_targets(&self) {
         let table = self.published.table();
@@ -201,3 +237,10 @@
         self.published.set_targets(targets);
     }
 }
+
+fn policy_of(sharing: Sharing) -> Box<dyn Policy> {
+    match sharing {
+        Sharing::FirstCome => Box::new(Fcfs),
+        Sharing::Fleet | Sharing::Alone { .. } => Box::new(FleetFair::default()),
+    }
+}
--- a/crates/primrosed/src/ops/run.rs
+++ b/crates/primrosed/src/ops/run.rs
@@ -29,6 +29,7 @@
 use crate::router::HostLists;
 use crate::router::Parts;
 use crate::router::Router;
+use crate::router::Sharing;
 
 /// Exit code of a shutdown that cut requests off.
 const CUT: u8 = 3;
@@ -48,6 +49,7 @@
         ))),
         hosts: host_lists(&settings),
         keys,
+        sharing: Sharing::Fleet,
         incarnation: incarnation(&*clock),
         metrics: PrometheusBuilder::new().install_recorder().ok(),
         clock,
--- a/crates/primrosed/src/router.rs
+++ b/crates/primrosed/src/router.rs
@@ -55,6 +55,23 @@
 /// Gives the host list of one service.
 pub type HostLists = Arc<dyn Fn(&str) -> Arc<dyn HostList> + Send + Sync>;
 
+/// How routers share slots; anything but [`Sharing::Fleet`] is a baseline for measurements.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Sharing {
+    /// Fair over the whole fleet.
+    #[default]
+    Fleet,
+    /// First come first served at each zone's dispatcher.
+    FirstCome,
+    /// Fair in each router alone, over a fixed part of its zone's slots.
+    Alone {
+        /// Place of this router in its zone, from 0.
+        index: u32,
+        /// Routers of the zone.
+        count: u32,
+    },
+}
+
 /// What a router needs of the world outside.
 #[derive(Clone)]
 pub struct Parts {
@@ -66,6 +83,8 @@
     pub hosts: Option<HostLists>,
     /// Keys of the peer links.
     pub keys: Keys,
+    /// How slots are shared.
+    pub sharing: Sharing,
     /// Number of this run of the process.
     pub incarnation: Incarnation,
     /// Renders the metrics; nothing if they are not exported.
@@ -172,6 +191,7 @@
             Arc::clone(&parts.clock),
             Box::new(Arc::clone(&endpoint)),
             Arc::clone(&published),
+            parts.sharing,
             rand::rng().random(),
         );
         let mut router = Self {
