--- a/crates/platform/src/consul/hosts.rs
+++ b/crates/platform/src/consul/hosts.rs
@@ -2,6 +2,9 @@
 //!
 //! A host is an instance of one service: its id is the name of the node, its availability zone, state and
 //! incarnation stand in the metadata of the service under `zone`, `state` and `incarnation`.
+//!
+//! Each change sends the whole list, so that a list of all zones would cost a router much more
+//! than it needs; [`ConsulHosts::in_zone`] has the service leave out the other zones.
 
 use std::time::Duration;
 
@@ -22,26 +25,38 @@
 /// A [`HostList`] that speaks Consul's HTTP protocol.
 pub struct ConsulHosts {
     client: Client,
-    service: String,
+    /// Path and query, encoded, without the parameters of a watch.
+    target: String,
 }
 
 impl ConsulHosts {
-    /// Makes an adapter for the hosts of one service; connects with the first call.
-    pub fn new(config: ConsulConfig, service: impl Into<String>) -> Self {
+    /// Makes an adapter for the hosts of one service in all zones; connects with the first call.
+    pub fn new(config: ConsulConfig, service: impl AsRef<str>) -> Self {
         Self {
             client: Client::new(config),
-            service: service.into(),
+            target: format!("/v1/health/service/{}?stale", encode(service.as_ref())),
         }
     }
+
+    /// Makes an adapter for the hosts of one service in one zone; connects with the first call.
+    pub fn in_zone(config: ConsulConfig, service: impl AsRef<str>, zone: &str) -> Self {
+        let mut list = Self::new(config, service);
+        // A backslash or quote in the name would end the text that the service compares with.
+        let zone = zone.replace('\\', "\\\\").replace('"', "\\\"");
+        let filter = format!("Service.Meta.zone == \"{zone}\"");
+        list.target
+            .push_str(&format!("&filter={}", encode(&filter)));
+        list
+    }
 }
 
 impl HostList for ConsulHosts {
     fn hosts(&self, after: HostIndex, wait: Duration) -> Result<HostSnapshot> {
-        let mut target = format!("/v1/health/service/{}", encode(&self.service));
+        let mut target = self.target.clone();
         let mut kind = Kind::Read;
         if after != 0 && !wait.is_zero() {
             kind = Kind::Watch(wait);
-            target.push_str(&format!("?index={after}&wait={}ms", wait.as_millis()));
+            target.push_str(&format!("&index={after}&wait={}ms", wait.as_millis()));
         }
         let reply = self.client.call(&Call {
             kind,
--- a/crates/platform/tests/testsuite/hosts.rs
+++ b/crates/platform/tests/testsuite/hosts.rs
@@ -69,6 +69,31 @@
     assert!(list.hosts(third.index, LONG_WAIT).unwrap().hosts.is_empty());
 }
 
+#[test]
+fn a_list_of_one_zone_leaves_the_others_out() {
+    let clock = Arc::new(FakeClock::new());
+    let runtime = Runtime::new().unwrap();
+    let board = HostBoard::new(clock, Duration::ZERO);
+    let served = Hosts::start(&runtime, board.clone()).unwrap();
+    let zones = ["george", "odd \" & zone", "oudtshoorn"];
+    for zone in zones {
+        board.put(Host {
+            zone: zone.to_owned(),
+            ..host(zone, "engine", HostState::Live)
+        });
+    }
+    let config = ConsulConfig::new(vec![served.addr()]);
+    let all = ConsulHosts::new(config.clone(), "engine");
+    assert_eq!(all.hosts(0, LONG_WAIT).unwrap().hosts.len(), zones.len());
+    for zone in ["george", "oudtshoorn", "mosselbaai"] {
+        let list = ConsulHosts::in_zone(config.clone(), "engine", zone);
+        let found = list.hosts(0, LONG_WAIT).unwrap().hosts;
+        let names: Vec<&str> = found.iter().map(|host| host.zone.as_str()).collect();
+        let expected: Vec<&str> = zones.into_iter().filter(|name| *name == zone).collect();
+        assert_eq!(names, expected);
+    }
+}
+
 #[test]
 fn an_outage_of_the_list_is_an_error_and_not_an_empty_list() {
     let clock = Arc::new(FakeClock::new());
--- a/crates/standin/src/hosts.rs
+++ b/crates/standin/src/hosts.rs
@@ -20,6 +20,7 @@
 use primrose_core::clock::Mono;
 use primrose_core::host::Host;
 use primrose_core::id::HostId;
+use primrose_core::id::ZoneId;
 use serde::Serialize;
 use tokio::sync::watch;
 
@@ -207,14 +208,34 @@
         // Running out of time is an answer like any other.
         let _ = tokio::time::timeout(wait.unwrap_or(DEFAULT_WAIT), changed).await;
     }
+    let zone = match zone_filter(request) {
+        Ok(zone) => zone,
+        Err(message) => return http::error(StatusCode::BAD_REQUEST, message),
+    };
+    let in_zone = |host: &&Host| zone.as_ref().is_none_or(|zone| host.zone == *zone);
     let board = board.lock();
     let instances = board.hosts.values().filter(|host| host.service == service);
-    let instances: Vec<Instance> = instances.map(Instance::from).collect();
+    let instances: Vec<Instance> = instances.filter(in_zone).map(Instance::from).collect();
     let mut reply = http::json(StatusCode::OK, &instances);
     set_index(&mut reply, board.index);
     reply
 }
 
+/// Returns the zone that the query's filter names; other filters are not served.
+fn zone_filter<B>(request: &Request<B>) -> Result<Option<ZoneId>, &'static str> {
+    let Some(coded) = http::query(request, "filter") else {
+        return Ok(None);
+    };
+    let filter = http::decode(coded).unwrap_or_default();
+    let zone = filter
+        .strip_prefix("Service.Meta.zone == \"")
+        .and_then(|rest| rest.strip_suffix('"'));
+    match zone {
+        Some(zone) => Ok(Some(zone.to_owned())),
+        None => Err("filter is not served"),
+    }
+}
+
 #[derive(Serialize)]
 #[serde(rename_all = "PascalCase")]
 struct Instance {
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -162,3 +162,19 @@
         }
     }
 }
+
+/// Decodes percent-encoded text.
+pub(crate) fn decode(text: &str) -> Option<String> {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        if byte != b'%' {
+            bytes.push(byte);
+            continue;
+        }
+        let digits = [rest.next()?, rest.next()?];
+        let digits = std::str::from_utf8(&digits).ok()?;
+        bytes.push(u8::from_str_radix(digits, 16).ok()?);
+    }
+    String::from_utf8(bytes).ok()
+}
--- a/crates/standin/src/kv/serve.rs
+++ b/crates/standin/src/kv/serve.rs
@@ -98,7 +98,7 @@
         let path = request.uri().path().to_owned();
         let method = request.method().clone();
         if let Some(key) = path.strip_prefix("/v1/kv/") {
-            let Some(key) = decode(key) else {
+            let Some(key) = http::decode(key) else {
                 return Ok(bad_request("key is badly encoded"));
             };
             return match method {
@@ -293,19 +293,3 @@
     let seconds = text.strip_suffix('s')?.parse().ok()?;
     Some(Duration::from_secs(seconds))
 }
-
-/// Decodes a percent-encoded key.
-fn decode(text: &str) -> Option<String> {
-    let mut bytes = Vec::with_capacity(text.len());
-    let mut rest = text.bytes();
-    while let Some(byte) = rest.next() {
-        if byte != b'%' {
-            bytes.push(byte);
-            continue;
-        }
-        let digits = [rest.next()?, rest.next()?];
-        let digits = std::str::from_utf8(&digits).ok()?;
-        bytes.push(u8::from_str_radix(digits, 16).ok()?);
-    }
-    String::from_utf8(bytes).ok()
-}
