--- /dev/null
+++ b/crates/standin/examples/capacity.rs
@@ -0,0 +1,140 @@
+//! Measures how much the stand-ins carry on their one thread.
+//!
+//! A measurement of a router is worth something only as long as the stand-in behind it keeps its
+//! pace. This prints the processor time of the stand-ins' thread, idle and while streams run, and
+//! the time between two tokens of a stream as a caller on the loopback address sees it.
+//!
+//! Run with `cargo run --release -p primrose-standin --example capacity`.
+
+use std::error::Error;
+use std::fs;
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use primrose_standin::engine::Engine;
+use primrose_standin::engine::EngineConfig;
+use primrose_standin::engine::Pace;
+use primrose_standin::runtime::Runtime;
+
+const ENGINES: usize = 200;
+const TOKENS: usize = 200;
+const TOKEN_TIME: Duration = Duration::from_millis(20);
+const IDLE_TIME: Duration = Duration::from_secs(3);
+/// Name of the thread on which all stand-ins run.
+const THREAD: &str = "standin";
+/// Length of a tick in which the kernel counts processor time.
+const TICK: Duration = Duration::from_millis(10);
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let runtime = Runtime::new()?;
+    let config = EngineConfig {
+        pace: Pace::Timed {
+            token: TOKEN_TIME,
+            slowdown: 0.0,
+            prefill: Duration::ZERO,
+        },
+        batch: 64,
+        ..EngineConfig::default()
+    };
+    let engines: io::Result<Vec<Engine>> = (0..ENGINES)
+        .map(|_| Engine::start(&runtime, config.clone()))
+        .collect();
+    let engines = engines?;
+    let before = processor_time()?;
+    thread::sleep(IDLE_TIME);
+    let idle = processor_time()? - before;
+    println!(
+        "{ENGINES} idle engines: {:.2} % of a core",
+        share(idle, IDLE_TIME)
+    );
+
+    for streams in [16, 64, 256, 512] {
+        let before = processor_time()?;
+        let start = Instant::now();
+        let gaps = run(&engines, streams)?;
+        let used = processor_time()? - before;
+        let at = |part: usize| gaps[(gaps.len() - 1) * part / 100].as_secs_f64() * 1e3;
+        println!(
+            "{streams:>4} streams: {:>5.1} % of a core, between tokens {:.1} ms median, {:.1} ms for 99 in 100",
+            share(used, start.elapsed()),
+            at(50),
+            at(99),
+        );
+    }
+    Ok(())
+}
+
+fn share(used: Duration, time: Duration) -> f64 {
+    used.as_secs_f64() / time.as_secs_f64() * 100.0
+}
+
+/// Runs streams spread over the engines and returns the sorted times between tokens.
+fn run(engines: &[Engine], streams: usize) -> io::Result<Vec<Duration>> {
+    let callers: Vec<_> = (0..streams)
+        .map(|number| {
+            let addr = engines[number % engines.len()].addr();
+            thread::spawn(move || call(addr))
+        })
+        .collect();
+    let mut gaps = Vec::new();
+    for caller in callers {
+        gaps.extend(caller.join().expect("a caller does not panic")?);
+    }
+    gaps.sort();
+    Ok(gaps)
+}
+
+fn call(addr: SocketAddr) -> io::Result<Vec<Duration>> {
+    let body = format!(
+        r#"{{"model":"linen-7b","stream":true,"messages":[{{"role":"user","content":"draft"}}],"metadata":{{"tokens":"{TOKENS}"}}}}"#
+    );
+    let mut stream = TcpStream::connect(addr)?;
+    stream.set_nodelay(true)?;
+    write!(
+        stream,
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: engine\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )?;
+    let mut gaps = Vec::with_capacity(TOKENS);
+    let mut last: Option<Instant> = None;
+    for line in BufReader::new(stream).lines() {
+        let line = line?;
+        if line.starts_with("id: ") {
+            let now = Instant::now();
+            gaps.extend(last.map(|last| now - last));
+            last = Some(now);
+        }
+        if line == "data: [DONE]" {
+            break;
+        }
+    }
+    Ok(gaps)
+}
+
+/// Returns the processor time of the stand-ins' thread so far.
+fn processor_time() -> io::Result<Duration> {
+    for task in fs::read_dir("/proc/self/task")? {
+        let stat = fs::read_to_string(task?.path().join("stat"))?;
+        let Some((head, tail)) = stat.rsplit_once(") ") else {
+            continue;
+        };
+        if !head.ends_with(THREAD) {
+            continue;
+        }
+        // After the name: state is field 3, user and system time are fields 14 and 15.
+        let fields: Vec<&str> = tail.split(' ').collect();
+        let ticks: u32 = fields[11..=12]
+            .iter()
+            .filter_map(|text| text.parse::<u32>().ok())
+            .sum();
+        return Ok(TICK * ticks);
+    }
+    Err(io::Error::other("the stand-ins' thread was not found"))
+}
