--- a/crates/order/src/config.rs
+++ b/crates/order/src/config.rs
@@ -7,6 +7,8 @@
 /// Times and limits of a writer; the same on every router of the fleet.
 #[derive(Debug, Clone)]
 pub struct OrderConfig {
+    /// What every key of the fleet begins with.
+    pub prefix: String,
     /// Name of this process, for whoever reads the keys.
     pub holder: String,
     /// Time to live of the lease.
@@ -35,8 +37,9 @@
 
 impl OrderConfig {
     /// Makes the default configuration of a process.
-    pub fn new(holder: impl Into<String>, seed: u64) -> Self {
+    pub fn new(prefix: impl Into<String>, holder: impl Into<String>, seed: u64) -> Self {
         Self {
+            prefix: prefix.into(),
             holder: holder.into(),
             ttl: Duration::from_secs(15),
             margin: Duration::from_secs(5),
--- a/crates/order/src/lib.rs
+++ b/crates/order/src/lib.rs
@@ -49,8 +49,6 @@
 pub use execute::Executor;
 pub use execute::Servers;
 pub use http::HttpServers;
-pub use mark::PERMIT_PREFIX;
-pub use mark::SERVER_PREFIX;
 pub use message::Action;
 pub use message::Event;
 pub use message::FencedOrder;
--- a/crates/order/src/mark.rs
+++ b/crates/order/src/mark.rs
@@ -1,6 +1,7 @@
 //! What the keys of servers and permits hold.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use primrose_core::id::Fence;
 use primrose_core::id::ServerId;
@@ -9,12 +10,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Keys of servers, each followed by the server's name.
-pub const SERVER_PREFIX: &str = "primrose/orders/";
-
-/// Keys of load permits, each followed by the permit's number.
-pub const PERMIT_PREFIX: &str = "primrose/loads/";
-
 /// What the key of a server holds.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ServerMark {
@@ -44,19 +39,37 @@
     pub(crate) addr: SocketAddr,
 }
 
-/// Returns the key of a server.
-pub(crate) fn server_key(server: &str) -> Key {
-    format!("{SERVER_PREFIX}{server}")
+/// Names of the keys that orders use, under the prefix that all keys of the fleet share.
+#[derive(Debug, Clone)]
+pub(crate) struct Keys {
+    prefix: Arc<str>,
 }
 
-/// Returns the key of a permit.
-pub(crate) fn permit_key(number: u32) -> Key {
-    format!("{PERMIT_PREFIX}{number:04}")
-}
+impl Keys {
+    pub(crate) fn new(prefix: &str) -> Self {
+        let prefix = prefix.into();
+        Self { prefix }
+    }
+
+    /// Returns the key of a server.
+    pub(crate) fn server(&self, server: &str) -> Key {
+        format!("{}/orders/{server}", self.prefix)
+    }
+
+    /// Returns what the keys of all permits begin with.
+    pub(crate) fn permits(&self) -> Key {
+        format!("{}/loads/", self.prefix)
+    }
+
+    /// Returns the key of a permit.
+    pub(crate) fn permit(&self, number: u32) -> Key {
+        format!("{}{number:04}", self.permits())
+    }
 
-/// Returns a permit's number.
-pub(crate) fn permit_number(key: &str) -> Option<u32> {
-    key.strip_prefix(PERMIT_PREFIX)?.parse().ok()
+    /// Returns a permit's number.
+    pub(crate) fn permit_number(&self, key: &str) -> Option<u32> {
+        key.strip_prefix(&self.permits())?.parse().ok()
+    }
 }
 
 /// Renders what a key holds.
--- a/crates/order/src/permit.rs
+++ b/crates/order/src/permit.rs
@@ -19,6 +19,7 @@
 use crate::config::OrderConfig;
 use crate::desired::Observed;
 use crate::mark;
+use crate::mark::Keys;
 use crate::mark::PermitLoad;
 use crate::mark::PermitMark;
 use crate::message::Unreachable;
@@ -48,6 +49,7 @@
 /// One server's permit.
 #[derive(Debug)]
 pub(crate) struct Permit {
+    keys: Keys,
     own: PermitLoad,
     phase: Phase,
     number: u32,
@@ -61,8 +63,9 @@
 }
 
 impl Permit {
-    pub(crate) fn new(own: PermitLoad) -> Self {
+    pub(crate) fn new(keys: Keys, own: PermitLoad) -> Self {
         Self {
+            keys,
             own,
             phase: Phase::Looking,
             number: 0,
@@ -96,7 +99,7 @@
             _ => Some(self.own.clone()),
         };
         let release = Op::Release {
-            key: mark::permit_key(self.number),
+            key: self.keys.permit(self.number),
             value: mark::encode(&PermitMark { load }),
             lease: lease.to_owned(),
         };
@@ -131,14 +134,14 @@
     fn hold(&self, load: &PermitLoad, lease: &str) -> Vec<Op> {
         let load = Some(load.clone());
         let value = mark::encode(&PermitMark { load });
-        let key = mark::permit_key(self.number);
+        let key = self.keys.permit(self.number);
         vec![self.check(), Op::hold(key, value, lease)]
     }
 
     /// Ties a commit to the state that was seen, in case an earlier one is applied late.
     fn check(&self) -> Op {
         Op::Check {
-            key: mark::permit_key(self.number),
+            key: self.keys.permit(self.number),
             version: self.version,
         }
     }
@@ -155,7 +158,7 @@
         let taken: BTreeSet<u32> = entries
             .iter()
             .filter(|entry| entry.lease.as_deref().is_some_and(|id| id != lease))
-            .filter_map(|entry| mark::permit_number(&entry.key))
+            .filter_map(|entry| self.keys.permit_number(&entry.key))
             .collect();
         let is_free = |number: &u32| !taken.contains(number) && !used.contains(number);
         let free: Vec<u32> = (0..config.load_limit).filter(is_free).collect();
@@ -166,10 +169,10 @@
         let ours = entries
             .iter()
             .filter(|entry| entry.lease.as_deref() == Some(lease))
-            .filter_map(|entry| mark::permit_number(&entry.key))
+            .filter_map(|entry| self.keys.permit_number(&entry.key))
             .find(|number| free.contains(number));
         self.number = ours.unwrap_or_else(|| free[rng.random_range(0..free.len())]);
-        let key = mark::permit_key(self.number);
+        let key = self.keys.permit(self.number);
         let found = entries.iter().find(|entry| entry.key == key);
         self.version = found.map_or(0, |entry| entry.version);
         let named: Option<PermitMark> = found.and_then(|entry| mark::decode(&entry.value));
@@ -188,7 +191,7 @@
     ) -> bool {
         match result {
             Ok(CommitResult::Applied(written)) => {
-                let key = mark::permit_key(self.number);
+                let key = self.keys.permit(self.number);
                 let last = written.iter().rev().find(|one| one.key == key);
                 self.version = last.map_or(0, |one| one.version);
                 self.applied(now, config);
--- a/crates/order/src/slot/key.rs
+++ b/crates/order/src/slot/key.rs
@@ -115,7 +115,7 @@
         result: StoreResult<CommitResult>,
         context: &mut Context<'_>,
     ) {
-        let key = mark::server_key(&self.target.server);
+        let key = self.keys.server(&self.target.server);
         match result {
             Ok(CommitResult::Applied(written)) => {
                 let Some(last) = written.iter().rev().find(|one| one.key == key) else {
--- a/crates/order/src/slot/mod.rs
+++ b/crates/order/src/slot/mod.rs
@@ -15,6 +15,7 @@
 use crate::config::OrderConfig;
 use crate::desired::Order;
 use crate::mark;
+use crate::mark::Keys;
 use crate::mark::ServerMark;
 use crate::message::Action;
 use crate::message::FencedOrder;
@@ -84,6 +85,7 @@
     pub(crate) target: Target,
     /// Whether the writer has to let go of the server.
     pub(crate) leaving: bool,
+    keys: Keys,
     phase: Phase,
     ticket: u64,
     in_flight: bool,
@@ -102,6 +104,7 @@
         Self {
             target,
             leaving: false,
+            keys: Keys::new(&config.prefix),
             phase: Phase::Idle { look: Mono::ZERO },
             ticket: first_ticket,
             in_flight: false,
@@ -224,7 +227,7 @@
 
     /// Returns the action of a phase that calls the key-value service.
     fn store_action(&mut self, phase: Phase, lease: &str, holder: &str) -> Option<Action> {
-        let key = mark::server_key(&self.target.server);
+        let key = self.keys.server(&self.target.server);
         match phase {
             Phase::Wanting { .. } => {
                 let ticket = self.next_ticket();
@@ -255,7 +258,7 @@
         Some(match request {
             Request::List => Action::List {
                 ticket,
-                prefix: mark::PERMIT_PREFIX.to_owned(),
+                prefix: self.keys.permits(),
             },
             Request::Commit(ops) => Action::Commit { ticket, ops },
             Request::Observe(addr) => Action::Observe { ticket, addr },
@@ -299,7 +302,7 @@
 
     /// Returns the operations that take the key, or write it again under the same lease.
     fn hold_ops(&self, version: Version, base: Fence, lease: &str, holder: &str) -> Vec<Op> {
-        let key = mark::server_key(&self.target.server);
+        let key = self.keys.server(&self.target.server);
         let value = mark::encode(&ServerMark {
             base,
             busy: true,
@@ -317,7 +320,7 @@
     /// The checks keep a release that the service applies late from ending a later hold.
     fn release_ops(&self, lease: &str, holder: &str) -> Option<Vec<Op>> {
         let hold = self.hold.as_ref()?;
-        let key = mark::server_key(&self.target.server);
+        let key = self.keys.server(&self.target.server);
         let value = mark::encode(&ServerMark {
             base: hold.base,
             busy: self.unsettled,
--- a/crates/order/src/slot/server.rs
+++ b/crates/order/src/slot/server.rs
@@ -85,10 +85,13 @@
         self.phase = match difference {
             Difference::Load(order) if ready => Phase::Sending(order),
             Difference::Load(_) => {
-                self.permit = Some(Permit::new(PermitLoad {
-                    server: self.target.server.clone(),
-                    addr: self.target.addr,
-                }));
+                self.permit = Some(Permit::new(
+                    self.keys.clone(),
+                    PermitLoad {
+                        server: self.target.server.clone(),
+                        addr: self.target.addr,
+                    },
+                ));
                 Phase::Permit
             }
             Difference::Role(order) => Phase::Sending(order),
--- a/crates/order/tests/testsuite/faults.rs
+++ b/crates/order/tests/testsuite/faults.rs
@@ -5,7 +5,6 @@
 use primrose_core::clock::Clock;
 use primrose_order::Action;
 use primrose_order::OrderConfig;
-use primrose_order::SERVER_PREFIX;
 use primrose_platform::memory::Fault;
 use primrose_platform::store::Store;
 
@@ -192,7 +191,7 @@
             waits: true,
         },
     ];
-    let config = OrderConfig::new("", 0);
+    let config = OrderConfig::new("fleet", "", 0);
     for case in cases {
         let mut fleet = Fleet::new(2, &[case.checks]);
         fleet.desire(0, "2", "");
@@ -281,7 +280,7 @@
     fleet.resume(0);
     fleet.dismiss(0);
     fleet.turn(0);
-    for entry in fleet.store.list(SERVER_PREFIX).unwrap() {
+    for entry in fleet.store.list("fleet/orders/").unwrap() {
         assert_eq!(entry.lease, None, "{}", entry.key);
     }
     fleet.desire(1, "2", "");
@@ -317,7 +316,7 @@
 
 #[test]
 fn no_order_is_sent_in_the_last_part_of_a_lease() {
-    let config = OrderConfig::new("", 0);
+    let config = OrderConfig::new("fleet", "", 0);
     let send_time = config.ttl - config.margin;
     struct Case {
         name: &'static str,
@@ -363,7 +362,7 @@
 
 #[test]
 fn a_renewal_counts_from_before_its_call() {
-    let config = OrderConfig::new("", 0);
+    let config = OrderConfig::new("fleet", "", 0);
     let mut fleet = Fleet::new(1, &[false]);
     fleet.desire(0, "1", "prefill");
     assert!(fleet.pause_before(0, is_commit));
--- a/crates/order/tests/testsuite/fleet.rs
+++ b/crates/order/tests/testsuite/fleet.rs
@@ -51,7 +51,7 @@
             unreachable_time: Duration::from_secs(3600),
             settle_time: Duration::from_secs(3600),
             load_limit: 1,
-            ..OrderConfig::new("", 0)
+            ..OrderConfig::new("fleet", "", 0)
         };
         Self::with_config(config, writers, checks)
     }
--- a/crates/order/tests/testsuite/http.rs
+++ b/crates/order/tests/testsuite/http.rs
@@ -54,7 +54,7 @@
         },
         checks: number == 0,
     });
-    let mut writer = Writer::new(OrderConfig::new("host-1", 1));
+    let mut writer = Writer::new(OrderConfig::new("fleet", "host-1", 1));
     writer.set_targets(targets.collect(), clock.now());
     let executor = Executor::new(
         Arc::new(ConsulStore::new(ConsulConfig::new(vec![kv.addr()]))),
--- a/crates/order/tests/testsuite/random.rs
+++ b/crates/order/tests/testsuite/random.rs
@@ -117,7 +117,7 @@
 fn the_checker_sees_loads_that_ignore_the_limit() {
     let config = OrderConfig {
         load_limit: 2,
-        ..OrderConfig::new("", 0)
+        ..OrderConfig::new("fleet", "", 0)
     };
     let mut fleet = Fleet::with_config(config, 1, &[true, true]);
     fleet.desire(0, "2", "");
