Limit the rates of the in-memory service; choose the next order without copying

A poll copied every server's name and the permits in use: with n servers n actions cost n^2. The next server is now found in place, the permits only for a list.

--- a/crates/order/src/slot/key.rs
+++ b/crates/order/src/slot/key.rs
@@ -1,5 +1,7 @@
 //! Answers of the key-value service: the server's key and its permit.
 
+use std::collections::BTreeSet;
+
 use primrose_core::clock::Mono;
 use primrose_core::id::Fence;
 use primrose_platform::store::CommitResult;
@@ -72,17 +74,19 @@
         }
     }
 
-    /// Takes in the list of the permits.
-    pub(crate) fn on_listed(&mut self, result: StoreResult<Vec<Entry>>, context: &mut Context<'_>) {
+    /// Takes in the list of the permits, of which other servers of the writer use some.
+    pub(crate) fn on_listed(
+        &mut self,
+        result: StoreResult<Vec<Entry>>,
+        used: &BTreeSet<u32>,
+        context: &mut Context<'_>,
+    ) {
         self.in_flight = false;
         let (Some(permit), Some(lease)) = (&mut self.permit, context.lease) else {
             return;
         };
         let chosen = match result {
-            Ok(entries) => {
-                let (used, config) = (context.used, context.config);
-                permit.listed(&entries, used, lease, config, context.rng)
-            }
+            Ok(entries) => permit.listed(&entries, used, lease, context.config, context.rng),
             Err(error) => {
                 log::warn!("failed to list the load permits: {error}");
                 false
--- a/crates/order/src/slot/mod.rs
+++ b/crates/order/src/slot/mod.rs
@@ -3,8 +3,6 @@
 mod key;
 mod server;
 
-use std::collections::BTreeSet;
-
 use primrose_core::clock::Mono;
 use primrose_core::id::Fence;
 use primrose_platform::store::Op;
@@ -33,8 +31,6 @@
     pub(crate) lease: Option<&'a str>,
     /// Time from which on no order may be sent.
     pub(crate) until: Mono,
-    /// Permits that other slots of the writer use.
-    pub(crate) used: &'a BTreeSet<u32>,
 }
 
 /// How the key was found before it was taken.
--- a/crates/order/src/writer.rs
+++ b/crates/order/src/writer.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::ops::Bound;
 
 use primrose_core::clock::Mono;
 use primrose_core::id::ServerId;
@@ -88,15 +89,24 @@
         if let Some(action) = self.lease.poll(now, &self.config, needed) {
             return Some(action);
         }
-        let (before, after) = self.turn();
-        for server in after.into_iter().chain(before) {
-            let action = self.with_slot(&server, now, Slot::poll).flatten();
-            if let Some(action) = action {
-                self.last = server;
-                return Some(action);
-            }
-        }
-        None
+        let mut context = Context {
+            now,
+            config: &self.config,
+            rng: &mut self.rng,
+            lease: self.lease.id().map(String::as_str),
+            until: self.lease.send_until(&self.config).unwrap_or_default(),
+        };
+        // Begins after the server that was served last, so that none waits for ever.
+        let later = (Bound::Excluded(self.last.clone()), Bound::Unbounded);
+        let earlier = ..=self.last.clone();
+        let action = next_action(self.slots.range_mut(later), &mut context);
+        let action = action.or_else(|| {
+            let slots = self.slots.range_mut(earlier);
+            next_action(slots, &mut context)
+        });
+        let (server, action) = action?;
+        self.last = server;
+        Some(action)
     }
 
     /// Returns when [`Writer::poll`] has something to do next, if no event comes before.
@@ -132,8 +142,9 @@
                 self.answer(&ticket, now, |slot, context| slot.on_read(result, context));
             }
             Event::Listed { ticket, result } => {
+                let used = self.permits_beside(&ticket.server);
                 self.answer(&ticket, now, |slot, context| {
-                    slot.on_listed(result, context)
+                    slot.on_listed(result, &used, context);
                 });
             }
             Event::Committed { ticket, result } => {
@@ -171,10 +182,12 @@
         self.slots.retain(|_, slot| !slot.is_gone());
     }
 
-    /// Returns the servers up to the one served last, and those after it.
-    fn turn(&self) -> (Vec<ServerId>, Vec<ServerId>) {
-        let servers = self.slots.keys().cloned();
-        servers.partition(|server| *server <= self.last)
+    /// Returns the permits that other servers use.
+    fn permits_beside(&self, server: &str) -> BTreeSet<u32> {
+        let others = self.slots.iter().filter(|(other, _)| *other != server);
+        others
+            .filter_map(|(_, slot)| slot.permit_number())
+            .collect()
     }
 
     fn answer(
@@ -183,31 +196,32 @@
         now: Mono,
         take: impl FnOnce(&mut Slot, &mut Context<'_>),
     ) {
-        let expected = self.slots.get(&ticket.server);
-        if expected.is_some_and(|slot| slot.expects(ticket)) {
-            self.with_slot(&ticket.server, now, take);
+        let Some(slot) = self.slots.get_mut(&ticket.server) else {
+            return;
+        };
+        if !slot.expects(ticket) {
+            return;
         }
-    }
-
-    fn with_slot<T>(
-        &mut self,
-        server: &str,
-        now: Mono,
-        take: impl FnOnce(&mut Slot, &mut Context<'_>) -> T,
-    ) -> Option<T> {
-        let others = self.slots.iter().filter(|(other, _)| *other != server);
-        let used: BTreeSet<u32> = others
-            .filter_map(|(_, slot)| slot.permit_number())
-            .collect();
-        let slot = self.slots.get_mut(server)?;
         let mut context = Context {
             now,
             config: &self.config,
             rng: &mut self.rng,
             lease: self.lease.id().map(String::as_str),
             until: self.lease.send_until(&self.config).unwrap_or_default(),
-            used: &used,
         };
-        Some(take(slot, &mut context))
+        take(slot, &mut context);
+    }
+}
+
+/// Returns the first action that a slot has, and its server.
+fn next_action<'a>(
+    slots: impl Iterator<Item = (&'a ServerId, &'a mut Slot)>,
+    context: &mut Context<'_>,
+) -> Option<(ServerId, Action)> {
+    for (server, slot) in slots {
+        if let Some(action) = slot.poll(context) {
+            return Some((server.clone(), action));
+        }
     }
+    None
 }
--- a/crates/platform/src/memory/mod.rs
+++ b/crates/platform/src/memory/mod.rs
@@ -4,14 +4,16 @@
 //! stand-in of the `primrose-standin` crate serves. [`MemoryStore`] adds faults, each of them set by
 //! hand for a numbered call, so that a test can cause any fault at any step.
 
+mod calls;
 mod faults;
 mod hosts;
 mod state;
 mod store;
 
+pub use calls::Calls;
+pub use calls::Rates;
 pub use faults::Fault;
 pub use hosts::MemoryHosts;
 pub use state::State;
-pub use store::Calls;
 pub use store::MemoryStore;
 pub use store::Progress;
--- a/crates/platform/src/memory/store.rs
+++ b/crates/platform/src/memory/store.rs
@@ -11,6 +11,9 @@
 use primrose_core::clock::Clock;
 use primrose_core::clock::Mono;
 
+use super::calls::Calls;
+use super::calls::Kind;
+use super::calls::Rates;
 use super::faults::Plan;
 use super::Fault;
 use super::State;
@@ -53,52 +56,33 @@
     Revoked,
 }
 
-/// Calls by what they cost the service.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Calls {
-    /// Reads of keys and lists.
-    pub reads: u64,
-    /// Commits and calls about leases.
-    pub writes: u64,
-    /// Watches, each counted once however long it waits.
-    pub watches: u64,
-}
-
-impl Calls {
-    /// Returns the sum.
-    pub fn total(self) -> u64 {
-        self.reads + self.writes + self.watches
-    }
-}
-
-#[derive(Debug, Clone, Copy)]
-enum Kind {
-    Read,
-    Write,
-    Watch,
-}
-
 #[derive(Debug, Default)]
 struct Inner {
     state: State,
     plan: Plan,
     late: Vec<LateWrite>,
     calls: Calls,
-    seconds: BTreeMap<u64, u64>,
+    seconds: BTreeMap<u64, Calls>,
+    rates: Option<Rates>,
     restored: u64,
 }
 
 impl Inner {
     /// Counts a call and returns its number.
     fn count(&mut self, kind: Kind, now: Mono) -> u64 {
-        match kind {
-            Kind::Read => self.calls.reads += 1,
-            Kind::Write => self.calls.writes += 1,
-            Kind::Watch => self.calls.watches += 1,
-        }
-        *self.seconds.entry(now.as_secs()).or_default() += 1;
+        self.calls.add(kind);
+        self.seconds.entry(now.as_secs()).or_default().add(kind);
         self.calls.total()
     }
+
+    /// Tells whether this second has brought more calls of the kind than the service takes.
+    fn is_over_rate(&self, now: Mono, kind: Kind) -> bool {
+        let second = self.seconds.get(&now.as_secs());
+        let (Some(rates), Some(calls)) = (self.rates, second) else {
+            return false;
+        };
+        rates.are_exceeded(*calls, kind)
+    }
 }
 
 /// How far a store has come.
@@ -134,7 +118,9 @@
 
     /// Returns the most calls that have arrived within one second of the clock.
     pub fn busiest_second(&self) -> u64 {
-        self.lock().seconds.values().copied().max().unwrap_or(0)
+        let inner = self.lock();
+        let totals = inner.seconds.values().map(|calls| calls.total());
+        totals.max().unwrap_or(0)
     }
 
     /// Refuses every call from now on, or ends that.
@@ -143,6 +129,11 @@
         self.changed.notify_all();
     }
 
+    /// Refuses calls beyond these rates from now on; `None` ends that.
+    pub fn set_rates(&self, rates: Option<Rates>) {
+        self.lock().rates = rates;
+    }
+
     /// Plans a fault for a call that is yet to come: 1 is the next one.
     pub fn fault_in(&self, calls: u64, fault: Fault) {
         let mut inner = self.lock();
@@ -232,8 +223,9 @@
         if changed {
             self.changed.notify_all();
         }
+        let over = inner.is_over_rate(now, kind);
         let fault = inner.plan.take(calls);
-        (inner, fault)
+        (inner, if over { Some(Fault::Refused) } else { fault })
     }
 
     fn read<T>(&self, read: impl FnOnce(&State) -> T) -> Result<T> {
--- a/crates/platform/tests/testsuite/memory.rs
+++ b/crates/platform/tests/testsuite/memory.rs
@@ -6,6 +6,7 @@
 
 use primrose_platform::memory::Fault;
 use primrose_platform::memory::MemoryStore;
+use primrose_platform::memory::Rates;
 use primrose_platform::store::CommitResult;
 use primrose_platform::store::Op;
 use primrose_platform::store::Store;
@@ -181,3 +182,21 @@
     let down = store.watch("a", 0, LONG_WAIT).unwrap_err();
     assert!(matches!(down, StoreError::Unavailable { .. }));
 }
+
+#[test]
+fn calls_beyond_the_rates_are_refused_until_the_next_second() {
+    let (clock, store) = store();
+    store.set_rates(Some(Rates {
+        reads: 3,
+        writes: 2,
+    }));
+    let write = || store.commit(&[Op::create("a", vec![1])]).is_ok();
+    let read = || store.get("a").is_ok();
+    assert_eq!([write(), write(), write()], [true, true, false]);
+    assert_eq!([read(), read(), read(), read()], [true, true, true, false]);
+    assert_eq!(store.busiest_second(), 7);
+    clock.advance(Duration::from_secs(1));
+    assert!(write() && read());
+    store.set_rates(None);
+    assert!((0..9).all(|_| read()));
+}
