Add the evening page: records, zones, totals, and the page as text, JSON and HTML

Each process counts in one record that only grows and is numbered; a zone's gatherer folds the records on top of the zone's value in the key-value service and closes processes that cannot speak again. Late, doubled and reordered copies count once; what nobody saw is a gap on the page and grey in its plots, never a zero.

--- /dev/null
+++ b/crates/report/src/measure.rs
@@ -0,0 +1,253 @@
+//! Each measure of a day against its target.
+
+use std::time::Duration;
+
+use primrose_core::id::PoolId;
+
+use crate::page::Measure;
+use crate::page::View;
+use crate::pool::PoolRecord;
+use crate::target::PoolTarget;
+use crate::text::count;
+use crate::text::span;
+use crate::text::time;
+use crate::times::Times;
+use crate::total::Total;
+
+/// Share of all within which a time is held to its target.
+const SHARE: f64 = 0.95;
+
+/// What a measure found, and how it compares.
+struct Finding {
+    found: String,
+    target: String,
+    met: Option<bool>,
+}
+
+impl Finding {
+    fn untargeted(found: String) -> Self {
+        Self {
+            found,
+            target: String::new(),
+            met: None,
+        }
+    }
+
+    /// A count that must be zero.
+    fn none(found: String, value: u64) -> Self {
+        Self {
+            found,
+            target: "0".to_owned(),
+            met: Some(value == 0),
+        }
+    }
+}
+
+/// Returns the measures of all pools and of the fleet.
+pub(crate) fn measures(total: &Total, view: &View<'_>) -> Vec<Measure> {
+    let mut measures = Vec::new();
+    for (pool, record) in &total.sums.pools {
+        let target = view.targets.pools.get(pool).cloned().unwrap_or_default();
+        pool_measures(&mut measures, pool, record, &target, view, total);
+    }
+    fleet_measures(&mut measures, total, view);
+    measures
+}
+
+fn push(measures: &mut Vec<Measure>, name: &str, pool: &str, finding: Finding) {
+    measures.push(Measure {
+        name: name.to_owned(),
+        pool: pool.to_owned(),
+        found: finding.found,
+        target: finding.target,
+        met: finding.met,
+    });
+}
+
+fn pool_measures(
+    measures: &mut Vec<Measure>,
+    pool: &PoolId,
+    record: &PoolRecord,
+    target: &PoolTarget,
+    view: &View<'_>,
+    total: &Total,
+) {
+    let mut add = |name: &str, finding: Finding| push(measures, name, pool, finding);
+    add("fairness gap", fairness(record, target, view, total));
+    if record.slot_time.slots.total() > 0 {
+        add("utilisation", utilisation(record));
+        add("idle while work waited", idle(record, view.targets.idle));
+    }
+    if record.first_token.count() > 0 || target.first_token.is_some() {
+        let first_token = tail(&record.first_token, target.first_token);
+        add("first token, 95 in 100", first_token);
+    }
+    if record.inter_token.count() > 0 || target.inter_token.is_some() {
+        let inter_token = tail(&record.inter_token, target.inter_token);
+        add("between tokens, 95 in 100", inter_token);
+    }
+    add("broken answers", answers(record));
+    if record.orders != Default::default() {
+        add("orders with unknown outcome", orders(record));
+        let doubled = record.orders.doubled;
+        add(
+            "orders that ran twice",
+            Finding::none(count(doubled), doubled),
+        );
+    }
+    if record.poison > 0 || record.lost > 0 {
+        add(
+            "servers lost to poison requests",
+            poison(record, view.targets.poison),
+        );
+    }
+    let late = record.after_leaving;
+    add(
+        "work given to leaving servers",
+        Finding::none(count(late), late),
+    );
+}
+
+fn fairness(record: &PoolRecord, target: &PoolTarget, view: &View<'_>, total: &Total) -> Finding {
+    let bound = target.gap;
+    let written = bound.map_or_else(String::new, |bound| format!("at most {}", count(bound)));
+    let Some(worst) = &record.worst else {
+        let found = "no two accounts were backlogged at once".to_owned();
+        return Finding {
+            found,
+            target: written,
+            met: bound.map(|_| true),
+        };
+    };
+    let begin = view.calendar.begin(&total.day, worst.interval);
+    let at = begin.map_or_else(|_| String::new(), |begin| view.calendar.time(begin));
+    let found = format!(
+        "{} units, {} ahead of {} at {at}",
+        count(worst.gap),
+        worst.ahead,
+        worst.behind
+    );
+    Finding {
+        found,
+        target: written,
+        met: bound.map(|bound| worst.gap <= bound),
+    }
+}
+
+fn share(part: u64, whole: u64) -> f64 {
+    part as f64 / whole.max(1) as f64
+}
+
+fn utilisation(record: &PoolRecord) -> Finding {
+    let times = &record.slot_time;
+    let busy = share(times.busy.total(), times.slots.total());
+    Finding::untargeted(format!("{:.1} %", 100.0 * busy))
+}
+
+fn idle(record: &PoolRecord, limit: f64) -> Finding {
+    let times = &record.slot_time;
+    let idle = times.idle.total();
+    let part = share(idle, times.slots.total());
+    let length = span(Duration::from_millis(idle).as_secs());
+    Finding {
+        found: format!("{:.2} % of slot time, {length}", 100.0 * part),
+        target: format!("at most {:.2} %", 100.0 * limit),
+        met: Some(part <= limit),
+    }
+}
+
+fn tail(times: &Times, target: Option<Duration>) -> Finding {
+    let written = target.map_or_else(String::new, |target| format!("at most {}", time(target)));
+    let found = times.quantile(SHARE);
+    Finding {
+        found: match found {
+            None => "nothing was measured".to_owned(),
+            Some(found) => format!("{} over {}", time(found), count(times.count())),
+        },
+        target: written,
+        met: found.zip(target).map(|(found, target)| found <= target),
+    }
+}
+
+fn answers(record: &PoolRecord) -> Finding {
+    let answers = record.answers;
+    let found = format!(
+        "{}; {} whole, {} left by their callers",
+        count(answers.broken),
+        count(answers.whole),
+        count(answers.abandoned)
+    );
+    Finding::none(found, answers.broken)
+}
+
+fn orders(record: &PoolRecord) -> Finding {
+    let orders = record.orders;
+    let found = format!(
+        "{}; {} done, {} not run",
+        count(orders.unknown),
+        count(orders.done),
+        count(orders.not_run)
+    );
+    Finding::none(found, orders.unknown)
+}
+
+fn poison(record: &PoolRecord, limit: u64) -> Finding {
+    let (lost, poison) = (record.lost, record.poison);
+    Finding {
+        found: format!("{} by {} requests", count(lost), count(poison)),
+        target: format!("at most {limit} each"),
+        met: Some(lost <= limit.saturating_mul(poison.max(1))),
+    }
+}
+
+fn fleet_measures(measures: &mut Vec<Measure>, total: &Total, view: &View<'_>) {
+    let fleet = &total.sums.fleet;
+    let mut add = |name: &str, finding: Finding| push(measures, name, "", finding);
+    add(
+        "requests cut by a shutdown",
+        Finding::none(count(fleet.cut), fleet.cut),
+    );
+    add("table changes", changes(total, view.targets.in_force));
+    let limit = view.targets.control;
+    add(
+        "control traffic of one router",
+        Finding {
+            found: format!("{} B/s at most", count(fleet.control_rate)),
+            target: format!("at most {} B/s", count(limit)),
+            met: (fleet.control_bytes > 0).then_some(fleet.control_rate <= limit),
+        },
+    );
+    let refused: Vec<String> = fleet
+        .refused
+        .iter()
+        .map(|(code, refused)| format!("{} {code}", count(*refused)))
+        .collect();
+    let refused = match refused.is_empty() {
+        true => "none".to_owned(),
+        false => refused.join(", "),
+    };
+    add("refused requests", Finding::untargeted(refused));
+}
+
+fn changes(total: &Total, limit: Duration) -> Finding {
+    let fleet = &total.sums.fleet;
+    let generations = fleet.last_generation.zip(fleet.first_generation);
+    let changes = generations.map_or(0, |(last, first)| last - first);
+    let target = format!("in force within {}", time(limit));
+    let Some(longest) = fleet.in_force.longest() else {
+        return Finding {
+            found: count(changes),
+            target,
+            met: None,
+        };
+    };
+    Finding {
+        found: format!(
+            "{}, in force after {} at most",
+            count(changes),
+            time(longest)
+        ),
+        target,
+        met: Some(longest <= limit),
+    }
+}
--- /dev/null
+++ b/crates/report/src/record.rs
@@ -0,0 +1,333 @@
+//! What one router process counted on one day.
+//!
+//! A [`Record`] has one writer, only grows, and carries a number that grows with it. Of two copies
+//! the one with the higher number holds everything that the other does, so copies may arrive late,
+//! twice or out of order.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use primrose_core::cost::Service;
+use primrose_core::id::AccountId;
+use primrose_core::id::Generation;
+use primrose_core::id::Member;
+use primrose_core::id::PoolId;
+use primrose_core::id::ZoneId;
+use primrose_core::outcome::ErrorCode;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::calendar::DayId;
+use crate::observation::Observation;
+use crate::observation::Outage;
+use crate::pool::PoolRecord;
+use crate::pool::WorstGap;
+use crate::series::Series;
+use crate::times::Times;
+use crate::wire::WireSums;
+
+/// Number that grows with every change of a record.
+pub type Seq = u64;
+
+/// Intervals of the day that one value of an account's series covers: two hours.
+pub const ACCOUNT_STEP: usize = 8;
+/// Most outages that one record tells apart.
+pub const MAX_OUTAGES: usize = 64;
+
+/// What one account was served.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AccountRecord {
+    /// Service by pool.
+    pub pools: BTreeMap<PoolId, Service>,
+    /// Service in all pools, by steps of two hours.
+    pub series: Series,
+}
+
+/// A time during which something could not be reached.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutageSpan {
+    /// What could not be reached.
+    pub outage: Outage,
+    /// When it began, in seconds since the Unix epoch.
+    pub began: u64,
+    /// How long it has lasted, in seconds.
+    pub length: u64,
+}
+
+impl OutageSpan {
+    /// Makes it cover another span too.
+    fn stretch(&mut self, other: &Self) {
+        let end = self.end().max(other.end());
+        self.began = self.began.min(other.began);
+        self.length = end - self.began;
+    }
+
+    /// Returns when it ended, in seconds since the Unix epoch.
+    pub fn end(&self) -> u64 {
+        self.began.saturating_add(self.length)
+    }
+}
+
+/// Sums that belong to no pool.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct FleetRecord {
+    /// Seconds during which the router counted.
+    pub covered: Series,
+    /// Refused requests by cause.
+    pub refused: BTreeMap<String, u64>,
+    /// Requests cut off by a shutdown.
+    pub cut: u64,
+    /// Lowest generation of the tables that came into force.
+    pub first_generation: Option<Generation>,
+    /// Highest generation of the tables that came into force.
+    pub last_generation: Option<Generation>,
+    /// Time from accepted to in force.
+    pub in_force: Times,
+    /// Bytes of control traffic.
+    pub control_bytes: u64,
+    /// Messages of control traffic.
+    pub control_messages: u64,
+    /// Most bytes of control traffic a second of any one router.
+    pub control_rate: u64,
+    /// Times during which something could not be reached.
+    pub outages: Vec<OutageSpan>,
+}
+
+/// What one router process counted on one day.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// The process.
+    pub member: Member,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// The day.
+    pub day: DayId,
+    /// Grows with every change.
+    pub seq: Seq,
+    /// What was counted.
+    pub sums: Sums,
+}
+
+/// What one or several routers counted.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(into = "WireSums", from = "WireSums")]
+pub struct Sums {
+    /// Sums by pool.
+    pub pools: BTreeMap<PoolId, PoolRecord>,
+    /// Service by account.
+    pub accounts: BTreeMap<AccountId, AccountRecord>,
+    /// Sums that belong to no pool.
+    pub fleet: FleetRecord,
+}
+
+impl Record {
+    /// Starts with nothing.
+    pub fn new(member: Member, zone: &str, day: &str) -> Self {
+        Self {
+            member,
+            zone: zone.to_owned(),
+            day: day.to_owned(),
+            seq: 0,
+            sums: Sums::default(),
+        }
+    }
+
+    /// Counts an observation in an interval of the day.
+    pub fn observe(&mut self, interval: usize, observation: &Observation) {
+        self.seq += 1;
+        self.sums.observe(interval, observation);
+    }
+}
+
+impl Sums {
+    fn pool(&mut self, pool: &str) -> &mut PoolRecord {
+        if !self.pools.contains_key(pool) {
+            self.pools.insert(pool.to_owned(), PoolRecord::default());
+        }
+        self.pools.entry(pool.to_owned()).or_default()
+    }
+
+    fn observe(&mut self, interval: usize, observation: &Observation) {
+        match observation {
+            Observation::Served {
+                pool,
+                account,
+                service,
+            } => self.served(interval, pool, account, *service),
+            Observation::FirstToken { pool, time } => self.pool(pool).first_token.record(*time),
+            Observation::InterToken { pool, time } => self.pool(pool).inter_token.record(*time),
+            Observation::Answer { pool, ending } => self.pool(pool).answer(*ending),
+            Observation::Order { pool, outcome } => self.pool(pool).order(*outcome),
+            Observation::DoubledRun { pool } => self.pool(pool).orders.doubled += 1,
+            Observation::LostToPoison { pool } => self.pool(pool).lost += 1,
+            Observation::Poison { pool } => self.pool(pool).poison += 1,
+            Observation::AfterLeaving { pool } => self.pool(pool).after_leaving += 1,
+            Observation::Slots { pool, .. } => self.pool(pool).slots(interval, observation),
+            Observation::Gap {
+                pool,
+                ahead,
+                behind,
+                gap,
+            } => self.pool(pool).gap(WorstGap {
+                ahead: ahead.clone(),
+                behind: behind.clone(),
+                gap: *gap,
+                interval,
+            }),
+            Observation::Alive { .. }
+            | Observation::Refused { .. }
+            | Observation::Cut { .. }
+            | Observation::InForce { .. }
+            | Observation::Control { .. }
+            | Observation::Outage { .. } => self.fleet.observe(interval, observation),
+        }
+    }
+
+    fn served(&mut self, interval: usize, pool: &str, account: &str, service: Service) {
+        if service == 0 {
+            return;
+        }
+        self.pool(pool).served.add(interval, service);
+        let record = self.accounts.entry(account.to_owned()).or_default();
+        let sum = record.pools.entry(pool.to_owned()).or_default();
+        *sum = sum.saturating_add(service);
+        record.series.add(interval / ACCOUNT_STEP, service);
+    }
+
+    /// Adds what others counted.
+    pub fn add_all(&mut self, other: &Self) {
+        for (pool, record) in &other.pools {
+            self.pool(pool).add_all(record);
+        }
+        for (account, record) in &other.accounts {
+            let sums = self.accounts.entry(account.clone()).or_default();
+            sums.series.add_all(&record.series);
+            for (pool, service) in &record.pools {
+                let sum = sums.pools.entry(pool.clone()).or_default();
+                *sum = sum.saturating_add(*service);
+            }
+        }
+        self.fleet.add_all(&other.fleet);
+    }
+}
+
+impl PoolRecord {
+    fn slots(&mut self, interval: usize, observation: &Observation) {
+        let Observation::Slots {
+            span,
+            slots,
+            busy,
+            waiting,
+            ..
+        } = observation
+        else {
+            return;
+        };
+        let span = millis(*span);
+        let free = slots.saturating_sub(*busy);
+        let times = &mut self.slot_time;
+        times.slots.add(interval, slots.saturating_mul(span));
+        times.busy.add(interval, busy.saturating_mul(span));
+        // A free slot idles only for a request that could have used it.
+        let idle = free.min(*waiting);
+        times.idle.add(interval, idle.saturating_mul(span));
+        times.queue.add(interval, waiting.saturating_mul(span));
+        times.span.add(interval, span);
+    }
+}
+
+impl FleetRecord {
+    fn observe(&mut self, interval: usize, observation: &Observation) {
+        match observation {
+            // Kept in seconds; the daemon tells it about once a second.
+            Observation::Alive { span } => self.covered.add(interval, span.as_secs()),
+            Observation::Refused { code } => self.refuse(*code),
+            Observation::Cut { requests } => self.cut += requests,
+            Observation::InForce { generation, lag } => self.in_force(*generation, *lag),
+            Observation::Control { bytes, messages } => {
+                self.control_bytes += bytes;
+                self.control_messages += messages;
+            }
+            Observation::Outage {
+                outage,
+                began,
+                span,
+            } => self.outage(outage, *began, *span),
+            _ => {}
+        }
+        let seconds = self.covered.total();
+        // The first seconds of a process say little about a day.
+        if seconds >= RATE_AFTER {
+            self.control_rate = self.control_bytes / seconds;
+        }
+    }
+
+    fn refuse(&mut self, code: ErrorCode) {
+        *self.refused.entry(code.to_string()).or_default() += 1;
+    }
+
+    fn in_force(&mut self, generation: Generation, lag: Option<Duration>) {
+        let first = self.first_generation.unwrap_or(generation);
+        let last = self.last_generation.unwrap_or(generation);
+        self.first_generation = Some(first.min(generation));
+        self.last_generation = Some(last.max(generation));
+        if let Some(lag) = lag {
+            self.in_force.record(lag);
+        }
+    }
+
+    fn outage(&mut self, outage: &Outage, began: SystemTime, span: Duration) {
+        let began = began.duration_since(UNIX_EPOCH).unwrap_or_default();
+        let span = OutageSpan {
+            outage: outage.clone(),
+            began: began.as_secs(),
+            length: span.as_secs(),
+        };
+        self.add_outage(&span);
+    }
+
+    fn add_outage(&mut self, span: &OutageSpan) {
+        let same = |known: &OutageSpan| known.outage == span.outage && known.began == span.began;
+        let known = self.outages.iter().position(same);
+        // Beyond the limit the last one stands for the rest, so that none is hidden.
+        let full = self.outages.len() >= MAX_OUTAGES;
+        let place = known.or(full.then_some(MAX_OUTAGES - 1));
+        match place.and_then(|place| self.outages.get_mut(place)) {
+            Some(known) => known.stretch(span),
+            None => self.outages.push(span.clone()),
+        }
+    }
+
+    fn add_all(&mut self, other: &Self) {
+        self.covered.raise_all(&other.covered);
+        for (code, count) in &other.refused {
+            *self.refused.entry(code.clone()).or_default() += count;
+        }
+        self.cut += other.cut;
+        self.first_generation = lowest(self.first_generation, other.first_generation);
+        self.last_generation = self.last_generation.max(other.last_generation);
+        self.in_force.add_all(&other.in_force);
+        self.control_bytes += other.control_bytes;
+        self.control_messages += other.control_messages;
+        self.control_rate = self.control_rate.max(other.control_rate);
+        for span in &other.outages {
+            self.add_outage(span);
+        }
+    }
+}
+
+/// Seconds after which a router's rate of control traffic counts.
+const RATE_AFTER: u64 = 60;
+
+fn lowest(one: Option<Generation>, other: Option<Generation>) -> Option<Generation> {
+    match (one, other) {
+        (Some(one), Some(other)) => Some(one.min(other)),
+        _ => one.or(other),
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/report/tests/testsuite/merge.rs
@@ -0,0 +1,200 @@
+//! Records that come late, twice or out of order count once; closing changes no sum.
+
+use std::time::Duration;
+
+use primrose_core::outcome::Outcome;
+use primrose_report::observation::Ending;
+use primrose_report::observation::Observation;
+use primrose_report::record::Record;
+use primrose_report::total::Total;
+use primrose_report::zone::ZoneDay;
+use primrose_support::seeded::checker;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+
+use crate::support::record;
+use crate::support::DAY;
+
+/// An observation that a router may make.
+#[derive(Debug, Clone)]
+struct Seen(usize, Observation);
+
+impl Arbitrary for Seen {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let pool = format!("pool-{}", u8::arbitrary(g) % 2);
+        let account = format!("account-{}", u8::arbitrary(g) % 4);
+        let amount = u64::from(u16::arbitrary(g));
+        let time = Duration::from_millis(amount);
+        let observation = match u8::arbitrary(g) % 8 {
+            0 => Observation::Alive { span: time },
+            1 => Observation::FirstToken { pool, time },
+            2 => Observation::Answer {
+                pool,
+                ending: *g.choose(&[Ending::Whole, Ending::Broken]).expect("two"),
+            },
+            3 => Observation::Order {
+                pool,
+                outcome: *g.choose(&[Outcome::Done, Outcome::Unknown]).expect("two"),
+            },
+            4 => Observation::Slots {
+                pool,
+                span: time,
+                slots: 8,
+                busy: amount % 9,
+                waiting: amount % 5,
+            },
+            5 => Observation::Gap {
+                pool,
+                ahead: account,
+                behind: "other".to_owned(),
+                gap: amount,
+            },
+            6 => Observation::Control {
+                bytes: amount,
+                messages: 1,
+            },
+            _ => Observation::Served {
+                pool,
+                account,
+                service: amount,
+            },
+        };
+        Self(usize::arbitrary(g) % 96, observation)
+    }
+}
+
+/// What one router process saw, and at which points it sent copies of its record.
+#[derive(Debug, Clone)]
+struct Process {
+    seen: Vec<Seen>,
+    sent: Vec<usize>,
+}
+
+impl Arbitrary for Process {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self {
+            seen: Vec::arbitrary(g),
+            sent: Vec::arbitrary(g),
+        }
+    }
+}
+
+/// Returns the copies that a process sent, the last one included, out of order and some twice.
+fn copies(index: usize, process: &Process) -> Vec<Record> {
+    let mut record = record("a", &format!("host-{}", index / 2), index as u64);
+    let length = process.seen.len() + 1;
+    let sent: Vec<usize> = process.sent.iter().take(4).map(|at| at % length).collect();
+    let mut copies = Vec::new();
+    for (at, Seen(interval, observation)) in process.seen.iter().enumerate() {
+        let times = sent.iter().filter(|one| **one == at).count();
+        copies.extend(std::iter::repeat_n(record.clone(), times));
+        record.observe(*interval, observation);
+    }
+    copies.insert(copies.len() / 2, record.clone());
+    copies.push(record);
+    copies.rotate_left(sent.len() / 2);
+    copies
+}
+
+fn total(day: &ZoneDay) -> Total {
+    let mut total = Total::new(DAY);
+    total.add_zone(day);
+    total
+}
+
+#[test]
+fn copies_in_any_order_count_once() {
+    fn holds(processes: Vec<Process>) -> bool {
+        let mut day = ZoneDay::new("a", DAY);
+        let mut wanted = Total::new(DAY);
+        for (index, process) in processes.iter().take(6).enumerate() {
+            let copies = copies(index, process);
+            copies.iter().for_each(|copy| day.take(copy));
+            let last = copies.iter().max_by_key(|copy| copy.seq);
+            wanted.add_record(last.expect("at least one"));
+        }
+        let mut total = total(&day);
+        // A zone without any record is still a zone that was looked at.
+        wanted.covered.entry("a".to_owned()).or_default();
+        total.covered.entry("a".to_owned()).or_default();
+        total == wanted
+    }
+    checker()
+        .tests(300)
+        .quickcheck(holds as fn(Vec<Process>) -> bool);
+}
+
+/// Writes a day and reads it back, as the next gatherer does.
+fn handed_over(day: &ZoneDay) -> ZoneDay {
+    let bytes = day.encode().expect("small");
+    ZoneDay::decode(&bytes).expect("just written")
+}
+
+#[test]
+fn closing_and_handing_over_change_no_sum() {
+    fn holds(processes: Vec<Process>) -> bool {
+        let processes: Vec<Process> = processes.into_iter().take(6).collect();
+        let mut open = ZoneDay::new("a", DAY);
+        let mut closing = ZoneDay::new("a", DAY);
+        for (index, process) in processes.iter().enumerate() {
+            // A process has said its last when it is replaced, but copies of it may still arrive.
+            for copy in &copies(index, process) {
+                open.take(copy);
+                closing.take(copy);
+            }
+            closing.close_replaced();
+            closing = handed_over(&closing);
+            for copy in &copies(index.saturating_sub(1), &processes[index.saturating_sub(1)]) {
+                closing.take(copy);
+            }
+        }
+        let (one, other) = (total(&open), total(&closing));
+        // The order of adding decides only which of two equal gaps is named, and which copy of a
+        // bucket's end is kept; counts are exact.
+        let counts = |total: &Total| {
+            let pools = total.sums.pools.values();
+            pools
+                .map(|pool| {
+                    (
+                        pool.answers,
+                        pool.orders,
+                        pool.first_token.count(),
+                        pool.served.clone(),
+                    )
+                })
+                .collect::<Vec<_>>()
+        };
+        counts(&one) == counts(&other)
+            && one.sums.accounts == other.sums.accounts
+            && one.sums.fleet.control_bytes == other.sums.fleet.control_bytes
+            && one.covered == other.covered
+    }
+    checker()
+        .tests(300)
+        .quickcheck(holds as fn(Vec<Process>) -> bool);
+}
+
+#[test]
+fn records_of_another_day_or_zone_are_left_out() {
+    let mut day = ZoneDay::new("a", DAY);
+    day.take(&record("b", "host", 1));
+    let mut other = record("a", "host", 1);
+    other.day = "1970-01-03".to_owned();
+    day.take(&other);
+    assert!(day.live.is_empty());
+}
+
+#[test]
+fn a_closed_process_counts_no_more() {
+    let mut day = ZoneDay::new("a", DAY);
+    let mut old = record("a", "host", 1);
+    let cut = Observation::Cut { requests: 2 };
+    old.observe(0, &cut);
+    day.take(&old);
+    day.take(&record("a", "host", 2));
+    day.close_replaced();
+    assert_eq!(day.live.len(), 1);
+    old.observe(0, &cut);
+    day.take(&old);
+    assert_eq!(total(&day).sums.fleet.cut, 2);
+}
--- /dev/null
+++ b/crates/report/tests/testsuite/page.rs
@@ -0,0 +1,335 @@
+//! The page says in its first line whether the day went well, and never shows a gap as zero.
+
+use std::time::Duration;
+use std::time::SystemTime;
+
+use primrose_core::outcome::ErrorCode;
+use primrose_core::outcome::Outcome as Told;
+use primrose_report::observation::Ending;
+use primrose_report::observation::Observation;
+use primrose_report::observation::Outage;
+use primrose_report::page::Page;
+use primrose_report::record::Record;
+use primrose_report::text;
+
+use crate::support::alive;
+use crate::support::cover;
+use crate::support::moment;
+use crate::support::next_day;
+use crate::support::page_at;
+use crate::support::record;
+use crate::support::INTERVALS;
+
+const POOL: &str = "drafting";
+
+fn millis(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+struct Case {
+    name: &'static str,
+    seen: Vec<Observation>,
+    well: bool,
+    sentence: &'static str,
+}
+
+fn pool() -> String {
+    POOL.to_owned()
+}
+
+fn slots(busy: u64, waiting: u64) -> Observation {
+    Observation::Slots {
+        pool: pool(),
+        span: millis(1000),
+        slots: 10,
+        busy,
+        waiting,
+    }
+}
+
+fn gap(gap: u64) -> Observation {
+    Observation::Gap {
+        pool: pool(),
+        ahead: "large".to_owned(),
+        behind: "small".to_owned(),
+        gap,
+    }
+}
+
+#[test]
+fn the_first_line_says_whether_and_why() {
+    let first = |time| Observation::FirstToken { pool: pool(), time };
+    let inter = |time| Observation::InterToken { pool: pool(), time };
+    let ending = |ending| Observation::Answer {
+        pool: pool(),
+        ending,
+    };
+    let order = |outcome| Observation::Order {
+        pool: pool(),
+        outcome,
+    };
+    let in_force = |lag| Observation::InForce {
+        generation: 4,
+        lag: Some(lag),
+    };
+    let control = |bytes| Observation::Control { bytes, messages: 1 };
+    let cases = [
+        Case {
+            name: "all targets met",
+            seen: vec![
+                first(millis(700)),
+                inter(millis(20)),
+                ending(Ending::Whole),
+                ending(Ending::Abandoned),
+                gap(900),
+                slots(10, 5),
+                order(Told::NotRun),
+                in_force(millis(900)),
+                control(5000),
+            ],
+            well: true,
+            sentence: "The day went well: all 11 measures met their targets.",
+        },
+        // Times are told by the upper end of their bucket, here 1503.9 ms: never flattered.
+        Case {
+            name: "late first tokens",
+            seen: vec![first(millis(1500))],
+            well: false,
+            sentence: "The day did not go well: first token, 95 in 100 of drafting was 1504 ms over 1, \
+                       the target is at most 1300 ms.",
+        },
+        Case {
+            name: "slow tokens",
+            seen: vec![inter(millis(50))],
+            well: false,
+            sentence: "between tokens, 95 in 100 of drafting was 50 ms over 1",
+        },
+        Case {
+            name: "a broken answer",
+            seen: vec![ending(Ending::Broken), ending(Ending::Whole)],
+            well: false,
+            sentence: "broken answers of drafting was 1; 1 whole, 0 left by their callers, the target is 0.",
+        },
+        Case {
+            name: "a wide gap, by name",
+            seen: vec![gap(5000)],
+            well: false,
+            sentence: "fairness gap of drafting was 5,000 units, large ahead of small at 00:00, \
+                       the target is at most 1,000.",
+        },
+        Case {
+            name: "idle while work waits",
+            seen: vec![slots(8, 9), slots(10, 9)],
+            well: false,
+            sentence: "idle while work waited of drafting was 10.00 % of slot time, 2s, \
+                       the target is at most 1.00 %.",
+        },
+        Case {
+            name: "idle without work",
+            seen: vec![slots(1, 0)],
+            well: true,
+            sentence: "The day went well",
+        },
+        Case {
+            name: "an unknown order and a doubled one",
+            seen: vec![order(Told::Unknown), Observation::DoubledRun { pool: pool() }],
+            well: false,
+            sentence: "orders with unknown outcome of drafting was 1; 0 done, 0 not run, the target is 0; \
+                       1 more measure missed its target.",
+        },
+        Case {
+            name: "three servers lost to one poison request",
+            seen: vec![
+                Observation::Poison { pool: pool() },
+                Observation::LostToPoison { pool: pool() },
+                Observation::LostToPoison { pool: pool() },
+                Observation::LostToPoison { pool: pool() },
+            ],
+            well: false,
+            sentence: "servers lost to poison requests of drafting was 3 by 1 requests",
+        },
+        Case {
+            name: "work after leaving",
+            seen: vec![Observation::AfterLeaving { pool: pool() }],
+            well: false,
+            sentence: "work given to leaving servers of drafting was 1",
+        },
+        Case {
+            name: "cut by a shutdown",
+            seen: vec![Observation::Cut { requests: 2 }],
+            well: false,
+            sentence: "The day did not go well: requests cut by a shutdown was 2, the target is 0.",
+        },
+        Case {
+            name: "a slow change",
+            seen: vec![in_force(millis(12_000))],
+            well: false,
+            sentence: "table changes was 0, in force after 12.0 s at most",
+        },
+        Case {
+            name: "too much control traffic",
+            seen: vec![control(3_000_000_000)],
+            well: false,
+            sentence: "control traffic of one router was 34,722 B/s at most",
+        },
+    ];
+    for case in cases {
+        let mut record = alive("a");
+        for observation in &case.seen {
+            record.observe(0, observation);
+        }
+        let page = page_at(&[record], &["a"], next_day());
+        let verdict = &page.verdict;
+        assert_eq!(
+            verdict.well, case.well,
+            "{}: {}",
+            case.name, verdict.sentence
+        );
+        let says = verdict.sentence.contains(case.sentence);
+        assert!(says, "{}: {}", case.name, verdict.sentence);
+        let first = text::render(&page);
+        let first = first.lines().next().unwrap_or_default().to_owned();
+        assert_eq!(first, verdict.sentence, "{}", case.name);
+    }
+}
+
+struct Sight {
+    name: &'static str,
+    zones: &'static [&'static str],
+    records: Vec<Record>,
+    now: SystemTime,
+    sentence: &'static str,
+    gaps: &'static [(&'static str, &'static str, &'static str)],
+}
+
+#[test]
+fn what_nobody_saw_is_a_gap() {
+    let mut partly = record("b", "b-1", 1);
+    for interval in (0..INTERVALS).filter(|interval| !(40..44).contains(interval)) {
+        cover(&mut partly, interval);
+    }
+    let morning = moment(6 * 3600 + 60);
+    let mut early = record("a", "a-1", 1);
+    (0..24).for_each(|interval| cover(&mut early, interval));
+    let cases = [
+        Sight {
+            name: "a zone that was cut off for an hour",
+            zones: &["a", "b"],
+            records: vec![alive("a"), partly],
+            now: next_day(),
+            sentence: "The day went well as far as it was seen: zone b was not seen for 1h.",
+            gaps: &[("b", "10:00", "11:00")],
+        },
+        Sight {
+            name: "a zone that was never seen",
+            zones: &["a", "c"],
+            records: vec![alive("a")],
+            now: next_day(),
+            sentence: "zone c was not seen for 24h.",
+            gaps: &[("c", "00:00", "00:00")],
+        },
+        Sight {
+            name: "a day that is not over",
+            zones: &["a"],
+            records: vec![early],
+            now: morning,
+            sentence: "The day has gone well so far: all",
+            gaps: &[],
+        },
+        Sight {
+            name: "nothing at all",
+            zones: &["a"],
+            records: vec![],
+            now: moment(60),
+            sentence: "Nothing was counted on this day.",
+            gaps: &[],
+        },
+    ];
+    for case in cases {
+        let page = page_at(&case.records, case.zones, case.now);
+        let sentence = &page.verdict.sentence;
+        assert!(
+            sentence.contains(case.sentence),
+            "{}: {sentence}",
+            case.name
+        );
+        let gaps = page.gaps.iter();
+        let gaps: Vec<(&str, &str, &str)> = gaps
+            .map(|gap| (gap.zone.as_str(), gap.from.as_str(), gap.to.as_str()))
+            .collect();
+        assert_eq!(gaps, case.gaps, "{}", case.name);
+    }
+}
+
+#[test]
+fn plots_are_empty_where_nothing_was_seen() {
+    let mut record = record("a", "a-1", 1);
+    for interval in [0, 1, 20] {
+        cover(&mut record, interval);
+        record.observe(interval, &slots(5, 2));
+        let served = Observation::Served {
+            pool: pool(),
+            account: "large".to_owned(),
+            service: 900,
+        };
+        record.observe(interval, &served);
+    }
+    let page = page_at(&[record], &["a"], next_day());
+    let plot = &page.pools[0];
+    assert_eq!(plot.busy.len(), INTERVALS);
+    assert_eq!(plot.busy[0], Some(50.0));
+    assert_eq!(plot.queue[20], Some(2.0));
+    assert_eq!(plot.busy[2], None);
+    let rate = &page.accounts[0].rate;
+    // Two intervals of the first step were seen: 1800 units in half an hour.
+    assert_eq!(rate[0], Some(1.0));
+    assert_eq!(rate[1], None);
+    assert_eq!(rate[2], Some(1.0));
+}
+
+#[test]
+fn outages_told_by_several_routers_are_one() {
+    let outage = |began, length| Observation::Outage {
+        outage: Outage::Platform,
+        began: moment(began),
+        span: Duration::from_secs(length),
+    };
+    let mut one = alive("a");
+    one.observe(0, &outage(100, 10));
+    one.observe(0, &outage(100, 60));
+    let mut other = alive("b");
+    other.observe(0, &outage(102, 70));
+    other.observe(0, &outage(9000, 5));
+    let page = page_at(&[one, other], &["a", "b"], next_day());
+    let lengths: Vec<u64> = page.outages.iter().map(|outage| outage.length).collect();
+    assert_eq!(lengths, [72, 5]);
+    assert_eq!(page.outages[0].what, "the key-value service");
+}
+
+#[test]
+fn refusals_are_shown_by_cause() {
+    let mut record = alive("a");
+    for code in [
+        ErrorCode::QueueFull,
+        ErrorCode::QueueFull,
+        ErrorCode::Poison,
+    ] {
+        record.observe(0, &Observation::Refused { code });
+    }
+    let page = page_at(&[record], &["a"], next_day());
+    let shown = text::render(&page);
+    assert!(
+        shown.contains("refused requests: 1 poison, 2 queue-full"),
+        "{shown}"
+    );
+}
+
+#[test]
+fn the_page_goes_through_json() {
+    let mut record = alive("a");
+    record.observe(0, &slots(5, 2));
+    let page = page_at(&[record], &["a", "b"], next_day());
+    let json = serde_json::to_string(&page).expect("encodes");
+    let read: Page = serde_json::from_str(&json).expect("decodes");
+    assert_eq!(read, page);
+}
