--- a/crates/primrosectl/src/commands/mod.rs
+++ b/crates/primrosectl/src/commands/mod.rs
@@ -10,6 +10,7 @@
 pub mod status;
 pub mod suspects;
 pub mod target;
+pub mod today;
 
 use bpaf::construct;
 use bpaf::OptionParser;
@@ -43,6 +44,8 @@
     Status(status::Args),
     /// Shuts a router down gracefully.
     Drain(drain::Args),
+    /// Prints the page of a day.
+    Today(today::Args),
     /// Changes the client accounts.
     Account(account::Args),
     /// Lists or lifts refused requests.
@@ -63,6 +66,7 @@
             Self::Restore(args) => args.target.clone(),
             Self::Status(args) => args.target.clone(),
             Self::Drain(args) => args.target.clone(),
+            Self::Today(args) => args.target.clone(),
             Self::Account(args) => args.target().clone(),
             Self::Suspects(args) => args.target().clone(),
         }
@@ -78,9 +82,10 @@
     let restore = restore::cli().map(Command::Restore);
     let status = status::cli().map(Command::Status);
     let drain = drain::cli().map(Command::Drain);
+    let today = today::cli().map(Command::Today);
     let account = account::cli().map(Command::Account);
     let suspects = suspects::cli().map(Command::Suspects);
-    construct!([check, show, diff, apply, restore, status, drain, account, suspects])
+    construct!([check, show, diff, apply, restore, status, drain, today, account, suspects])
         .to_options()
         .descr("Drives a primrosehall router fleet: its tables, its accounts, its state.")
         .footer(FOOTER)
@@ -97,6 +102,7 @@
         Command::Restore(args) => restore::exec(context, args),
         Command::Status(args) => status::exec(context, args),
         Command::Drain(args) => drain::exec(context, args),
+        Command::Today(args) => today::exec(context, args),
         Command::Account(args) => account::exec(context, args),
         Command::Suspects(args) => suspects::exec(context, args),
     }
--- a/crates/primrosectl/src/ops/mod.rs
+++ b/crates/primrosectl/src/ops/mod.rs
@@ -15,3 +15,4 @@
 pub mod status;
 pub mod swap;
 pub mod tables;
+pub mod today;
--- a/crates/primrosectl/tests/testsuite/commands.rs
+++ b/crates/primrosectl/tests/testsuite/commands.rs
@@ -261,6 +261,13 @@
             out: "",
             err: "already holds generation 1",
         },
+        Case {
+            name: "today when no router has a page",
+            args: &["today", "--router", "127.0.0.1:1"],
+            exit: Exit::Failed,
+            out: "",
+            err: "no router gave the page; the last said: failed to reach the router: not there",
+        },
         Case {
             name: "lift of no fingerprint",
             args: &["suspects", "lift", "poison"],
--- a/crates/primrosectl/tests/testsuite/fleet.rs
+++ b/crates/primrosectl/tests/testsuite/fleet.rs
@@ -27,6 +27,8 @@
 #[derive(Default)]
 pub(crate) struct FakeFleet {
     pub(crate) tables: HashMap<u16, (Header, String)>,
+    /// Pages as JSON.
+    pub(crate) days: HashMap<u16, String>,
     /// Routers that move on to generation 2 after this many more looks.
     pub(crate) moving: Mutex<HashMap<u16, u32>>,
 }
@@ -96,8 +98,11 @@
         unreachable()
     }
 
-    fn day(&self, _router: SocketAddr, _date: Option<&str>) -> Result<String> {
-        unreachable()
+    fn day(&self, router: SocketAddr, _date: Option<&str>) -> Result<String> {
+        match self.days.get(&router.port()) {
+            Some(json) => Ok(json.clone()),
+            None => unreachable(),
+        }
     }
 }
 
--- a/crates/primrosectl/tests/testsuite/main.rs
+++ b/crates/primrosectl/tests/testsuite/main.rs
@@ -8,3 +8,4 @@
 mod races;
 mod restore;
 mod support;
+mod today;
