--- a/crates/report/src/html.rs
+++ b/crates/report/src/html.rs
@@ -33,9 +33,9 @@
 td,th{text-align:left;padding:.35em .5em;border-bottom:1px solid #ddd;vertical-align:top}\
 th{font-weight:600;font-size:.85em;color:#555}\
 td.met{color:#0a7a45}td.missed{color:#b3261e;font-weight:700}td.none{color:#777}\
-svg{width:100%;height:auto;display:block}figure{margin:.6em 0}\
+svg{width:100%;max-width:40em;height:auto;display:block}figure{margin:.6em 0}\
 figcaption{font-size:.9em;color:#333}.key{white-space:nowrap;margin-right:1em}\
-.key b{display:inline-block;width:1.4em;height:.3em;vertical-align:middle;margin-right:.3em}\
+.key b{display:inline-block;width:1.4em;border-top:.3em solid;vertical-align:middle;margin-right:.3em}\
 @media(max-width:34em){thead{display:none}tr{display:block;border-bottom:1px solid #ddd;\
 padding:.4em 0}td{display:block;border:0;padding:.05em 0}td.target:not(:empty)::before{\
 content:\"target: \";color:#555}td:first-child{font-weight:600}}\
@@ -206,7 +206,7 @@
     let mut caption = format!("Units of service a second, in steps of {hours} hours<br>");
     for (index, account) in page.accounts.iter().enumerate() {
         caption.push_str(&format!(
-            "<span class=\"key\"><b style=\"background:{}\"></b>{}: {}</span> ",
+            "<span class=\"key\"><b style=\"border-color:{}\"></b>{}: {}</span> ",
             colour(index),
             escape(&account.account),
             count(account.service)
--- a/crates/report/src/plot.rs
+++ b/crates/report/src/plot.rs
@@ -1,15 +1,25 @@
 //! Small plots over the day, as inline SVG.
 
+use plotters::coord::ranged1d::DefaultFormatting;
+use plotters::coord::ranged1d::KeyPointHint;
+use plotters::coord::ranged1d::Ranged;
+use plotters::coord::types::RangedCoordf64;
 use plotters::prelude::*;
 
 /// Width of a plot, in pixels of its own coordinates.
-const WIDTH: u32 = 640;
+const WIDTH: u32 = 480;
 /// Height of a plot, in pixels of its own coordinates.
-const HEIGHT: u32 = 170;
-/// Room for labels on the left and below.
-const LABELS: u32 = 46;
-/// Labels along an axis.
-const TICKS: usize = 5;
+const HEIGHT: u32 = 180;
+/// Room around a plot.
+const MARGIN: u32 = 6;
+/// Room for labels on the left; half as much below, and on the right for the last one.
+const LABELS: u32 = 52;
+/// Labels along the upright axis.
+const TICKS: usize = 4;
+/// Hours between two labels along the day.
+const LABEL_HOURS: f64 = 6.0;
+/// Size of labels: still readable when the plot is as wide as a phone.
+const FONT: (&str, u32) = ("sans-serif", 18);
 /// Grey of a time that was not seen.
 const HIDDEN: RGBColor = RGBColor(222, 222, 222);
 /// Colours of lines, told apart on paper too by their order in the legend.
@@ -67,13 +77,13 @@
 
 fn draw_into(plot: &Plot<'_>, svg: &mut String) -> Drawn {
     let root = SVGBackend::with_string(svg, (WIDTH, HEIGHT)).into_drawing_area();
-    let steps = plot.steps.max(1) as f64;
     let top = highest(plot);
     let mut chart = ChartBuilder::on(&root)
-        .margin(6)
+        .margin(MARGIN)
+        .margin_right(LABELS / 2)
         .x_label_area_size(LABELS / 2)
         .y_label_area_size(LABELS)
-        .build_cartesian_2d(0.0..steps, 0.0..top)?;
+        .build_cartesian_2d(DayAxis::new(plot), 0.0..top)?;
     let hidden = plot.hidden.iter().map(|hidden| {
         let end = hidden.first + hidden.steps;
         Rectangle::new([(hidden.first, 0.0), (end, top)], HIDDEN.filled())
@@ -83,7 +93,7 @@
         .configure_mesh()
         .disable_x_mesh()
         .light_line_style(TRANSPARENT)
-        .x_labels(TICKS)
+        .label_style(FONT)
         .y_labels(TICKS)
         .x_label_formatter(&|step| format!("{:.0}:00", step / plot.per_hour))
         .y_label_formatter(&|value| short(*value))
@@ -100,6 +110,41 @@
     Ok(())
 }
 
+/// The axis along the day, with a label every six hours.
+struct DayAxis {
+    steps: RangedCoordf64,
+    labels: Vec<f64>,
+}
+
+impl DayAxis {
+    fn new(plot: &Plot<'_>) -> Self {
+        let steps = plot.steps.max(1) as f64;
+        let apart = LABEL_HOURS * plot.per_hour;
+        let count = (steps / apart).floor() as usize;
+        Self {
+            steps: (0.0..steps).into(),
+            labels: (0..=count).map(|label| label as f64 * apart).collect(),
+        }
+    }
+}
+
+impl Ranged for DayAxis {
+    type FormatOption = DefaultFormatting;
+    type ValueType = f64;
+
+    fn map(&self, value: &f64, limit: (i32, i32)) -> i32 {
+        self.steps.map(value, limit)
+    }
+
+    fn key_points<Hint: KeyPointHint>(&self, _hint: Hint) -> Vec<f64> {
+        self.labels.clone()
+    }
+
+    fn range(&self) -> std::ops::Range<f64> {
+        self.steps.range()
+    }
+}
+
 fn highest(plot: &Plot<'_>) -> f64 {
     let values = plot
         .lines
@@ -131,9 +176,9 @@
 /// Writes an axis label short.
 fn short(value: f64) -> String {
     match value {
-        value if value >= 1e9 => format!("{:.1}G", value / 1e9),
-        value if value >= 1e6 => format!("{:.1}M", value / 1e6),
-        value if value >= 1e4 => format!("{:.0}k", value / 1e3),
+        value if value >= 1e9 => format!("{}G", value / 1e9),
+        value if value >= 1e6 => format!("{}M", value / 1e6),
+        value if value >= 1e3 => format!("{}k", value / 1e3),
         value if value >= 10.0 || value == 0.0 => format!("{value:.0}"),
         value => format!("{value:.1}"),
     }
