--- a/crates/report/src/calendar.rs
+++ b/crates/report/src/calendar.rs
@@ -129,6 +129,13 @@
     }
 }
 
+/// Returns the day that lies this many days before another.
+pub fn days_before(day: &str, days: i32) -> Option<DayId> {
+    let date: Date = day.parse().ok()?;
+    let before = date.checked_sub(days.days()).ok()?;
+    Some(before.to_string())
+}
+
 fn seconds_per_interval() -> usize {
     usize::try_from(INTERVAL.as_secs()).unwrap_or(usize::MAX)
 }
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -4,11 +4,11 @@
 //! hosts of the fleet keep nothing and are replaced at any time, so the day's sums must outlive
 //! every one of them:
 //!
-//! - Each router counts its own [`Observation`](observation::Observation)s in one
-//!   [`Record`](record::Record) a day and process. A record only grows, and says how far by its
+//! - Each router counts its own [`Observation`](observation::Observation)s by a
+//!   [`Recorder`](recorder::Recorder) in one [`Record`](record::Record) a day and process. A record only grows, and says how far by its
 //!   number, so a late or doubled copy is known and does not count twice.
-//! - One router of each availability zone gathers the zone's records and folds them into a
-//!   [`ZoneDay`](zone::ZoneDay), which stands in the platform's key-value service under one key and
+//! - One router of each availability zone gathers the zone's records ([`gather`]) and folds them
+//!   into a [`ZoneDay`](zone::ZoneDay), which stands in the platform's key-value service under one key and
 //!   is replaced by compare-and-swap every few minutes.
 //! - A [`Total`](total::Total) adds up the zones, and a [`Page`](page::Page) compares it with the
 //!   [`Targets`](target::Targets). What nobody saw is a gap on the page, never a zero.
@@ -45,6 +45,7 @@
 
 pub mod calendar;
 mod curve;
+pub mod gather;
 pub mod html;
 mod measure;
 pub mod observation;
@@ -52,6 +53,7 @@
 mod plot;
 pub mod pool;
 pub mod record;
+pub mod recorder;
 pub mod series;
 mod shape;
 pub mod status;
--- a/crates/report/src/record.rs
+++ b/crates/report/src/record.rs
@@ -134,6 +134,16 @@
         }
     }
 
+    /// Returns the size of the record as it travels, in bytes.
+    pub fn encoded_len(&self) -> usize {
+        let mut bytes = Vec::new();
+        // Writing to memory fails only for types that the codec does not know.
+        match ciborium::into_writer(self, &mut bytes) {
+            Ok(()) => bytes.len(),
+            Err(_) => 0,
+        }
+    }
+
     /// Counts an observation in an interval of the day.
     pub fn observe(&mut self, interval: usize, observation: &Observation) {
         self.seq += 1;
--- a/crates/report/tests/testsuite/main.rs
+++ b/crates/report/tests/testsuite/main.rs
@@ -2,9 +2,11 @@
 
 mod calendar;
 mod garbage;
+mod gather;
 mod html;
 mod merge;
 mod page;
+mod recorder;
 mod size;
 mod support;
 mod times;
