Forget a rejected document when the service holds a valid one again

Seen on the running quick start: after a faulty document was replaced by an old copy, status still showed its faults beside the loss. A rejected document from the service is now forgotten when the service holds any valid document, or none; the case is tested. Failures of a call to a router name the router.

--- a/crates/primrosectl/src/commands/drain.rs
+++ b/crates/primrosectl/src/commands/drain.rs
@@ -7,6 +7,7 @@
 use bpaf::Parser;
 use serde::Serialize;
 
+use super::router_failure;
 use super::target::target;
 use crate::context::Context;
 use crate::context::Target;
@@ -42,7 +43,8 @@
 /// Begins the shutdown.
 pub fn exec(context: &mut Context, args: &Args) -> Result<(), Failure> {
     let draining = find(context, &args.router)?;
-    context.fleet.drain(draining).map_err(Failure::failed)?;
+    let drained = context.fleet.drain(draining);
+    drained.map_err(|error| router_failure(draining, &error))?;
     let object = format!(
         "{}; `primrosectl status` shows when it is gone",
         args.router
--- a/crates/primrosectl/src/commands/mod.rs
+++ b/crates/primrosectl/src/commands/mod.rs
@@ -12,6 +12,8 @@
 pub mod target;
 pub mod today;
 
+use std::net::SocketAddr;
+
 use bpaf::construct;
 use bpaf::OptionParser;
 use bpaf::Parser;
@@ -19,6 +21,7 @@
 use crate::context::Context;
 use crate::context::Target;
 use crate::exit::Failure;
+use crate::ops::fleet::FleetError;
 
 /// Shown below the list of commands.
 const FOOTER: &str = "\
@@ -92,6 +95,17 @@
         .version(env!("CARGO_PKG_VERSION"))
 }
 
+/// Makes a failure that names the router which caused it.
+fn router_failure(router: SocketAddr, error: &FleetError) -> Failure {
+    let failure = Failure::failed(format!("router {router}: {error}"));
+    match error {
+        FleetError::Refused { status: 404, .. } => {
+            failure.hint("the router does not know what was asked for; is it of an older version?")
+        }
+        _ => failure,
+    }
+}
+
 /// Runs a command.
 pub fn exec(context: &mut Context, command: &Command) -> Result<(), Failure> {
     match command {
--- a/crates/primrosectl/src/commands/show.rs
+++ b/crates/primrosectl/src/commands/show.rs
@@ -9,6 +9,7 @@
 use primrose_table::header::Header;
 use serde::Serialize;
 
+use super::router_failure;
 use super::target::target;
 use crate::context::Context;
 use crate::context::Target;
@@ -48,7 +49,10 @@
 /// Prints the document.
 pub fn exec(context: &mut Context, args: &Args) -> Result<(), Failure> {
     let text = match args.in_force {
-        Some(router) => context.fleet.tables(router).map_err(Failure::failed)?,
+        Some(router) => {
+            let text = context.fleet.tables(router);
+            text.map_err(|error| router_failure(router, &error))?
+        }
         None => stored(context)?,
     };
     let header = peek(&text);
--- a/crates/primrosectl/src/commands/suspects.rs
+++ b/crates/primrosectl/src/commands/suspects.rs
@@ -9,6 +9,7 @@
 use primrose_report::status::SuspectStatus;
 use serde::Serialize;
 
+use super::router_failure;
 use super::target::target;
 use crate::context::Context;
 use crate::context::Target;
@@ -94,7 +95,8 @@
     // Routers learn of suspects at different times; each is listed once, with the most held against it.
     let mut found: BTreeMap<String, SuspectStatus> = BTreeMap::new();
     for router in context.routers()? {
-        for suspect in context.fleet.suspects(*router).map_err(Failure::failed)? {
+        let suspects = context.fleet.suspects(*router);
+        for suspect in suspects.map_err(|error| router_failure(*router, &error))? {
             let known = found.entry(suspect.fingerprint.clone());
             let known = known.or_insert_with(|| suspect.clone());
             if suspect.strikes > known.strikes {
@@ -129,11 +131,11 @@
             Ok(()) => routers += 1,
             // A router that does not know it has nothing to lift.
             Err(FleetError::Refused { status: 404, .. }) => {}
-            Err(error) => last = Some(error),
+            Err(error) => last = Some(router_failure(*router, &error)),
         }
     }
-    if let Some(error) = last {
-        return Err(Failure::failed(error).hint("lifting twice does no harm: run it again"));
+    if let Some(failure) = last {
+        return Err(failure.hint("lifting twice does no harm: run it again"));
     }
     if routers == 0 {
         return Err(Failure::failed(format!("no router knows {fingerprint}")));
--- a/crates/table/src/force/machine.rs
+++ b/crates/table/src/force/machine.rs
@@ -30,6 +30,15 @@
     asked: Mono,
 }
 
+/// What came of a candidate.
+struct Checked<T> {
+    /// Its header, if that could be read.
+    header: Option<Header>,
+    /// Whether it has no faults.
+    valid: bool,
+    actions: Vec<Action<T>>,
+}
+
 /// The document in force at one router, and what is known against it.
 #[derive(Debug)]
 pub struct Force<T> {
@@ -81,7 +90,7 @@
             Event::Peer { host, header } => self.on_peer(host, header, now),
             Event::Fetched { host, value } => {
                 self.fetch = None;
-                self.consider(Source::Peer(host), value).1
+                self.consider(Source::Peer(host), value).actions
             }
         }
     }
@@ -92,17 +101,18 @@
 
     fn on_store(&mut self, asked: Generation, value: Option<Raw>) -> Vec<Action<T>> {
         let Some(value) = value else {
+            self.forget_rejected(&Source::Store);
             return self.compare(asked, None).into_iter().collect();
         };
-        let (shown, mut actions) = self.consider(Source::Store, value);
-        if shown.is_some() && shown == self.header() {
+        let mut checked = self.consider(Source::Store, value);
+        if checked.valid {
             self.forget_rejected(&Source::Store);
         }
         // What cannot be read says nothing about what the service has kept.
-        if let Some(shown) = shown {
-            actions.extend(self.compare(asked, Some(shown)));
+        if let Some(shown) = checked.header {
+            checked.actions.extend(self.compare(asked, Some(shown)));
         }
-        actions
+        checked.actions
     }
 
     fn on_peer(&mut self, host: HostId, header: Header, now: Mono) -> Vec<Action<T>> {
@@ -120,30 +130,42 @@
         vec![Action::Fetch(host)]
     }
 
-    /// Takes a candidate if the rules allow; returns its header if it could be read.
-    fn consider(&mut self, source: Source, value: Raw) -> (Option<Header>, Vec<Action<T>>) {
+    /// Takes a candidate if the rules allow.
+    fn consider(&mut self, source: Source, value: Raw) -> Checked<T> {
         let Ok(text) = String::from_utf8(value) else {
             let mut out = Reporter::new(&self.name);
             let expected = "text in UTF-8";
             out.report(FaultKind::Syntax, header::whole(), expected, "other bytes");
-            return (None, self.reject(source, None, out));
+            return Checked {
+                header: None,
+                valid: false,
+                actions: self.reject(source, None, out),
+            };
         };
         // The header alone tells most candidates apart, long before a large table is read.
-        let peeked = header::peek(&text);
-        let known = peeked.filter(|peeked| Some(*peeked) == self.header());
-        if known.is_some() {
-            return (known, Vec::new());
+        let header = header::peek(&text);
+        if header.is_some() && header == self.header() {
+            return Checked {
+                header,
+                valid: true,
+                actions: Vec::new(),
+            };
         }
         match T::parse(&self.name, &text) {
-            Err(faults) => {
-                let rejected = Rejected {
+            Err(faults) => Checked {
+                header,
+                valid: false,
+                actions: self.keep_rejected(Rejected {
                     source,
-                    header: peeked,
+                    header,
                     faults,
-                };
-                (peeked, self.keep_rejected(rejected))
-            }
-            Ok((header, content)) => (Some(header), self.offer(source, header, content, text)),
+                }),
+            },
+            Ok((header, content)) => Checked {
+                header: Some(header),
+                valid: true,
+                actions: self.offer(source, header, content, text),
+            },
         }
     }
 
--- a/crates/table/tests/testsuite/force.rs
+++ b/crates/table/tests/testsuite/force.rs
@@ -184,6 +184,17 @@
     force.decide(store(7, invalid(8)), NOW);
     force.decide(store(7, text(7, 1)), NOW);
     assert_eq!(force.standing().rejected, None, "taken back in the service");
+    force.decide(store(7, invalid(8)), NOW);
+    force.decide(store(7, text(3, 1)), NOW);
+    assert_eq!(
+        force.standing().rejected,
+        None,
+        "an old copy stands there now"
+    );
+    force.decide(store(7, invalid(8)), NOW);
+    let value = None;
+    force.decide(Event::Store { asked: 7, value }, NOW);
+    assert_eq!(force.standing().rejected, None, "nothing stands there now");
 }
 
 #[test]
