--- a/crates/report/src/record.rs
+++ b/crates/report/src/record.rs
@@ -153,9 +153,6 @@
 
 impl Sums {
     fn pool(&mut self, pool: &str) -> &mut PoolRecord {
-        if !self.pools.contains_key(pool) {
-            self.pools.insert(pool.to_owned(), PoolRecord::default());
-        }
         self.pools.entry(pool.to_owned()).or_default()
     }
 
--- a/crates/report/src/total.rs
+++ b/crates/report/src/total.rs
@@ -9,6 +9,7 @@
 use crate::record::Sums;
 use crate::series::Series;
 use crate::zone::ZoneDay;
+use crate::zone::ZoneError;
 
 /// The whole fleet's day.
 #[derive(Debug, Clone, PartialEq)]
@@ -23,7 +24,42 @@
     pub trimmed: bool,
 }
 
+/// A day put together from what the service holds and what a router knows besides.
+#[derive(Debug)]
+pub struct Assembled {
+    /// The sums.
+    pub total: Total,
+    /// Values that could not be read; their zones show as gaps.
+    pub unread: Vec<ZoneError>,
+}
+
 impl Total {
+    /// Puts a day together.
+    ///
+    /// `values` are the zones' values in the service, `records` what this router has gathered since;
+    /// a record that a value holds in the same or a later state does not count again.
+    pub fn assemble(day: &str, values: &[Vec<u8>], records: &[Record]) -> Assembled {
+        let mut unread = Vec::new();
+        let mut zones: BTreeMap<ZoneId, ZoneDay> = BTreeMap::new();
+        for value in values {
+            match ZoneDay::decode(value) {
+                Ok(zone) if zone.day == day => {
+                    zones.insert(zone.zone.clone(), zone);
+                }
+                Ok(_) => {}
+                Err(error) => unread.push(error),
+            }
+        }
+        for record in records.iter().filter(|record| record.day == day) {
+            let zone = zones.entry(record.zone.clone());
+            zone.or_insert_with(|| ZoneDay::new(&record.zone, day))
+                .take(record);
+        }
+        let mut total = Self::new(day);
+        zones.values().for_each(|zone| total.add_zone(zone));
+        Assembled { total, unread }
+    }
+
     /// Starts with nothing.
     pub fn new(day: &str) -> Self {
         Self {
--- a/crates/report/tests/testsuite/merge.rs
+++ b/crates/report/tests/testsuite/merge.rs
@@ -184,6 +184,67 @@
     assert!(day.live.is_empty());
 }
 
+struct Assembly {
+    name: &'static str,
+    stored: &'static [u64],
+    known: &'static [u64],
+    cut: u64,
+}
+
+#[test]
+fn a_day_is_put_together_from_both_sides() {
+    let cases = [
+        Assembly {
+            name: "the service alone",
+            stored: &[3],
+            known: &[],
+            cut: 3,
+        },
+        Assembly {
+            name: "the service is down",
+            stored: &[],
+            known: &[3],
+            cut: 3,
+        },
+        Assembly {
+            name: "a newer state is known here",
+            stored: &[3],
+            known: &[5],
+            cut: 5,
+        },
+        Assembly {
+            name: "a newer state is stored",
+            stored: &[5],
+            known: &[3],
+            cut: 5,
+        },
+        Assembly {
+            name: "different processes",
+            stored: &[3, 4],
+            known: &[3, 4, 2],
+            cut: 9,
+        },
+    ];
+    let cut = |(index, count): (usize, &u64)| {
+        let mut record = record("a", &format!("host-{index}"), 1);
+        (0..*count).for_each(|_| record.observe(0, &Observation::Cut { requests: 1 }));
+        record
+    };
+    for case in cases {
+        let mut day = ZoneDay::new("a", DAY);
+        case.stored
+            .iter()
+            .enumerate()
+            .map(cut)
+            .for_each(|one| day.take(&one));
+        let values = [day.encode().expect("small"), b"garbage".to_vec()];
+        let records: Vec<Record> = case.known.iter().enumerate().map(cut).collect();
+        let assembled = Total::assemble(DAY, &values, &records);
+        assert_eq!(assembled.total.sums.fleet.cut, case.cut, "{}", case.name);
+        assert_eq!(assembled.unread.len(), 1, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_closed_process_counts_no_more() {
     let mut day = ZoneDay::new("a", DAY);
--- a/crates/settings/tests/testsuite/faults.rs
+++ b/crates/settings/tests/testsuite/faults.rs
@@ -1,5 +1,6 @@
 //! Every fault is named by file, line, section, key and expectation.
 
+use primrose_settings::operator::Operator;
 use primrose_settings::Settings;
 
 use crate::support::LEAST;
@@ -89,3 +90,29 @@
     let lines: Vec<u32> = faults.iter().map(|fault| fault.line).collect();
     assert_eq!(lines, [1, 3, 10]);
 }
+
+#[test]
+fn the_operators_settings_are_checked_too() {
+    let cases = [
+        Case {
+            from: "",
+            to: "[platform]\naddresses = kv:2379\n",
+            shown: "c.ini:2: [platform] addresses: expected addresses by IP number with a port, parted by commas, found \"kv:2379\"",
+        },
+        Case {
+            from: "",
+            to: "[router]\nhost = a\n",
+            shown: "c.ini:1: [router] expected one of the sections platform, routers, found an unknown section",
+        },
+        Case {
+            from: "",
+            to: "[routers]\naddress = 10.0.0.1:82\n",
+            shown: "c.ini:2: [routers] address: expected one of addresses, found an unknown key",
+        },
+    ];
+    for case in cases {
+        let faults = Operator::parse("c.ini", case.to).expect_err(case.shown);
+        assert_eq!(faults.to_string(), case.shown);
+    }
+    assert_eq!(Operator::parse("c.ini", ""), Ok(Operator::default()));
+}
