Split the tests of table faults, and say when apply sees no router

The test of an operator's round names a router, as its exact text of the conflict begins with the error; the note has a test of its own.

--- a/crates/primrosectl/src/commands/apply.rs
+++ b/crates/primrosectl/src/commands/apply.rs
@@ -73,6 +73,10 @@
     let text = read_file(&args.file)?;
     let file = args.file.display().to_string();
     let change = context.random.change().map_err(Failure::failed)?;
+    if context.routers.is_empty() {
+        let object = "no router is named; going by the key-value service alone";
+        context.shell.progress("Note", object);
+    }
     let fleet = newest(&ask(context.fleet.as_ref(), &context.routers));
     let edit = Edit {
         file: &file,
--- a/crates/primrosectl/tests/testsuite/commands.rs
+++ b/crates/primrosectl/tests/testsuite/commands.rs
@@ -148,13 +148,14 @@
         diff.out,
         "~ [route chat]\n  - deadline = 30s\n  + deadline = 45s\n"
     );
-    let applied = desk.run(&["apply", &path]);
+    let apply = ["apply", "--router", "127.0.0.1:1", &path];
+    let applied = desk.run(&apply);
     assert_eq!(applied.exit, Exit::Done);
     assert_eq!(applied.out, diff.out);
     assert!(applied
         .err
         .contains("Applied generation 2, change 000000000000c0de"));
-    let again = desk.run(&["apply", &path]);
+    let again = desk.run(&apply);
     assert_eq!(again.exit, Exit::Failed);
     let wanted = "error: the edit is based on generation 1, but generation 2 is stored\n  \
                   what the others changed:\n~ [route chat]";
@@ -294,6 +295,15 @@
     }
 }
 
+#[test]
+fn apply_says_when_it_sees_no_router() {
+    let desk = Desk::new("alone");
+    let path = desk.write("tables.ini", &file(1, 1, 45));
+    let ran = desk.run(&["apply", &path]);
+    assert_eq!(ran.exit, Exit::Done);
+    assert!(ran.err.contains("Note no router is named"), "{}", ran.err);
+}
+
 #[test]
 fn a_key_is_shown_once_and_stored_as_a_hash() {
     let desk = Desk::new("account");
--- a/crates/table/tests/testsuite/main.rs
+++ b/crates/table/tests/testsuite/main.rs
@@ -9,3 +9,4 @@
 mod samples;
 mod stamp;
 mod support;
+mod values;
