Test links against strangers, replay, reflection, damage and half-open peers

Messages of a process now come between its up and down events: one queue carries both, where a second queue let a down event overtake messages (seen in the test of a stopping endpoint: 1000 messages sent, the down event first). A handshake message is accepted in one form only; before, 67 single flipped bits left a message that was accepted.

--- a/crates/link/src/accept.rs
+++ b/crates/link/src/accept.rs
@@ -8,7 +8,6 @@
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc::Sender;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
@@ -21,12 +20,12 @@
 use crate::dial::close_with;
 use crate::dial::receive;
 use crate::dial::send;
-use crate::event::LinkEvent;
 use crate::event::RefusedReason;
 use crate::handshake::Accepting;
 use crate::handshake::Session;
 use crate::registry::Admitted;
 use crate::registry::Applicant;
+use crate::relay::Relay;
 use crate::shared::refuse;
 use crate::shared::Shared;
 use crate::stats::Counters;
@@ -35,11 +34,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Accepts connections for as long as the endpoint runs.
-pub(crate) async fn accept_loop<M>(
-    listener: TcpListener,
-    shared: Arc<Shared>,
-    events: Sender<LinkEvent<M>>,
-) where
+pub(crate) async fn accept_loop<M>(listener: TcpListener, shared: Arc<Shared>, events: Relay<M>)
+where
     M: DeserializeOwned + Send + 'static,
 {
     let pending = Arc::new(Semaphore::new(shared.limits.pending));
@@ -67,7 +63,7 @@
     stream: TcpStream,
     addr: SocketAddr,
     shared: &Shared,
-    events: &Sender<LinkEvent<M>>,
+    events: &Relay<M>,
     permit: OwnedSemaphorePermit,
 ) {
     let counters = Arc::new(Counters::default());
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -8,7 +8,7 @@
 use futures_util::StreamExt;
 use primrose_core::id::Member;
 use serde::de::DeserializeOwned;
-use tokio::sync::mpsc::Sender;
+use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::WebSocketStream;
@@ -23,6 +23,7 @@
 use crate::handshake::Session;
 use crate::queue::Batch;
 use crate::registry::Admitted;
+use crate::relay::Relay;
 use crate::shared::Shared;
 use crate::stats::add;
 use crate::stats::Counters;
@@ -36,7 +37,7 @@
 /// A link and what it works with.
 pub(crate) struct Connection<'a, M> {
     pub(crate) shared: &'a Shared,
-    pub(crate) events: &'a Sender<LinkEvent<M>>,
+    pub(crate) events: &'a Relay<M>,
     pub(crate) counters: &'a Counters,
     pub(crate) admitted: Admitted,
 }
@@ -79,8 +80,15 @@
             if self.shared.blocks.peer(peer) {
                 continue;
             }
-            if let Err(reason) = self.write_batch(sink, sealer, batch).await {
-                return reason;
+            match self.write_batch(sink, sealer, batch).await {
+                Ok(()) => {}
+                Err(DownReason::Slow) => return DownReason::Slow,
+                Err(reason) => {
+                    // The peer is gone, but what it sent before may still be waiting here; the
+                    // reader ends the link when it comes to the end.
+                    sleep(self.shared.limits.idle).await;
+                    return reason;
+                }
             }
         }
     }
@@ -157,15 +165,15 @@
             add(&counters.messages_in, messages.len());
         }
         for message in messages {
-            let serial = self.admitted.serial;
-            if !self.shared.registry.is_current(&from.host, serial) {
+            let Some(permit) = self.events.room().await else {
+                return;
+            };
+            if !self.shared.registry.is_current(from) {
                 return;
             }
             let from = from.clone();
             let event = LinkEvent::Message { from, message };
-            if self.events.send(event).await.is_err() {
-                return;
-            }
+            self.events.message(event, permit);
         }
     }
 }
--- a/crates/link/src/dial.rs
+++ b/crates/link/src/dial.rs
@@ -11,7 +11,6 @@
 use primrose_retry::Backoff;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc::Sender;
 use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio::time::Instant;
@@ -23,7 +22,6 @@
 use crate::connection::Connection;
 use crate::connection::Socket;
 use crate::counted::Counted;
-use crate::event::LinkEvent;
 use crate::event::RefusedReason;
 use crate::handshake::Dialing;
 use crate::handshake::HandshakeError;
@@ -31,6 +29,7 @@
 use crate::handshake::MAX_HANDSHAKE_BYTES;
 use crate::registry::Admitted;
 use crate::registry::Applicant;
+use crate::relay::Relay;
 use crate::shared::refuse;
 use crate::shared::Shared;
 use crate::stats::Counters;
@@ -62,11 +61,8 @@
 }
 
 /// Dials a target until the task is aborted or the target proves to be this router.
-pub(crate) async fn dial_loop<M>(
-    mut target: Target,
-    shared: Arc<Shared>,
-    events: Sender<LinkEvent<M>>,
-) where
+pub(crate) async fn dial_loop<M>(mut target: Target, shared: Arc<Shared>, events: Relay<M>)
+where
     M: DeserializeOwned + Send + 'static,
 {
     let mut backoff = Backoff::new(shared.limits.backoff);
@@ -89,7 +85,7 @@
 async fn try_once<M: DeserializeOwned>(
     target: &mut Target,
     shared: &Shared,
-    events: &Sender<LinkEvent<M>>,
+    events: &Relay<M>,
 ) -> Tried {
     let counters = Arc::new(Counters::default());
     let opened = open(target, shared, Arc::clone(&counters));
--- a/crates/link/src/endpoint.rs
+++ b/crates/link/src/endpoint.rs
@@ -14,7 +14,6 @@
 use std::time::Duration;
 
 use crossbeam_channel::Sender;
-use crossbeam_channel::TrySendError;
 use log::info;
 use primrose_core::id::HostId;
 use serde::de::DeserializeOwned;
@@ -25,7 +24,6 @@
 use tokio::runtime::Builder;
 use tokio::runtime::Handle;
 use tokio::runtime::Runtime;
-use tokio::sync::mpsc;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
@@ -50,15 +48,16 @@
 use crate::log_limit::LogLimit;
 use crate::registry::Change;
 use crate::registry::Registry;
+use crate::registry::Report;
+use crate::relay::forward;
+use crate::relay::Relay;
 use crate::shared::Shared;
 use crate::stats::add;
 use crate::stats::Counters;
 use crate::stats::Stats;
 
-/// Messages between the connections and the task that fills the ring.
-const RELAY_MESSAGES: usize = 256;
-/// Pause while the ring of the deciding thread is full.
-const RING_PAUSE: Duration = Duration::from_millis(1);
+/// How often a stopping endpoint looks whether its connections are closed.
+const STOP_POLL: Duration = Duration::from_millis(1);
 /// Time that a stopping endpoint gives its connections to flush.
 const STOP_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -67,7 +66,7 @@
 pub struct Endpoint<M> {
     shared: Arc<Shared>,
     runtime: Handle,
-    relay: mpsc::Sender<LinkEvent<M>>,
+    relay: Relay<M>,
     dials: Mutex<HashMap<SocketAddr, Dial>>,
     stop: Arc<Notify>,
     thread: Mutex<Option<JoinHandle<()>>>,
@@ -93,16 +92,17 @@
             .set_nonblocking(true)
             .context(ListenSnafu { addr })?;
         let local = listener.local_addr().context(ListenSnafu { addr })?;
-        let (changes, changed) = mpsc::unbounded_channel();
-        let (relay, relayed) = mpsc::channel(RELAY_MESSAGES);
-        let shared = Arc::new(share(config, local, changes));
+        let (relay, items) = Relay::new();
+        let changes = relay.clone();
+        let report = move |change| changes.change(event_of(change));
+        let shared = Arc::new(share(config, local, Box::new(report)));
         let runtime = Builder::new_current_thread()
             .enable_all()
             .build()
             .context(ThreadSnafu)?;
         let handle = runtime.handle().clone();
         let stop = Arc::new(Notify::new());
-        handle.spawn(forward(changed, relayed, events));
+        handle.spawn(forward(items, events));
         let accepting = Arc::clone(&shared);
         let accepted = relay.clone();
         handle.spawn(async move {
@@ -207,8 +207,14 @@
     /// Starts a dialing task for an address.
     fn dial(&self, host: Option<HostId>, addr: SocketAddr) {
         let mut dials = self.dials.lock().expect("dial lock poisoned");
-        if let Some(old) = dials.get(&addr) {
-            if !old.task.is_finished() && old.host == host {
+        if let Some(old) = dials.get_mut(&addr) {
+            let running = !old.task.is_finished();
+            if running && (old.host == host || host.is_none()) {
+                return;
+            }
+            if running && old.host.is_none() {
+                // A seed has proved to be a wanted host: its link stays.
+                old.host = host;
                 return;
             }
             old.task.abort();
@@ -244,9 +250,9 @@
 }
 
 /// Makes the shared state.
-fn share(config: LinkConfig, local: SocketAddr, changes: mpsc::UnboundedSender<Change>) -> Shared {
+fn share(config: LinkConfig, local: SocketAddr, report: Report) -> Shared {
     Shared {
-        registry: Arc::new(Registry::new(config.me.clone(), config.limits, changes)),
+        registry: Arc::new(Registry::new(config.me.clone(), config.limits, report)),
         me: Identity {
             member: config.me,
             zone: config.zone,
@@ -273,7 +279,7 @@
         let closing = shared.registry.close_all();
         let closed = async {
             while closing.iter().any(|link| link.strong_count() > 0) {
-                sleep(RING_PAUSE).await;
+                sleep(STOP_POLL).await;
             }
         };
         let _ = tokio::time::timeout(STOP_TIMEOUT, closed).await;
@@ -285,37 +291,6 @@
         .context(ThreadSnafu)
 }
 
-/// Fills the ring: changes of links first, then messages.
-async fn forward<M>(
-    mut changes: mpsc::UnboundedReceiver<Change>,
-    mut relayed: mpsc::Receiver<LinkEvent<M>>,
-    ring: Sender<LinkEvent<M>>,
-) {
-    loop {
-        let event = tokio::select! {
-            biased;
-            Some(change) = changes.recv() => event_of(change),
-            Some(event) = relayed.recv() => event,
-            else => return,
-        };
-        if !offer(&ring, event).await {
-            return;
-        }
-    }
-}
-
-/// Puts an event into the ring; false if nobody reads it any more.
-async fn offer<M>(ring: &Sender<LinkEvent<M>>, mut event: LinkEvent<M>) -> bool {
-    loop {
-        match ring.try_send(event) {
-            Ok(()) => return true,
-            Err(TrySendError::Disconnected(_)) => return false,
-            Err(TrySendError::Full(back)) => event = back,
-        }
-        sleep(RING_PAUSE).await;
-    }
-}
-
 /// Turns a change of the registry into an event.
 fn event_of<M>(change: Change) -> LinkEvent<M> {
     match change {
--- a/crates/link/src/event.rs
+++ b/crates/link/src/event.rs
@@ -11,7 +11,8 @@
 
 /// What happened on the links.
 ///
-/// `Up` comes before any message of a link. A message that was under way may come after `Down`.
+/// Events come in the order in which they happened: messages of a process only between its `Up` and
+/// its `Down`.
 #[derive(Debug, Clone, PartialEq)]
 pub enum LinkEvent<M> {
     /// A peer has authenticated and can be sent to.
--- a/crates/link/src/handshake.rs
+++ b/crates/link/src/handshake.rs
@@ -312,18 +312,22 @@
     bytes
 }
 
-/// Decodes a handshake message.
-fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, HandshakeError> {
+/// Decodes a handshake message; only the one form that [`encode`] writes is accepted.
+fn decode<T: Serialize + DeserializeOwned>(bytes: &[u8]) -> Result<T, HandshakeError> {
     let length = bytes.len();
     ensure!(
         length <= MAX_HANDSHAKE_BYTES,
         TooLargeSnafu { bytes: length }
     );
-    match ciborium::from_reader(bytes) {
-        Ok(message) => Ok(message),
-        Err(e) => UndecodableSnafu {
-            cause: e.to_string(),
+    let message: T = match ciborium::from_reader(bytes) {
+        Ok(message) => message,
+        Err(e) => {
+            let cause = e.to_string();
+            return UndecodableSnafu { cause }.fail();
         }
-        .fail(),
-    }
+    };
+    // A proof covers the values; this makes it cover the bytes as well.
+    let cause = "not in canonical form";
+    ensure!(encode(&message) == bytes, UndecodableSnafu { cause });
+    Ok(message)
 }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -59,6 +59,7 @@
 mod log_limit;
 mod queue;
 mod registry;
+mod relay;
 pub mod settle;
 mod shared;
 mod stats;
--- a/crates/link/src/registry.rs
+++ b/crates/link/src/registry.rs
@@ -4,6 +4,7 @@
 //! changes whatever task makes them.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -11,7 +12,6 @@
 
 use primrose_core::id::HostId;
 use primrose_core::id::Member;
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::Notify;
 
 use crate::config::Limits;
@@ -87,24 +87,34 @@
     serials: Serial,
 }
 
+/// Takes changes, in their order.
+pub(crate) type Report = Box<dyn Fn(Change) + Send + Sync>;
+
 /// The links of an endpoint.
-#[derive(Debug)]
 pub(crate) struct Registry {
     me: Member,
     limits: Limits,
     state: Mutex<State>,
-    changes: UnboundedSender<Change>,
+    report: Report,
     changed: Notify,
 }
 
+impl fmt::Debug for Registry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Registry")
+            .field("me", &self.me)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Registry {
     /// Makes an empty registry that reports its changes.
-    pub(crate) fn new(me: Member, limits: Limits, changes: UnboundedSender<Change>) -> Self {
+    pub(crate) fn new(me: Member, limits: Limits, report: Report) -> Self {
         Self {
             me,
             limits,
             state: Mutex::default(),
-            changes,
+            report,
             changed: Notify::new(),
         }
     }
@@ -117,7 +127,7 @@
             Some(old) => self.take_over(old, &new)?,
             None if state.links.len() >= self.limits.links => return Err(RefusedReason::TooMany),
             None => {
-                self.report(Change::Up(new.peer.clone()));
+                (self.report)(Change::Up(new.peer.clone()));
                 Arc::new(Queue::new(self.limits))
             }
         };
@@ -162,8 +172,8 @@
             Settlement::Replace => {
                 old.closing.notify_one();
                 let gone = old.peer.member.clone();
-                self.report(Change::Down(gone, DownReason::Replaced));
-                self.report(Change::Up(new.peer.clone()));
+                (self.report)(Change::Down(gone, DownReason::Replaced));
+                (self.report)(Change::Up(new.peer.clone()));
                 Ok(Arc::new(Queue::new(self.limits)))
             }
         }
@@ -176,7 +186,7 @@
             return;
         }
         if let Some(link) = state.links.remove(host) {
-            self.report(Change::Down(link.peer.member, reason));
+            (self.report)(Change::Down(link.peer.member, reason));
         }
         drop(state);
         self.changed.notify_waiters();
@@ -187,7 +197,7 @@
         let mut state = self.state();
         if let Some(link) = state.links.remove(host) {
             link.closing.notify_one();
-            self.report(Change::Down(link.peer.member, DownReason::Disconnected));
+            (self.report)(Change::Down(link.peer.member, DownReason::Disconnected));
         }
         drop(state);
         self.changed.notify_waiters();
@@ -205,10 +215,11 @@
         state.links.drain().map(close).collect()
     }
 
-    /// Whether this connection is still the link to its peer.
-    pub(crate) fn is_current(&self, host: &HostId, serial: Serial) -> bool {
+    /// Whether the link to the host is one to this process.
+    pub(crate) fn is_current(&self, member: &Member) -> bool {
         let state = self.state();
-        state.links.get(host).is_some_and(|l| l.serial == serial)
+        let link = state.links.get(&member.host);
+        link.is_some_and(|link| link.peer.member == *member)
     }
 
     /// Whether a link to the host is up.
@@ -240,11 +251,6 @@
         self.changed.notified().await;
     }
 
-    /// Passes a change on; nobody listens any more when the endpoint stops.
-    fn report(&self, change: Change) {
-        let _ = self.changes.send(change);
-    }
-
     /// Locks the state.
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("registry lock poisoned")
--- a/crates/link/src/shared.rs
+++ b/crates/link/src/shared.rs
@@ -9,7 +9,6 @@
 
 use log::warn;
 use rand::random;
-use tokio::sync::mpsc::Sender;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 use crate::block::Blocks;
@@ -19,9 +18,11 @@
 use crate::frame::OVERHEAD_BYTES;
 use crate::handshake::Identity;
 use crate::handshake::Nonce;
+use crate::handshake::MAX_HANDSHAKE_BYTES;
 use crate::key::Keys;
 use crate::log_limit::LogLimit;
 use crate::registry::Registry;
+use crate::relay::Relay;
 use crate::stats::Counters;
 
 /// State of an endpoint that its tasks and its handle share.
@@ -46,7 +47,7 @@
 
     /// Returns the WebSocket limits.
     pub(crate) fn socket_config(&self) -> WebSocketConfig {
-        let largest = self.limits.frame_bytes + OVERHEAD_BYTES;
+        let largest = self.limits.frame_bytes.max(MAX_HANDSHAKE_BYTES) + OVERHEAD_BYTES;
         WebSocketConfig::default()
             .read_buffer_size(16 << 10)
             .write_buffer_size(0)
@@ -64,7 +65,7 @@
 /// Counts, logs and reports a connection that did not become a link.
 pub(crate) fn refuse<M>(
     shared: &Shared,
-    events: &Sender<LinkEvent<M>>,
+    events: &Relay<M>,
     addr: SocketAddr,
     reason: RefusedReason,
 ) {
@@ -75,5 +76,5 @@
         }
     }
     // A flood of strangers must not displace messages: what does not fit is only counted.
-    let _ = events.try_send(LinkEvent::Refused { addr, reason });
+    events.try_pass(LinkEvent::Refused { addr, reason });
 }
--- /dev/null
+++ b/crates/link/tests/testsuite/attack.rs
@@ -0,0 +1,295 @@
+//! Strangers on the listening port: wrong keys, silence, garbage, recorded connections.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+
+use primrose_link::handshake::HandshakeError;
+use primrose_link::DownReason;
+use primrose_link::LinkEvent;
+use primrose_link::RefusedReason;
+
+use crate::tools::config;
+use crate::tools::keys;
+use crate::tools::member;
+use crate::tools::Router;
+use crate::tools::PATIENCE;
+use crate::tools::QUIET;
+
+/// Opening of a WebSocket connection.
+const UPGRADE: &[u8] = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\n\
+Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n\
+Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+
+/// Bytes that went through a recorder, in one direction.
+type Tape = Arc<Mutex<Vec<u8>>>;
+
+/// Copies bytes from one stream to the other, and records them.
+fn copy(mut from: TcpStream, mut to: TcpStream, tape: Tape, damage: Arc<Mutex<bool>>) {
+    let mut buffer = [0; 4096];
+    while let Ok(read @ 1..) = from.read(&mut buffer) {
+        if *damage.lock().unwrap() {
+            buffer[read - 1] ^= 1;
+        }
+        tape.lock().unwrap().extend_from_slice(&buffer[..read]);
+        if to.write_all(&buffer[..read]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Both);
+}
+
+/// Listens in place of a router and passes one connection on; records what the dialer says.
+fn recorder(to: SocketAddr) -> (SocketAddr, Tape, Arc<Mutex<bool>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let tape = Tape::default();
+    let damage = Arc::new(Mutex::new(false));
+    let (out, flip) = (Arc::clone(&tape), Arc::clone(&damage));
+    thread::spawn(move || {
+        let (near, _) = listener.accept().unwrap();
+        let far = TcpStream::connect(to).unwrap();
+        let (near_back, far_back) = (near.try_clone().unwrap(), far.try_clone().unwrap());
+        thread::spawn(move || copy(far_back, near_back, Tape::default(), Arc::default()));
+        copy(near, far, out, flip);
+    });
+    (addr, tape, damage)
+}
+
+#[test]
+fn a_wrong_key_is_refused_at_both_ends() {
+    let a = Router::plain("a");
+    let mut wrong = config(member("b", 1), "barasat");
+    wrong.keys = keys(&[2]);
+    let b = Router::start(wrong);
+    a.connect("b", &b);
+    let wrong_key = RefusedReason::Handshake(HandshakeError::WrongKey);
+    assert_eq!(a.wait_refused(), wrong_key);
+    // The acceptor hears from the dialer why it was closed.
+    let heard = b.wait_refused();
+    assert_eq!(heard, RefusedReason::Closed(wrong_key.to_string()));
+    assert!(a.endpoint.stats().links.is_empty());
+    assert!(b.endpoint.stats().links.is_empty());
+    assert!(a.endpoint.stats().refused >= 1);
+}
+
+#[test]
+fn a_recorded_connection_cannot_be_replayed() {
+    let (a, b) = (Router::plain("a"), Router::plain("b"));
+    let (addr, tape, _) = recorder(b.addr());
+    a.endpoint.connect(&"b".to_owned(), addr);
+    b.wait_up();
+    a.wait_up();
+    a.send("b", "order 1");
+    assert_eq!(b.wait_message(), "order 1");
+    a.endpoint.stop();
+    b.wait(|e| matches!(e, LinkEvent::Down { .. }));
+    let recorded = tape.lock().unwrap().clone();
+    let end = recorded.windows(4).position(|w| w == b"\r\n\r\n").unwrap();
+    let (upgrade, rest) = recorded.split_at(end + 4);
+    let _stream = say(b.addr(), upgrade, rest);
+    let refused = b.wait_refused();
+    let wrong_key = RefusedReason::Handshake(HandshakeError::WrongKey);
+    assert_eq!(refused, wrong_key);
+    let message = |e: LinkEvent<String>| matches!(e, LinkEvent::Message { .. });
+    assert!(!b.events.try_iter().any(message));
+}
+
+#[test]
+fn a_damaged_frame_closes_its_link_only() {
+    let (a, b, c) = (Router::plain("a"), Router::plain("b"), Router::plain("c"));
+    c.connect("b", &b);
+    assert_eq!(b.wait_up(), member("c", 1));
+    let (addr, _, damage) = recorder(b.addr());
+    a.endpoint.connect(&"b".to_owned(), addr);
+    assert_eq!(b.wait_up(), member("a", 1));
+    *damage.lock().unwrap() = true;
+    // Even if a keepalive comes first, the next frame is damaged.
+    let down = b.wait(|e| matches!(e, LinkEvent::Down { .. }));
+    let LinkEvent::Down {
+        member: gone,
+        reason,
+    } = down
+    else {
+        unreachable!();
+    };
+    assert_eq!(gone, member("a", 1));
+    assert!(matches!(reason, DownReason::Frame(_)), "{reason}");
+    c.send("b", "still here");
+    assert_eq!(b.wait_message(), "still here");
+}
+
+#[test]
+fn a_message_of_another_kind_closes_the_link_with_a_typed_reason() {
+    let (sender, events) = crossbeam_channel::bounded(64);
+    let config_a = config(member("a", 1), "barasat");
+    let a = primrose_link::Endpoint::<u64>::start(config_a, sender).unwrap();
+    let b = Router::plain("b");
+    a.connect(&"b".to_owned(), b.addr());
+    events.recv_timeout(PATIENCE).unwrap();
+    a.send(&"b".to_owned(), &7).unwrap();
+    let down = b.wait(|e| matches!(e, LinkEvent::Down { .. }));
+    let codec = matches!(
+        &down,
+        LinkEvent::Down {
+            reason: DownReason::Codec(_),
+            ..
+        }
+    );
+    assert!(codec, "{down:?}");
+}
+
+/// Opens a connection, and says the rest once the opening has been answered.
+fn say(addr: SocketAddr, opening: &[u8], rest: &[u8]) -> TcpStream {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.write_all(opening).unwrap();
+    if !rest.is_empty() {
+        let mut answer = [0; 512];
+        assert!(stream.read(&mut answer).unwrap() > 0);
+        stream.write_all(rest).unwrap();
+    }
+    stream
+}
+
+struct Case {
+    name: &'static str,
+    opening: &'static [u8],
+    rest: Vec<u8>,
+    reason: fn(&RefusedReason) -> bool,
+}
+
+/// A masked binary WebSocket frame with a zero mask.
+fn client_frame(payload: &[u8]) -> Vec<u8> {
+    let length = u16::try_from(payload.len()).unwrap().to_be_bytes();
+    let mut frame = vec![0x82, 0xfe, length[0], length[1], 0, 0, 0, 0];
+    frame.extend_from_slice(payload);
+    frame
+}
+
+#[test]
+fn strangers_are_refused_and_links_go_on() {
+    let huge_head = [
+        0x82, 0xff, 0, 0, 0, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0,
+    ];
+    let cases = [
+        Case {
+            name: "silent from the start",
+            opening: b"",
+            rest: Vec::new(),
+            reason: |r| *r == RefusedReason::Timeout,
+        },
+        Case {
+            name: "half an upgrade",
+            opening: &UPGRADE[..40],
+            rest: Vec::new(),
+            reason: |r| *r == RefusedReason::Timeout,
+        },
+        Case {
+            name: "silent after the upgrade",
+            opening: UPGRADE,
+            rest: Vec::new(),
+            reason: |r| *r == RefusedReason::Timeout,
+        },
+        Case {
+            name: "not HTTP",
+            opening: &[0; 200],
+            rest: Vec::new(),
+            reason: |r| matches!(r, RefusedReason::Failed(_)),
+        },
+        Case {
+            name: "garbage in a frame",
+            opening: UPGRADE,
+            rest: client_frame(&[0xff; 200]),
+            reason: |r| {
+                let undecodable =
+                    |e: &HandshakeError| matches!(e, HandshakeError::Undecodable { .. });
+                matches!(r, RefusedReason::Handshake(e) if undecodable(e))
+            },
+        },
+        Case {
+            name: "oversized hello",
+            opening: UPGRADE,
+            rest: client_frame(&[0; 2000]),
+            reason: |r| *r == RefusedReason::Handshake(HandshakeError::TooLarge { bytes: 2000 }),
+        },
+        Case {
+            name: "a frame that claims a terabyte",
+            opening: UPGRADE,
+            rest: huge_head.to_vec(),
+            reason: |r| matches!(r, RefusedReason::Failed(_)),
+        },
+    ];
+    let (a, b) = (Router::plain("a"), Router::plain("b"));
+    a.connect("b", &b);
+    b.wait_up();
+    for case in cases {
+        let _stream = say(b.addr(), case.opening, &case.rest);
+        let reason = b.wait_refused();
+        assert!((case.reason)(&reason), "{}: {reason:?}", case.name);
+        a.send("b", case.name);
+        assert_eq!(b.wait_message(), case.name);
+    }
+    assert_eq!(b.endpoint.stats().links.len(), 1);
+}
+
+#[test]
+fn a_flood_of_strangers_leaves_room_for_a_peer() {
+    let mut few = config(member("b", 1), "barasat");
+    few.limits.pending = 4;
+    let b = Router::start(few);
+    let flood: Vec<TcpStream> = (0..50)
+        .map(|_| TcpStream::connect(b.addr()).unwrap())
+        .collect();
+    thread::sleep(QUIET);
+    let a = Router::plain("a");
+    a.connect("b", &b);
+    // The strangers time out, and the peer tries until then.
+    assert_eq!(a.wait_up(), member("b", 1));
+    drop(flood);
+}
+
+#[test]
+fn a_peer_that_stops_reading_is_found_out() {
+    let (a, b) = (Router::plain("a"), Router::plain("b"));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let to = b.addr();
+    let stuck = Arc::new(Mutex::new(false));
+    let jam = Arc::clone(&stuck);
+    // Passes bytes on until it is told to stop reading, with the connections left open.
+    thread::spawn(move || {
+        let (near, _) = listener.accept().unwrap();
+        let far = TcpStream::connect(to).unwrap();
+        let (near_back, far_back) = (near.try_clone().unwrap(), far.try_clone().unwrap());
+        for (mut from, mut to) in [(near, far), (far_back, near_back)] {
+            let jam = Arc::clone(&jam);
+            thread::spawn(move || {
+                let mut buffer = [0; 4096];
+                while let Ok(read @ 1..) = from.read(&mut buffer) {
+                    if *jam.lock().unwrap() {
+                        thread::sleep(PATIENCE);
+                    }
+                    let _ = to.write_all(&buffer[..read]);
+                }
+            });
+        }
+    });
+    a.endpoint.connect(&"b".to_owned(), addr);
+    a.wait_up();
+    b.wait_up();
+    *stuck.lock().unwrap() = true;
+    let half_open = [DownReason::Silent, DownReason::Slow, DownReason::Closed];
+    for router in [&a, &b] {
+        let down = router.wait(|e| matches!(e, LinkEvent::Down { .. }));
+        let LinkEvent::Down { reason, .. } = down else {
+            unreachable!();
+        };
+        assert!(half_open.contains(&reason), "{reason}");
+    }
+}
--- /dev/null
+++ b/crates/link/tests/testsuite/codec.rs
@@ -0,0 +1,100 @@
+//! Message sequences; garbage is an error and nothing worse.
+
+use primrose_link::codec::decode_all;
+use primrose_link::codec::encode;
+use primrose_link::codec::CodecError;
+use primrose_link::codec::MAX_FRAME_MESSAGES;
+use primrose_member::Beat;
+use primrose_member::Mark;
+use primrose_member::Record;
+use primrose_member::Summary;
+use primrose_member::TableMark;
+use primrose_support::seeded::checker;
+
+use crate::tools::member;
+
+fn beat() -> Beat {
+    Beat {
+        count: 7,
+        table: TableMark {
+            generation: 3,
+            change: "c3".to_owned(),
+        },
+        records: vec![Record {
+            member: member("a", 1),
+            version: 2,
+            addr: "127.0.0.1:7400".parse().unwrap(),
+            draining: false,
+            links: vec!["b".to_owned(), "c".to_owned()],
+            gates: vec!["george".to_owned()],
+        }],
+        leaving: vec![Mark {
+            host: "s1".to_owned(),
+            incarnation: 4,
+            age: 1,
+        }],
+        summary: Some(Summary {
+            records: 1,
+            reports: 2,
+            leaving: 3,
+        }),
+        ..Beat::default()
+    }
+}
+
+#[test]
+fn messages_written_together_are_read_one_by_one() {
+    let property: fn(Vec<String>) -> bool = |messages| {
+        let encoded = messages.iter().map(|m| encode(m).unwrap());
+        let payload: Vec<u8> = encoded.flatten().collect();
+        decode_all::<String>(&payload).unwrap() == messages
+    };
+    checker().quickcheck(property);
+}
+
+#[test]
+fn beats_survive_the_way() {
+    let payload = encode(&beat()).unwrap();
+    assert_eq!(decode_all::<Beat>(&payload).unwrap(), [beat()]);
+}
+
+#[test]
+fn a_frame_of_too_many_messages_is_refused() {
+    let payload = vec![0xf6; MAX_FRAME_MESSAGES + 1];
+    assert_eq!(decode_all::<()>(&payload), Err(CodecError::TooMany));
+    assert!(decode_all::<()>(&payload[1..]).is_ok());
+}
+
+#[test]
+fn cut_messages_are_errors() {
+    let payload = encode(&beat()).unwrap();
+    for end in 1..payload.len() {
+        assert!(decode_all::<Beat>(&payload[..end]).is_err(), "at {end}");
+    }
+}
+
+#[test]
+fn garbage_and_flipped_bits_never_panic() {
+    let property: fn(Vec<u8>, usize) -> bool = |noise, bit| {
+        let mut flipped = encode(&beat()).unwrap();
+        let at = bit % (flipped.len() * 8);
+        flipped[at / 8] ^= 1 << (at % 8);
+        // A flipped bit may leave a valid message; what counts is a result without a panic.
+        let _ = decode_all::<Beat>(&flipped);
+        let decoded = decode_all::<Beat>(&noise);
+        decoded.map_or(true, |beats| noise.is_empty() && beats.is_empty())
+    };
+    checker().tests(500).quickcheck(property);
+}
+
+#[test]
+fn lengths_that_lie_allocate_nothing_large() {
+    // An array, a byte string and a text that claim 2^60 entries.
+    for head in [0x9b_u8, 0x5b, 0x7b] {
+        let mut bytes = vec![head];
+        bytes.extend_from_slice(&(1_u64 << 60).to_be_bytes());
+        assert!(decode_all::<Vec<u64>>(&bytes).is_err());
+        assert!(decode_all::<String>(&bytes).is_err());
+        assert!(decode_all::<Beat>(&bytes).is_err());
+    }
+}
--- /dev/null
+++ b/crates/link/tests/testsuite/handshake.rs
@@ -0,0 +1,212 @@
+//! Only holders of a key get through, and nothing recorded is of use.
+
+use primrose_link::handshake::Accepting;
+use primrose_link::handshake::Dialing;
+use primrose_link::handshake::HandshakeError;
+use primrose_link::Key;
+use primrose_link::KeyError;
+use primrose_link::Keys;
+use primrose_support::seeded::checker;
+use quickcheck::TestResult;
+
+use crate::tools::identity;
+use crate::tools::key;
+use crate::tools::keys;
+use crate::tools::nonce;
+
+struct Case {
+    name: &'static str,
+    dialer: &'static [u8],
+    acceptor: &'static [u8],
+    agree: bool,
+}
+
+/// Runs a handshake with the accepted keys of both ends.
+fn agree(dialer: &Keys, acceptor: &Keys) -> Result<(), HandshakeError> {
+    let dialing = Dialing::new(identity("a"), Some("b".to_owned()), nonce(1));
+    let accepting = Accepting::new(identity("b"), nonce(2), &dialing.first_message())?;
+    let (last, mut a) = dialing.finish(&accepting.answer(acceptor), dialer)?;
+    let mut b = accepting.finish(&last, acceptor)?;
+    let frame = a.sealer.seal(b"from a");
+    assert_eq!(b.opener.open(&frame).unwrap(), b"from a");
+    let frame = b.sealer.seal(b"from b");
+    assert_eq!(a.opener.open(&frame).unwrap(), b"from b");
+    assert_eq!(a.peer, identity("b"));
+    assert_eq!(b.peer, identity("a"));
+    Ok(())
+}
+
+#[test]
+fn keys_can_be_rotated_without_losing_a_link() {
+    let cases = [
+        Case {
+            name: "same key",
+            dialer: &[1],
+            acceptor: &[1],
+            agree: true,
+        },
+        Case {
+            name: "new key appended at one end",
+            dialer: &[1, 2],
+            acceptor: &[1],
+            agree: true,
+        },
+        Case {
+            name: "new key in front at one end",
+            dialer: &[2, 1],
+            acceptor: &[1, 2],
+            agree: true,
+        },
+        Case {
+            name: "old key removed at one end",
+            dialer: &[2],
+            acceptor: &[2, 1],
+            agree: true,
+        },
+        Case {
+            name: "another key",
+            dialer: &[3],
+            acceptor: &[1, 2],
+            agree: false,
+        },
+        Case {
+            name: "a round skipped",
+            dialer: &[2],
+            acceptor: &[1],
+            agree: false,
+        },
+    ];
+    for case in cases {
+        let (left, right) = (keys(case.dialer), keys(case.acceptor));
+        for (dialer, acceptor) in [(&left, &right), (&right, &left)] {
+            let result = agree(dialer, acceptor);
+            let want = if case.agree {
+                Ok(())
+            } else {
+                Err(HandshakeError::WrongKey)
+            };
+            assert_eq!(result, want, "{}", case.name);
+        }
+    }
+}
+
+#[test]
+fn a_dialer_without_the_key_is_refused_by_the_acceptor_too() {
+    let dialing = Dialing::new(identity("a"), None, nonce(1));
+    let accepting = Accepting::new(identity("b"), nonce(2), &dialing.first_message()).unwrap();
+    // The dialer takes part with an acceptor of its own key to get a finished proof.
+    let (last, _) = dialing
+        .finish(&accepting.answer(&keys(&[9])), &keys(&[9]))
+        .unwrap();
+    let refused = accepting.finish(&last, &keys(&[1])).unwrap_err();
+    assert_eq!(refused, HandshakeError::WrongKey);
+}
+
+#[test]
+fn a_recorded_handshake_cannot_be_replayed() {
+    let dialing = Dialing::new(identity("a"), None, nonce(1));
+    let first = dialing.first_message();
+    let accepting = Accepting::new(identity("b"), nonce(2), &first).unwrap();
+    let answer = accepting.answer(&keys(&[1]));
+    let (last, _) = dialing.finish(&answer, &keys(&[1])).unwrap();
+    accepting.finish(&last, &keys(&[1])).unwrap();
+    // To the acceptor, with its next nonce.
+    let again = Accepting::new(identity("b"), nonce(3), &first).unwrap();
+    let refused = again.finish(&last, &keys(&[1])).unwrap_err();
+    assert_eq!(refused, HandshakeError::WrongKey);
+    // To the dialer, with its next nonce.
+    let again = Dialing::new(identity("a"), None, nonce(4));
+    let refused = again.finish(&answer, &keys(&[1])).unwrap_err();
+    assert_eq!(refused, HandshakeError::WrongKey);
+}
+
+#[test]
+fn a_side_cannot_be_made_to_answer_its_own_challenge() {
+    let keys = keys(&[1]);
+    // An attacker without the key accepts a's connection and hands a's hello back to a.
+    let dialing = Dialing::new(identity("a"), None, nonce(1));
+    let reflected = Accepting::new(identity("a"), nonce(2), &dialing.first_message());
+    assert_eq!(reflected.unwrap_err(), HandshakeError::OwnName);
+    // Or it dials a in the name of b and returns the acceptor's proof as its own.
+    let claim = Dialing::new(identity("b"), None, nonce(3)).first_message();
+    let accepting = Accepting::new(identity("a"), nonce(4), &claim).unwrap();
+    let answer = accepting.answer(&keys);
+    assert!(accepting.finish(&answer, &keys).is_err());
+}
+
+#[test]
+fn a_proof_is_bound_to_both_identities() {
+    let keys = keys(&[1]);
+    let dialing = Dialing::new(identity("a"), None, nonce(1));
+    let accepting = Accepting::new(identity("b"), nonce(2), &dialing.first_message()).unwrap();
+    let (last, _) = dialing.finish(&accepting.answer(&keys), &keys).unwrap();
+    // The same nonces, but the dialer claims to be c.
+    let claim = Dialing::new(identity("c"), None, nonce(1)).first_message();
+    let forged = Accepting::new(identity("b"), nonce(2), &claim).unwrap();
+    let refused = forged.finish(&last, &keys).unwrap_err();
+    assert_eq!(refused, HandshakeError::WrongKey);
+}
+
+#[test]
+fn another_host_than_the_dialed_one_is_refused() {
+    let keys = keys(&[1]);
+    let dialing = Dialing::new(identity("a"), Some("c".to_owned()), nonce(1));
+    let accepting = Accepting::new(identity("b"), nonce(2), &dialing.first_message()).unwrap();
+    let refused = dialing.finish(&accepting.answer(&keys), &keys);
+    let expected = "c".to_owned();
+    let got = "b".to_owned();
+    let want = HandshakeError::WrongHost { expected, got };
+    assert_eq!(refused.unwrap_err(), want);
+}
+
+#[test]
+fn names_have_a_length() {
+    for host in [String::new(), "h".repeat(129)] {
+        let first = Dialing::new(identity(&host), None, nonce(1)).first_message();
+        let refused = Accepting::new(identity("b"), nonce(2), &first).unwrap_err();
+        assert_eq!(refused, HandshakeError::Name);
+    }
+}
+
+#[test]
+fn short_and_missing_keys_are_errors() {
+    let short = Key::from_bytes(&[1; 31]).unwrap_err();
+    assert_eq!(short, KeyError::Short { bytes: 31 });
+    assert_eq!(Keys::new(Vec::new()).unwrap_err(), KeyError::Missing);
+    assert_eq!(format!("{:?}", key(1)), "Key(..)");
+}
+
+#[test]
+fn garbage_and_damaged_messages_are_errors() {
+    let property: fn(Vec<u8>, usize, usize) -> TestResult = |noise, bit, cut| {
+        let keys = keys(&[1]);
+        let damage = |good: &[u8]| {
+            let mut flipped = good.to_vec();
+            let at = bit % (good.len() * 8);
+            flipped[at / 8] ^= 1 << (at % 8);
+            [noise.clone(), flipped, good[..cut % good.len()].to_vec()]
+        };
+        let dialing = || Dialing::new(identity("a"), None, nonce(1));
+        let accepting = |first: &[u8]| Accepting::new(identity("b"), nonce(2), first);
+        let first = dialing().first_message();
+        let good = accepting(&first).unwrap();
+        let answer = good.answer(&keys);
+        let (last, _) = dialing().finish(&answer, &keys).unwrap();
+        for bad in damage(&first) {
+            // A damaged hello may still be one, but its proof no longer fits.
+            if let Ok(accepting) = accepting(&bad) {
+                if accepting.finish(&last, &keys).is_ok() {
+                    return TestResult::failed();
+                }
+            }
+        }
+        let wrong_answer = damage(&answer)
+            .iter()
+            .any(|bad| dialing().finish(bad, &keys).is_ok());
+        let wrong_last = damage(&last)
+            .iter()
+            .any(|bad| accepting(&first).unwrap().finish(bad, &keys).is_ok());
+        TestResult::from_bool(!wrong_answer && !wrong_last)
+    };
+    checker().tests(300).quickcheck(property);
+}
--- /dev/null
+++ b/crates/link/tests/testsuite/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the links between routers.
+
+mod attack;
+mod codec;
+mod endpoint;
+mod frame;
+mod handshake;
+mod partition;
+mod settle;
+mod tools;
--- /dev/null
+++ b/crates/link/tests/testsuite/partition.rs
@@ -0,0 +1,79 @@
+//! The test hook cuts links as a partition does.
+
+use primrose_link::DownReason;
+use primrose_link::LinkEvent;
+use primrose_link::Scope;
+
+use crate::tools::config;
+use crate::tools::member;
+use crate::tools::Router;
+use crate::tools::QUIET;
+
+struct Case {
+    name: &'static str,
+    scope: Scope,
+}
+
+#[test]
+fn a_blocked_peer_falls_silent_for_both_ends_and_comes_back() {
+    let cases = [
+        Case {
+            name: "host",
+            scope: Scope::Host("b".to_owned()),
+        },
+        Case {
+            name: "zone",
+            scope: Scope::Zone("george".to_owned()),
+        },
+    ];
+    for case in cases {
+        let a = Router::plain("a");
+        let b = Router::start(config(member("b", 1), "george"));
+        a.connect("b", &b);
+        b.connect("a", &a);
+        a.wait_up();
+        b.wait_up();
+        std::thread::sleep(QUIET);
+        a.endpoint.block(case.scope.clone(), true);
+        let reason = DownReason::Silent;
+        for router in [&a, &b] {
+            let down = router.wait(|e| matches!(e, LinkEvent::Down { .. }));
+            let silent = matches!(&down, LinkEvent::Down { reason: r, .. } if *r == reason);
+            // The end that finds out first closes the connection to the other.
+            let closed =
+                matches!(&down, LinkEvent::Down { reason: r, .. } if *r == DownReason::Closed);
+            assert!(silent || closed, "{}: {down:?}", case.name);
+        }
+        // Both keep dialing, and neither gets through.
+        std::thread::sleep(2 * QUIET);
+        for router in [&a, &b] {
+            assert!(router.endpoint.stats().links.is_empty(), "{}", case.name);
+            let up = |e: LinkEvent<String>| matches!(e, LinkEvent::Up { .. });
+            assert!(!router.events.try_iter().any(up), "{}", case.name);
+        }
+        a.endpoint.block(case.scope, false);
+        assert_eq!(a.wait_up(), member("b", 1), "{}", case.name);
+        assert_eq!(b.wait_up(), member("a", 1), "{}", case.name);
+    }
+}
+
+#[test]
+fn messages_to_a_blocked_peer_vanish() {
+    let (a, b) = (Router::plain("a"), Router::plain("b"));
+    a.connect("b", &b);
+    a.wait_up();
+    b.wait_up();
+    a.endpoint.block(Scope::Host("b".to_owned()), true);
+    a.send("b", "lost");
+    // The writer takes the message while the peer is blocked, at the latest with a keepalive.
+    std::thread::sleep(QUIET);
+    a.endpoint.block(Scope::Host("b".to_owned()), false);
+    loop {
+        // The link may or may not have outlived the cut.
+        if a.endpoint.send(&"b".to_owned(), &"kept".to_owned()).is_ok() {
+            break;
+        }
+        a.wait_up();
+    }
+    assert_eq!(b.wait_message(), "kept");
+}
--- /dev/null
+++ b/crates/link/tests/testsuite/settle.rs
@@ -0,0 +1,108 @@
+//! Both ends keep the same one of two links.
+
+use primrose_link::settle::settle;
+use primrose_link::settle::Candidate;
+use primrose_link::settle::Settlement;
+
+use crate::tools::member;
+
+struct Case {
+    name: &'static str,
+    me: &'static str,
+    old: (u64, bool),
+    new: (u64, bool),
+    want: Settlement,
+}
+
+#[test]
+fn one_link_stays() {
+    let cases = [
+        Case {
+            name: "newer process",
+            me: "a",
+            old: (1, true),
+            new: (2, false),
+            want: Settlement::Replace,
+        },
+        Case {
+            name: "older process",
+            me: "a",
+            old: (2, false),
+            new: (1, true),
+            want: Settlement::Keep,
+        },
+        Case {
+            name: "the lesser end dialed the new one",
+            me: "a",
+            old: (1, false),
+            new: (1, true),
+            want: Settlement::Swap,
+        },
+        Case {
+            name: "the lesser end dialed the old one",
+            me: "a",
+            old: (1, true),
+            new: (1, false),
+            want: Settlement::Keep,
+        },
+        Case {
+            name: "seen from the greater end",
+            me: "z",
+            old: (1, true),
+            new: (1, false),
+            want: Settlement::Swap,
+        },
+        Case {
+            name: "dialed again by the same end",
+            me: "z",
+            old: (1, true),
+            new: (1, true),
+            want: Settlement::Swap,
+        },
+    ];
+    for case in cases {
+        let old = member("m", case.old.0);
+        let new = member("m", case.new.0);
+        let got = settle(
+            &member(case.me, 1),
+            Candidate {
+                peer: &old,
+                dialed: case.old.1,
+            },
+            Candidate {
+                peer: &new,
+                dialed: case.new.1,
+            },
+        );
+        assert_eq!(got, case.want, "{}", case.name);
+    }
+}
+
+#[test]
+fn both_ends_keep_the_same_link_in_any_order() {
+    let a = member("a", 1);
+    let b = member("b", 1);
+    // Whichever link each end saw first, the one that a dialed stays.
+    for first_dialed in [true, false] {
+        let old = Candidate {
+            peer: &b,
+            dialed: first_dialed,
+        };
+        let new = Candidate {
+            peer: &b,
+            dialed: !first_dialed,
+        };
+        let kept_at_a = settle(&a, old, new) == Settlement::Keep;
+        assert_eq!(kept_at_a, first_dialed);
+        let old = Candidate {
+            peer: &a,
+            dialed: first_dialed,
+        };
+        let new = Candidate {
+            peer: &a,
+            dialed: !first_dialed,
+        };
+        let kept_at_b = settle(&b, old, new) == Settlement::Keep;
+        assert_eq!(kept_at_b, !first_dialed);
+    }
+}
--- a/crates/retry/tests/testsuite/backoff.rs
+++ b/crates/retry/tests/testsuite/backoff.rs
@@ -4,7 +4,7 @@
 
 use primrose_retry::Backoff;
 use primrose_retry::BackoffConfig;
-use quickcheck::quickcheck;
+use primrose_support::seeded::checker;
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 
@@ -50,8 +50,9 @@
     }
 }
 
-quickcheck! {
-    fn delay_never_exceeds_its_ceiling(base: u32, cap: u32, failures: u8, seed: u64) -> bool {
+#[test]
+fn delay_never_exceeds_its_ceiling() {
+    let property: fn(u32, u32, u8, u64) -> bool = |base, cap, failures, seed| {
         let config = BackoffConfig {
             base: Duration::from_micros(u64::from(base)),
             cap: Duration::from_micros(u64::from(cap)),
@@ -62,5 +63,6 @@
             let ceiling = backoff.ceiling();
             ceiling <= config.cap && backoff.next_delay(&mut rng) <= ceiling
         })
-    }
+    };
+    checker().tests(300).quickcheck(property);
 }
--- a/crates/retry/tests/testsuite/budget.rs
+++ b/crates/retry/tests/testsuite/budget.rs
@@ -2,7 +2,7 @@
 
 use primrose_retry::Budget;
 use primrose_retry::BudgetConfig;
-use quickcheck::quickcheck;
+use primrose_support::seeded::checker;
 
 struct Case {
     name: &'static str,
@@ -59,31 +59,41 @@
     }
 }
 
-quickcheck! {
-    /// Over any interleaving, and any stretch of it, retries stay within the share plus the burst;
-    /// from the start they stay within the share alone.
-    fn share_holds_over_any_stretch(steps: Vec<bool>, permille: u16, burst: u8) -> bool {
-        let config = BudgetConfig { permille: u32::from(permille), burst: u32::from(burst) };
-        let mut budget = Budget::new(config);
-        let mut counts = vec![(0_u64, 0_u64)];
-        let mut attempts = 0;
-        let mut retries = 0;
-        for retry in steps {
-            if !retry {
-                budget.record_attempt();
-                attempts += 1;
-            } else if budget.try_retry() {
-                retries += 1;
-            }
-            counts.push((attempts, retries));
-        }
+/// Over any interleaving, and any stretch of it, retries stay within the share plus the burst; from
+/// the start they stay within the share alone.
+#[test]
+fn share_holds_over_any_stretch() {
+    let property: fn(Vec<bool>, u16, u8) -> bool = |steps, permille, burst| {
+        let config = BudgetConfig {
+            permille: u32::from(permille),
+            burst: u32::from(burst),
+        };
+        let counts = run(config, &steps);
         let share = u64::from(permille);
+        let saved = u64::from(burst) * 1000;
         let prefix = counts.iter().all(|(a, r)| r * 1000 <= a * share);
         let stretch = counts.iter().enumerate().all(|(i, (a0, r0))| {
-            counts[i..].iter().all(|(a, r)| {
-                (r - r0) * 1000 <= (a - a0) * share + u64::from(burst) * 1000
-            })
+            let mut later = counts[i..].iter();
+            later.all(|(a, r)| (r - r0) * 1000 <= (a - a0) * share + saved)
         });
         prefix && stretch
+    };
+    checker().tests(300).quickcheck(property);
+}
+
+/// Counts first attempts and granted retries after each step.
+fn run(config: BudgetConfig, steps: &[bool]) -> Vec<(u64, u64)> {
+    let mut budget = Budget::new(config);
+    let mut counts = vec![(0, 0)];
+    let (mut attempts, mut retries) = (0, 0);
+    for retry in steps {
+        if !retry {
+            budget.record_attempt();
+            attempts += 1;
+        } else if budget.try_retry() {
+            retries += 1;
+        }
+        counts.push((attempts, retries));
     }
+    counts
 }
