--- /dev/null
+++ b/crates/link/examples/beat_traffic.rs
@@ -0,0 +1,359 @@
+//! Measures what membership costs: real links over loopback, one view and endpoint a router.
+//!
+//! ```text
+//! cargo run --release -p primrose-link --example beat_traffic -- ZONES ROUTERS REGIONS SECONDS
+//! ```
+//!
+//! Starts ZONES times ROUTERS routers, waits until all know each other, and prints bytes, messages
+//! and links a router at rest; then how long a leaving mark takes to reach all, and the bytes that
+//! it and a restarted router cost. Threads stand for hosts; nothing here asserts a time.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Barrier;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crossbeam_channel::Receiver;
+use primrose_core::host::Host;
+use primrose_core::host::HostState;
+use primrose_core::id::Member;
+use primrose_core::id::RegionId;
+use primrose_core::id::ZoneId;
+use primrose_link::Endpoint;
+use primrose_link::Key;
+use primrose_link::Keys;
+use primrose_link::LinkConfig;
+use primrose_link::LinkEvent;
+use primrose_link::Stats;
+use primrose_member::Action;
+use primrose_member::Beat;
+use primrose_member::Event;
+use primrose_member::Settings;
+use primrose_member::View;
+
+/// Time between two looks at whether the fleet has settled.
+const POLL: Duration = Duration::from_millis(10);
+/// Longest wait for the fleet to settle.
+const PATIENCE: Duration = Duration::from_secs(120);
+/// Events that may wait for a view.
+const RING: usize = 4096;
+/// Bytes in a kilobyte, as the budget of a node counts them.
+const KB: f64 = 1000.0;
+
+/// Shape of the fleet.
+#[derive(Debug, Clone, Copy)]
+struct Shape {
+    zones: usize,
+    routers: usize,
+    regions: usize,
+    time: Duration,
+}
+
+/// One router: its view, its links and what they report.
+struct Router {
+    view: View,
+    endpoint: Endpoint<Beat>,
+    events: Receiver<LinkEvent<Beat>>,
+}
+
+/// Routers of a zone, driven by one thread.
+type Zone = Arc<Mutex<Vec<Router>>>;
+
+/// What one router has sent and received between two readings.
+#[derive(Debug, Clone, Copy, Default)]
+struct Use {
+    bytes_out: f64,
+    bytes_in: f64,
+    messages_out: f64,
+    links: f64,
+}
+
+fn main() {
+    let shape = shape();
+    let start = Instant::now();
+    let zones = build(shape, start);
+    let entries = hosts(&zones, shape);
+    tell_all(&zones, &Event::Hosts(entries.clone()), start);
+    let stop = Arc::new(Barrier::new(shape.zones + 1));
+    let running = Arc::new(Mutex::new(true));
+    let threads: Vec<_> = zones
+        .iter()
+        .map(|zone| {
+            let (zone, stop) = (Arc::clone(zone), Arc::clone(&stop));
+            let running = Arc::clone(&running);
+            thread::spawn(move || drive(&zone, start, &running, &stop))
+        })
+        .collect();
+    let total = shape.zones * shape.routers;
+    let settled = wait(&zones, |view| known(view, shape) == total);
+    println!(
+        "routers {total}, zones {}, regions {}",
+        shape.zones, shape.regions
+    );
+    println!("all know all after {:.2} s", settled.as_secs_f64());
+    // Lets gateways and seeds that lost out close their links.
+    thread::sleep(Duration::from_secs(10));
+    report("at rest", &zones, shape.time);
+    spread(&zones, &entries, start);
+    report("after the mark", &zones, Duration::from_secs(5));
+    *running.lock().expect("lock poisoned") = false;
+    stop.wait();
+    for thread in threads {
+        thread.join().expect("a zone's thread panicked");
+    }
+}
+
+/// Reads the shape from the arguments.
+fn shape() -> Shape {
+    let numbers: Vec<usize> = std::env::args()
+        .skip(1)
+        .map(|arg| arg.parse().expect("arguments are numbers"))
+        .collect();
+    let at = |index: usize, default| numbers.get(index).copied().unwrap_or(default);
+    Shape {
+        zones: at(0, 3),
+        routers: at(1, 3),
+        regions: at(2, 1),
+        time: Duration::from_secs(at(3, 20) as u64),
+    }
+}
+
+/// Starts all routers.
+fn build(shape: Shape, start: Instant) -> Vec<Zone> {
+    let region = |n: usize| (zone_name(n), format!("region-{}", n % shape.regions));
+    let regions: BTreeMap<ZoneId, RegionId> = (0..shape.zones).map(region).collect();
+    let zone = |n: usize| {
+        let routers = (0..shape.routers).map(|r| router(n, r, &regions, start));
+        Arc::new(Mutex::new(routers.collect()))
+    };
+    (0..shape.zones).map(zone).collect()
+}
+
+fn zone_name(number: usize) -> ZoneId {
+    format!("zone-{number:02}")
+}
+
+/// Starts one router.
+fn router(
+    zone: usize,
+    number: usize,
+    regions: &BTreeMap<ZoneId, RegionId>,
+    start: Instant,
+) -> Router {
+    let me = Member {
+        host: format!("router-{zone:02}-{number:02}"),
+        incarnation: 1_700_000_000_000,
+    };
+    let key = Key::from_bytes(&[7; 32]).expect("the key is long enough");
+    let keys = Keys::new(vec![key]).expect("there is a key");
+    let listen = "127.0.0.1:0".parse().expect("the address is valid");
+    let config = LinkConfig::new(me.clone(), zone_name(zone), listen, keys);
+    let (sender, events) = crossbeam_channel::bounded(RING);
+    let endpoint = Endpoint::start(config, sender).expect("loopback can be listened on");
+    let mut settings = Settings::new(me, zone_name(zone), endpoint.local_addr());
+    settings.regions = regions.clone();
+    Router {
+        view: View::new(settings, start.elapsed()),
+        endpoint,
+        events,
+    }
+}
+
+/// Returns the host list of all routers.
+fn hosts(zones: &[Zone], shape: Shape) -> Vec<Host> {
+    let mut hosts = Vec::new();
+    for (number, zone) in zones.iter().enumerate().take(shape.zones) {
+        for router in zone.lock().expect("lock poisoned").iter() {
+            hosts.push(Host {
+                id: router.view.me().host.clone(),
+                zone: zone_name(number),
+                service: "primrosed".to_owned(),
+                addr: router.endpoint.local_addr(),
+                state: HostState::Live,
+                incarnation: 0,
+            });
+        }
+    }
+    hosts
+}
+
+/// Gives an event to all routers.
+fn tell_all(zones: &[Zone], event: &Event, start: Instant) {
+    for zone in zones {
+        for router in zone.lock().expect("lock poisoned").iter_mut() {
+            router.handle(event.clone(), start);
+        }
+    }
+}
+
+/// Runs the routers of a zone: events as they come, a tick every period.
+fn drive(zone: &Zone, start: Instant, running: &Mutex<bool>, stop: &Barrier) {
+    let tick = primrose_member::Timing::default().tick;
+    while *running.lock().expect("lock poisoned") {
+        let due = Instant::now() + tick;
+        for router in zone.lock().expect("lock poisoned").iter_mut() {
+            let events: Vec<_> = router.events.try_iter().collect();
+            events
+                .into_iter()
+                .for_each(|event| router.take(event, start));
+            router.handle(Event::Tick, start);
+        }
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+    }
+    stop.wait();
+}
+
+impl Router {
+    /// Turns what the links report into an event of the view.
+    fn take(&mut self, event: LinkEvent<Beat>, start: Instant) {
+        let event = match event {
+            LinkEvent::Up { member, zone, addr } => Event::LinkUp { member, zone, addr },
+            LinkEvent::Down { member, .. } => Event::LinkDown { member },
+            LinkEvent::Message { from, message } => Event::Heartbeat {
+                from,
+                beat: message,
+            },
+            LinkEvent::Refused { .. } => return,
+        };
+        self.handle(event, start);
+    }
+
+    /// Carries out what the view asks for.
+    fn handle(&mut self, event: Event, start: Instant) {
+        for action in self.view.handle(event, start.elapsed()) {
+            match action {
+                Action::Connect { host, addr } => self.endpoint.connect(&host, addr),
+                Action::ConnectSeed { addr } => self.endpoint.connect_seed(addr),
+                Action::Disconnect { host } => self.endpoint.disconnect(&host),
+                Action::DisconnectSeed { addr } => self.endpoint.disconnect_seed(addr),
+                Action::SendBeat { to, beat } => {
+                    // A beat that cannot go is repaired by a later one.
+                    let _ = self.endpoint.send(&to, &beat);
+                }
+                Action::MemberUp { .. }
+                | Action::MemberDown { .. }
+                | Action::ServerLeaving { .. }
+                | Action::Woke { .. } => {}
+            }
+        }
+    }
+}
+
+/// Number of routers that a view knows in zones that it can reach.
+fn known(view: &View, shape: Shape) -> usize {
+    let zones = (0..shape.zones).map(zone_name);
+    zones.map(|zone| view.members_in(&zone).len()).sum()
+}
+
+/// Waits until a condition holds for every view; returns how long it took.
+fn wait<F: Fn(&View) -> bool>(zones: &[Zone], holds: F) -> Duration {
+    let since = Instant::now();
+    while since.elapsed() < PATIENCE {
+        let in_zone = |zone: &Zone| {
+            let routers = zone.lock().expect("lock poisoned");
+            routers.iter().all(|router| holds(&router.view))
+        };
+        if zones.iter().all(in_zone) {
+            return since.elapsed();
+        }
+        thread::sleep(POLL);
+    }
+    panic!("not settled within {PATIENCE:?}");
+}
+
+/// Marks a server as leaving at one router and waits for all to know.
+fn spread(zones: &[Zone], entries: &[Host], start: Instant) {
+    let mut list = entries.to_vec();
+    let mut leaving = list[0].clone();
+    leaving.id = "server-0001".to_owned();
+    leaving.service = "engine".to_owned();
+    leaving.state = HostState::Leaving;
+    leaving.incarnation = 1;
+    list.push(leaving);
+    let last = zones.last().expect("there is a zone");
+    let mut routers = last.lock().expect("lock poisoned");
+    routers[0].handle(Event::Hosts(list), start);
+    drop(routers);
+    let time = wait(zones, |view| view.is_leaving("server-0001", 1));
+    println!(
+        "a leaving mark of one router is known to all after {} ms",
+        time.as_millis()
+    );
+}
+
+/// Prints the use of the links over a time.
+fn report(name: &str, zones: &[Zone], time: Duration) {
+    let before = read(zones);
+    let cpu = cpu_time();
+    let since = Instant::now();
+    thread::sleep(time);
+    let after = read(zones);
+    let seconds = since.elapsed().as_secs_f64();
+    let cpu = (cpu_time() - cpu) / seconds;
+    let uses: Vec<Use> = before
+        .iter()
+        .zip(&after)
+        .map(|(old, new)| usage(old, new, seconds))
+        .collect();
+    let mean = |get: fn(&Use) -> f64| uses.iter().map(get).sum::<f64>() / uses.len() as f64;
+    let max = |get: fn(&Use) -> f64| uses.iter().map(get).fold(0.0, f64::max);
+    println!("{name}, over {seconds:.0} s, a router (mean / most):");
+    println!(
+        "  sent      {:.3} / {:.3} KB/s",
+        mean(|u| u.bytes_out) / KB,
+        max(|u| u.bytes_out) / KB
+    );
+    println!(
+        "  received  {:.3} / {:.3} KB/s",
+        mean(|u| u.bytes_in) / KB,
+        max(|u| u.bytes_in) / KB
+    );
+    println!(
+        "  messages  {:.2} / {:.2} a second sent",
+        mean(|u| u.messages_out),
+        max(|u| u.messages_out)
+    );
+    println!(
+        "  links     {:.1} / {:.0}",
+        mean(|u| u.links),
+        max(|u| u.links)
+    );
+    println!(
+        "  processor {:.3} % of a core, this program's by routers",
+        100.0 * cpu / uses.len() as f64
+    );
+}
+
+/// Reads the counts of all routers.
+fn read(zones: &[Zone]) -> Vec<Stats> {
+    let mut stats = Vec::new();
+    for zone in zones {
+        let routers = zone.lock().expect("lock poisoned");
+        stats.extend(routers.iter().map(|router| router.endpoint.stats()));
+    }
+    stats
+}
+
+/// Returns the use between two readings of a router.
+fn usage(old: &Stats, new: &Stats, seconds: f64) -> Use {
+    let rate = |old: u64, new: u64| (new - old) as f64 / seconds;
+    Use {
+        bytes_out: rate(old.total.bytes_out, new.total.bytes_out),
+        bytes_in: rate(old.total.bytes_in, new.total.bytes_in),
+        messages_out: rate(old.total.messages_out, new.total.messages_out),
+        links: new.links.len() as f64,
+    }
+}
+
+/// Returns the processor time of this program, in seconds.
+fn cpu_time() -> f64 {
+    // Fields 14 and 15 of the line, in ticks of a hundredth of a second; the name before them may
+    // hold spaces, but ends with a parenthesis.
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let rest = stat.rsplit(')').next().unwrap_or_default();
+    let ticks = rest.split_whitespace().skip(11).take(2);
+    ticks.filter_map(|t| t.parse::<f64>().ok()).sum::<f64>() / 100.0
+}
