Search the zone again only when something may have changed

The view worked out the live routers at every tick. It now does so when news come or when the next peer is due to count as gone, and forgets old entries once a period.

--- a/crates/member/src/news.rs
+++ b/crates/member/src/news.rs
@@ -148,11 +148,14 @@
         }
     }
 
-    /// Makes a beat due for every peer when a period begins.
+    /// Makes a beat due for every peer, and forgets what is old, when a period begins.
     pub(crate) fn begin_period(&mut self, now: Mono) {
         if now < self.next_period {
             return;
         }
+        let forget = self.settings.timing.forget;
+        self.marks.expire(forget, now);
+        self.zone.expire(forget, now);
         let period = self.settings.timing.period;
         self.next_period = (self.next_period + period).max(now);
         self.periods += 1;
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -48,6 +48,8 @@
     draining: bool,
     last_tick: Mono,
     last_report: Option<Mono>,
+    /// When the next peer counts as gone unless it is heard of before.
+    next_loss: Mono,
     /// Live routers of the zone, as last told to the caller.
     told: BTreeMap<HostId, Member>,
 }
@@ -79,6 +81,7 @@
             draining: false,
             last_tick: now,
             last_report: None,
+            next_loss: now,
             told: BTreeMap::from([(settings.me.host.clone(), settings.me.clone())]),
             settings,
         }
@@ -152,10 +155,9 @@
     /// Does what time demands.
     fn tick(&mut self, actions: &mut Vec<Action>, now: Mono) {
         self.last_tick = now;
-        let forget = self.settings.timing.forget;
-        self.marks.expire(forget, now);
-        self.zone.expire(forget, now);
-        self.refresh(actions, now);
+        if now >= self.next_loss {
+            self.refresh(actions, now);
+        }
         self.report(now);
         let around = Surroundings {
             settings: &self.settings,
@@ -174,7 +176,9 @@
         let home = self.settings.zone.clone();
         let mut links = Vec::new();
         let mut gates = Vec::new();
+        self.next_loss = Mono::MAX;
         for peer in self.peers.fresh(limit, now) {
+            self.next_loss = self.next_loss.min(peer.heard + limit);
             if peer.zone == home {
                 links.push(peer.member.host.clone());
             } else {
