Test one-way links, the age of marks and reflected proofs

Three rules could be broken on purpose without a test failing: records joined one way only, marks that lose their age between routers, and one label for both proofs. Each has a test that fails then.

--- a/crates/link/tests/testsuite/handshake.rs
+++ b/crates/link/tests/testsuite/handshake.rs
@@ -1,5 +1,6 @@
 //! Only holders of a key get through, and nothing recorded is of use.
 
+use ciborium::Value;
 use primrose_link::handshake::Accepting;
 use primrose_link::handshake::Dialing;
 use primrose_link::handshake::HandshakeError;
@@ -130,8 +131,20 @@
     // Or it dials a in the name of b and returns the acceptor's proof as its own.
     let claim = Dialing::new(identity("b"), None, nonce(3)).first_message();
     let accepting = Accepting::new(identity("a"), nonce(4), &claim).unwrap();
-    let answer = accepting.answer(&keys);
-    assert!(accepting.finish(&answer, &keys).is_err());
+    let last = with_proof_of(&accepting.answer(&keys));
+    let refused = accepting.finish(&last, &keys).unwrap_err();
+    assert_eq!(refused, HandshakeError::WrongKey);
+}
+
+/// Makes a last message of the proof in an answer.
+fn with_proof_of(answer: &[u8]) -> Vec<u8> {
+    let Ok(Value::Map(mut fields)) = ciborium::from_reader(answer) else {
+        panic!("the answer is a map");
+    };
+    fields.retain(|(name, _)| name.as_text() == Some("proof"));
+    let mut last = Vec::new();
+    ciborium::into_writer(&Value::Map(fields), &mut last).unwrap();
+    last
 }
 
 #[test]
--- a/crates/member/tests/testsuite/cautious.rs
+++ b/crates/member/tests/testsuite/cautious.rs
@@ -1,15 +1,20 @@
 //! A view neither declares others dead rashly nor holds on to what was replaced.
 
-use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use primrose_core::id::Member;
 use primrose_member::Action;
+use primrose_member::Beat;
 use primrose_member::Event;
+use primrose_member::Record;
+use primrose_member::Settings;
 use primrose_member::TableMark;
+use primrose_member::View;
 
 use crate::net::host_name;
 use crate::net::Net;
+use crate::net::STEP;
 
 const ZONES: [(&str, &str); 2] = [("z0", ""), ("z1", "")];
 const START: Duration = Duration::from_secs(8);
@@ -135,38 +140,127 @@
     assert_eq!(*newest, table);
 }
 
-#[test]
-fn seeds_are_dialed_until_others_are_known() {
-    let me = Member {
-        host: "a".to_owned(),
+fn view(seeds: Vec<SocketAddr>) -> View {
+    let mut settings = Settings::new(member("a"), "z0".to_owned(), addr(1));
+    settings.seeds = seeds;
+    View::new(settings, Duration::ZERO)
+}
+
+fn member(host: &str) -> Member {
+    Member {
+        host: host.to_owned(),
         incarnation: 1,
-    };
-    let seed = "127.0.0.1:7400".parse().unwrap();
-    let own = "127.0.0.1:7401".parse().unwrap();
-    let mut settings = primrose_member::Settings::new(me, "z0".to_owned(), own);
-    settings.seeds = vec![seed, own];
-    let mut view = primrose_member::View::new(settings, Duration::ZERO);
-    let actions = view.handle(Event::Tick, Duration::from_millis(50));
-    let dialed = [seed, own].map(|addr| Action::ConnectSeed { addr });
-    assert_eq!(actions[..2], dialed);
+    }
+}
+
+fn addr(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn record(host: &str, version: u64, links: &[&str]) -> Record {
+    Record {
+        member: member(host),
+        version,
+        addr: addr(2),
+        draining: false,
+        links: links.iter().map(|link| link.to_string()).collect(),
+        gates: Vec::new(),
+    }
+}
+
+/// Gives the view a link to b and a first beat of b with these records.
+fn hear_b(view: &mut View, records: Vec<Record>) {
     let up = Event::LinkUp {
-        member: Member {
-            host: "b".to_owned(),
-            incarnation: 1,
-        },
+        member: member("b"),
         zone: "z0".to_owned(),
-        addr: seed,
+        addr: addr(2),
+    };
+    view.handle(up, STEP);
+    let beat = Beat {
+        count: 1,
+        records,
+        ..Beat::default()
     };
-    view.handle(up, Duration::from_millis(100));
-    let mut later = Vec::new();
-    for step in 3..400 {
-        later.extend(view.handle(Event::Tick, Duration::from_millis(step * 50)));
+    let from = member("b");
+    view.handle(Event::Heartbeat { from, beat }, STEP);
+}
+
+fn live(view: &View) -> Vec<&str> {
+    view.members().map(|m| m.host.as_str()).collect()
+}
+
+struct Case {
+    name: &'static str,
+    records: Vec<Record>,
+    live: &'static [&'static str],
+}
+
+#[test]
+fn only_routers_that_hear_each_other_are_joined() {
+    let cases = [
+        Case {
+            name: "b hears us",
+            records: vec![record("b", 1, &["a"])],
+            live: &["a", "b"],
+        },
+        Case {
+            name: "b does not hear us",
+            records: vec![record("b", 1, &[])],
+            live: &["a"],
+        },
+        Case {
+            name: "b hears c, and c hears b",
+            records: vec![record("b", 1, &["a", "c"]), record("c", 1, &["b"])],
+            live: &["a", "b", "c"],
+        },
+        Case {
+            name: "b hears c, but c does not hear b",
+            records: vec![record("b", 1, &["a", "c"]), record("c", 1, &[])],
+            live: &["a", "b"],
+        },
+        Case {
+            name: "c says that it hears all, but nobody hears it",
+            records: vec![record("b", 1, &["a"]), record("c", 1, &["a", "b"])],
+            live: &["a", "b"],
+        },
+        Case {
+            name: "an older record comes late",
+            records: vec![record("b", 2, &["a"]), record("b", 1, &[])],
+            live: &["a", "b"],
+        },
+    ];
+    for case in cases {
+        let mut view = view(Vec::new());
+        hear_b(&mut view, case.records);
+        assert_eq!(live(&view), case.live, "{}", case.name);
+    }
+}
+
+#[test]
+fn seeds_are_dialed_until_others_are_known() {
+    let (seed, own) = (addr(2), addr(1));
+    let mut view = view(vec![seed, own]);
+    let first = view.handle(Event::Tick, STEP);
+    let dialed = [seed, own].map(|addr| Action::ConnectSeed { addr });
+    assert_eq!(first[..2], dialed);
+    hear_b(&mut view, vec![record("b", 1, &["a"])]);
+    let mut given_up = Vec::new();
+    for step in 2..400 {
+        let beat = Beat {
+            count: u64::from(step),
+            ..Beat::default()
+        };
+        let from = member("b");
+        view.handle(Event::Heartbeat { from, beat }, STEP * step);
+        let actions = view.handle(Event::Tick, STEP * step);
+        let seeds = |a: &Action| matches!(a, Action::DisconnectSeed { .. });
+        given_up.extend(actions.into_iter().filter(seeds));
     }
-    let given_up: BTreeSet<String> = later
-        .iter()
-        .filter(|a| matches!(a, Action::DisconnectSeed { .. }))
-        .map(|a| format!("{a:?}"))
-        .collect();
-    // The peer has sent no record yet, so nobody else is known and the seeds stay.
-    assert!(given_up.is_empty(), "{given_up:?}");
+    let want = [seed, own].map(|addr| Action::DisconnectSeed { addr });
+    assert_eq!(given_up, want);
+    // All links are lost, so the seeds are needed again.
+    let member = member("b");
+    view.handle(Event::LinkDown { member }, STEP * 400);
+    let again = view.handle(Event::Tick, STEP * 400);
+    assert!(dialed.iter().all(|action| again.contains(action)));
 }
--- a/crates/member/tests/testsuite/leaving.rs
+++ b/crates/member/tests/testsuite/leaving.rs
@@ -7,7 +7,9 @@
 use primrose_core::host::HostState;
 use primrose_core::id::HostId;
 use primrose_member::Action;
+use primrose_member::Beat;
 use primrose_member::Event;
+use primrose_member::Mark;
 use primrose_support::seeded::checker;
 use quickcheck::TestResult;
 
@@ -79,6 +81,36 @@
     assert!(net.nodes.values().all(|n| !n.view.is_leaving("s1", 7)));
 }
 
+#[test]
+fn the_age_of_a_mark_travels_with_it() {
+    let mut net = Net::fleet(1, &[("z0", "")], 2);
+    net.run(START);
+    let (a, b) = (host_name("z0", 0), host_name("z0", 1));
+    let from = net.nodes[&b].view.me().clone();
+    let old = Mark {
+        host: "s1".to_owned(),
+        incarnation: 7,
+        age: 590,
+    };
+    let expired = Mark {
+        host: "s2".to_owned(),
+        age: 600,
+        ..old.clone()
+    };
+    let beat = Beat {
+        count: u64::MAX,
+        leaving: vec![old, expired],
+        ..Beat::default()
+    };
+    // The clock must have run for longer than a mark can be old.
+    net.run(Duration::from_secs(600));
+    net.tell(&a, Event::Heartbeat { from, beat });
+    assert!(net.nodes[&a].view.is_leaving("s1", 7));
+    assert!(!net.nodes[&a].view.is_leaving("s2", 7));
+    net.run(Duration::from_secs(15));
+    assert!(net.nodes.values().all(|n| !n.view.is_leaving("s1", 7)));
+}
+
 /// Shows of host lists, late and crossed: which router, which server, incarnation, leaving.
 type Shows = Vec<(u8, u8, u8, bool, u8)>;
 
