Keep what others' reports show of the own zone; learn regions from reports

What such a report shows is now dialed for a minute. Routers need the region of their own zone only; a zone of unknown region counts as near until its report tells.

--- a/crates/link/examples/beat_traffic.rs
+++ b/crates/link/examples/beat_traffic.rs
@@ -123,10 +123,9 @@
 
 /// Starts all routers.
 fn build(shape: Shape, start: Instant) -> Vec<Zone> {
-    let region = |n: usize| (zone_name(n), format!("region-{}", n % shape.regions));
-    let regions: BTreeMap<ZoneId, RegionId> = (0..shape.zones).map(region).collect();
     let zone = |n: usize| {
-        let routers = (0..shape.routers).map(|r| router(n, r, &regions, start));
+        let region = format!("region-{}", n % shape.regions);
+        let routers = (0..shape.routers).map(|r| router(n, r, &region, start));
         Arc::new(Mutex::new(routers.collect()))
     };
     (0..shape.zones).map(zone).collect()
@@ -137,12 +136,7 @@
 }
 
 /// Starts one router.
-fn router(
-    zone: usize,
-    number: usize,
-    regions: &BTreeMap<ZoneId, RegionId>,
-    start: Instant,
-) -> Router {
+fn router(zone: usize, number: usize, region: &RegionId, start: Instant) -> Router {
     let me = Member {
         host: format!("router-{zone:02}-{number:02}"),
         incarnation: 1_700_000_000_000,
@@ -154,7 +148,7 @@
     let (sender, events) = crossbeam_channel::bounded(RING);
     let endpoint = Endpoint::start(config, sender).expect("loopback can be listened on");
     let mut settings = Settings::new(me, zone_name(zone), endpoint.local_addr());
-    settings.regions = regions.clone();
+    settings.regions = BTreeMap::from([(zone_name(zone), region.clone())]);
     Router {
         view: View::new(settings, start.elapsed()),
         endpoint,
--- /dev/null
+++ b/crates/link/tests/testsuite/fleet.rs
@@ -0,0 +1,198 @@
+//! Views over real links: a few routers find each other, lose each other and agree again.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use crossbeam_channel::Receiver;
+use primrose_core::host::Host;
+use primrose_core::host::HostState;
+use primrose_core::id::HostId;
+use primrose_link::Endpoint;
+use primrose_link::LinkConfig;
+use primrose_link::LinkEvent;
+use primrose_link::Scope;
+use primrose_member::Action;
+use primrose_member::Beat;
+use primrose_member::Event;
+use primrose_member::Settings;
+use primrose_member::Timing;
+use primrose_member::View;
+
+use crate::tools::config;
+use crate::tools::member;
+use crate::tools::PATIENCE;
+
+/// Zones of the fleet.
+const ZONES: [&str; 2] = ["barasat", "habra"];
+/// Routers in each zone.
+const ROUTERS: usize = 2;
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(10);
+
+/// A router: a view on real links.
+struct Router {
+    view: View,
+    endpoint: Endpoint<Beat>,
+    events: Receiver<LinkEvent<Beat>>,
+    start: Instant,
+}
+
+/// Routers, all run by the test's own thread.
+struct Fleet {
+    routers: Vec<Router>,
+}
+
+fn timing() -> Timing {
+    Timing {
+        tick: TICK,
+        period: Duration::from_millis(100),
+        pause: Duration::from_secs(5),
+        gateway_try: Duration::from_millis(300),
+        report_gap: Duration::from_millis(50),
+        ..Timing::default()
+    }
+}
+
+impl Router {
+    fn start(config: LinkConfig, seeds: Vec<SocketAddr>) -> Self {
+        let (sender, events) = crossbeam_channel::bounded(1024);
+        let me = config.me.clone();
+        let zone = config.zone.clone();
+        let endpoint = Endpoint::start(config, sender).unwrap();
+        let mut settings = Settings::new(me, zone, endpoint.local_addr());
+        settings.timing = timing();
+        settings.seeds = seeds;
+        Self {
+            view: View::new(settings, Duration::ZERO),
+            endpoint,
+            events,
+            start: Instant::now(),
+        }
+    }
+
+    fn step(&mut self) {
+        let events: Vec<_> = self.events.try_iter().collect();
+        for event in events {
+            match event {
+                LinkEvent::Up { member, zone, addr } => {
+                    self.handle(Event::LinkUp { member, zone, addr });
+                }
+                LinkEvent::Down { member, .. } => self.handle(Event::LinkDown { member }),
+                LinkEvent::Message { from, message } => {
+                    let beat = message;
+                    self.handle(Event::Heartbeat { from, beat });
+                }
+                LinkEvent::Refused { .. } => {}
+            }
+        }
+        self.handle(Event::Tick);
+    }
+
+    fn handle(&mut self, event: Event) {
+        for action in self.view.handle(event, self.start.elapsed()) {
+            match action {
+                Action::Connect { host, addr } => self.endpoint.connect(&host, addr),
+                Action::ConnectSeed { addr } => self.endpoint.connect_seed(addr),
+                Action::Disconnect { host } => self.endpoint.disconnect(&host),
+                Action::DisconnectSeed { addr } => self.endpoint.disconnect_seed(addr),
+                Action::SendBeat { to, beat } => drop(self.endpoint.send(&to, &beat)),
+                _ => {}
+            }
+        }
+    }
+
+    fn known(&self) -> usize {
+        let zones = ZONES.iter();
+        zones.map(|zone| self.view.members_in(zone).len()).sum()
+    }
+}
+
+impl Fleet {
+    fn start() -> Self {
+        let seeds = Vec::new();
+        let router = |n: usize| {
+            let host = format!("{}-{}", ZONES[n / ROUTERS], n % ROUTERS);
+            Router::start(config(member(&host, 1), ZONES[n / ROUTERS]), seeds.clone())
+        };
+        let routers = (0..ZONES.len() * ROUTERS).map(router).collect();
+        Self { routers }
+    }
+
+    fn hosts(&self) -> Vec<Host> {
+        let host = |(n, router): (usize, &Router)| Host {
+            id: router.view.me().host.clone(),
+            zone: ZONES[n / ROUTERS].to_owned(),
+            service: "primrosed".to_owned(),
+            addr: router.endpoint.local_addr(),
+            state: HostState::Live,
+            incarnation: 0,
+        };
+        self.routers.iter().enumerate().map(host).collect()
+    }
+
+    fn wait<F: Fn(&Self) -> bool>(&mut self, what: &str, holds: F) {
+        let end = Instant::now() + PATIENCE;
+        while !holds(self) {
+            assert!(Instant::now() < end, "not in time: {what}");
+            self.routers.iter_mut().for_each(Router::step);
+            std::thread::sleep(TICK);
+        }
+    }
+
+    fn all_know(&self, count: usize) -> bool {
+        self.routers.iter().all(|router| router.known() == count)
+    }
+
+    fn holders(&self, zone: &str) -> Vec<Option<HostId>> {
+        let holder = |router: &Router| {
+            let holder = router.view.holder_in(zone, "duty");
+            holder.map(|member| member.host.clone())
+        };
+        self.routers.iter().map(holder).collect()
+    }
+}
+
+#[test]
+fn a_zone_that_is_cut_off_goes_on_and_joins_again() {
+    let mut fleet = Fleet::start();
+    let hosts = fleet.hosts();
+    for router in &mut fleet.routers {
+        router.handle(Event::Hosts(hosts.clone()));
+    }
+    fleet.wait("all know all", |fleet| fleet.all_know(4));
+    for zone in ZONES {
+        let holders = fleet.holders(zone);
+        assert!(holders.iter().all(|holder| *holder == holders[0]));
+        assert!(holders[0].is_some());
+    }
+    let cut = |fleet: &Fleet, blocked| {
+        for router in &fleet.routers[..ROUTERS] {
+            let scope = Scope::Zone(ZONES[1].to_owned());
+            router.endpoint.block(scope, blocked);
+        }
+    };
+    cut(&fleet, true);
+    fleet.wait("each zone is alone", |fleet| fleet.all_know(2));
+    assert!(fleet.holders(ZONES[0])[0].is_some());
+    assert!(fleet.holders(ZONES[1])[0].is_none());
+    cut(&fleet, false);
+    fleet.wait("all know all again", |fleet| fleet.all_know(4));
+}
+
+#[test]
+fn a_fleet_without_a_host_list_finds_itself_by_one_seed() {
+    let first = Router::start(config(member("barasat-0", 1), ZONES[0]), Vec::new());
+    let seed = first.endpoint.local_addr();
+    let mut routers = vec![first];
+    for (host, zone) in [
+        ("barasat-1", ZONES[0]),
+        ("habra-0", ZONES[1]),
+        ("habra-1", ZONES[1]),
+    ] {
+        let config = config(member(host, 1), zone);
+        routers.push(Router::start(config, vec![seed]));
+    }
+    let mut fleet = Fleet { routers };
+    fleet.wait("all know all", |fleet| fleet.all_know(4));
+}
--- a/crates/link/tests/testsuite/main.rs
+++ b/crates/link/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod attack;
 mod codec;
 mod endpoint;
+mod fleet;
 mod frame;
 mod handshake;
 mod partition;
--- a/crates/member/src/beat.rs
+++ b/crates/member/src/beat.rs
@@ -6,6 +6,7 @@
 use primrose_core::id::HostId;
 use primrose_core::id::Incarnation;
 use primrose_core::id::Member;
+use primrose_core::id::RegionId;
 use primrose_core::id::ZoneId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -69,6 +70,8 @@
 pub struct Report {
     /// The zone.
     pub zone: ZoneId,
+    /// Its region; empty if there is one region only.
+    pub region: RegionId,
     /// Grows with every report of the zone, whoever writes it.
     pub number: u64,
     /// Who wrote it; decides between reports of the same number.
--- a/crates/member/src/connect.rs
+++ b/crates/member/src/connect.rs
@@ -8,18 +8,22 @@
 use primrose_core::host::Host;
 use primrose_core::id::HostId;
 
+use crate::beat::Line;
 use crate::event::Action;
 use crate::fleet::Fleet;
 use crate::goals::goals;
 use crate::goals::Directory;
 use crate::goals::Entry;
 use crate::goals::Goals;
+use crate::goals::Regions;
 use crate::peers::Peers;
 use crate::settings::Settings;
 use crate::zone::Zone;
 
 /// How long seeds are kept once other routers are known.
 const SEED_HOLD: Duration = Duration::from_secs(5);
+/// How long a router that only another router's report of this zone shows is dialed.
+const RUMOUR_HOLD: Duration = Duration::from_secs(60);
 /// Longest time between two plans when nothing has changed.
 const PLAN_PERIOD: Duration = Duration::from_secs(1);
 
@@ -28,6 +32,8 @@
 pub(crate) struct Dialer {
     /// Routers in the host list.
     listed: Directory,
+    /// Routers of this zone in reports that others wrote, and when they did.
+    rumoured: BTreeMap<HostId, (SocketAddr, Mono)>,
     dialed: BTreeMap<HostId, SocketAddr>,
     goals: Goals,
     /// When seeds are given up; none while they are not dialed.
@@ -56,6 +62,18 @@
         self.hurry();
     }
 
+    /// Takes a report of this zone that another router wrote.
+    ///
+    /// Two parts of a zone that know nothing of each other both report it, and each report lasts
+    /// only until the other part corrects it; so what it shows is kept for a while.
+    pub(crate) fn hear(&mut self, lines: &[Line], now: Mono) {
+        for line in lines {
+            let host = line.member.host.clone();
+            self.rumoured.insert(host, (line.addr, now));
+        }
+        self.hurry();
+    }
+
     /// Makes the next plan due at once.
     pub(crate) fn hurry(&mut self) {
         self.next_plan = Mono::ZERO;
@@ -67,6 +85,8 @@
             return Vec::new();
         }
         self.next_plan = now + PLAN_PERIOD;
+        self.rumoured
+            .retain(|_, (_, heard)| now.saturating_sub(*heard) < RUMOUR_HOLD);
         let directory = self.directory(around);
         let mut actions = self.plan_seeds(around, &directory, now);
         let mut wanted = self.mesh(around, &directory);
@@ -78,6 +98,11 @@
     /// Collects where routers listen; what routers say themselves goes before the host list.
     fn directory(&self, around: &Surroundings<'_>) -> Directory {
         let mut directory = self.listed.clone();
+        for (host, (addr, _)) in &self.rumoured {
+            let zone = around.settings.zone.clone();
+            let addr = *addr;
+            directory.insert(host.clone(), Entry { zone, addr });
+        }
         for zone in around.fleet.known() {
             for line in around.fleet.members(zone) {
                 let zone = zone.clone();
@@ -148,18 +173,22 @@
         now: Mono,
     ) {
         let settings = around.settings;
+        let regions = Regions {
+            settings,
+            fleet: around.fleet,
+        };
         let goals = goals(settings, around.zone, around.fleet, directory);
         self.goals.retain(&goals);
         let limit = settings.timing.suspicion();
         for goal in &goals {
             let mut linked = around.peers.fresh(limit, now);
-            if let Some(peer) = linked.find(|peer| goal.is_met_by(&peer.zone, settings)) {
+            if let Some(peer) = linked.find(|peer| goal.is_met_by(&peer.zone, regions)) {
                 self.goals.met(goal);
                 let host = &peer.member.host;
                 if let Some(addr) = self.dialed.get(host) {
                     wanted.insert(host.clone(), *addr);
                 }
-            } else if let Some((host, entry)) = self.goals.choose(goal, settings, directory, now) {
+            } else if let Some((host, entry)) = self.goals.choose(goal, regions, directory, now) {
                 wanted.insert(host.clone(), entry.addr);
             }
         }
--- a/crates/member/src/goals.rs
+++ b/crates/member/src/goals.rs
@@ -30,10 +30,10 @@
 
 impl Goal {
     /// Whether routers of a zone meet the goal.
-    pub(crate) fn is_met_by(&self, zone: &ZoneId, settings: &Settings) -> bool {
+    pub(crate) fn is_met_by(&self, zone: &ZoneId, regions: Regions<'_>) -> bool {
         match self {
             Self::Zone(goal) => goal == zone,
-            Self::Region(goal) => goal == settings.region(zone),
+            Self::Region(goal) => goal == regions.of(zone),
         }
     }
 
@@ -46,7 +46,24 @@
     }
 }
 
-/// A router of another zone that can be dialed.
+/// Tells which region a zone is in.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Regions<'a> {
+    pub(crate) settings: &'a Settings,
+    pub(crate) fleet: &'a Fleet,
+}
+
+impl<'a> Regions<'a> {
+    /// Returns the region of a zone: as set, else as reported, else this router's own.
+    pub(crate) fn of(self, zone: &str) -> &'a str {
+        let set = self.settings.regions.get(zone);
+        let reported = || self.fleet.report(zone).map(|report| &report.region);
+        set.or_else(reported)
+            .map_or(self.settings.home(), String::as_str)
+    }
+}
+
+/// A router that can be dialed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Entry {
     pub(crate) zone: ZoneId,
@@ -74,11 +91,12 @@
     pub(crate) fn choose<'a>(
         &mut self,
         goal: &Goal,
-        settings: &Settings,
+        regions: Regions<'_>,
         directory: &'a Directory,
         now: Mono,
     ) -> Option<(&'a HostId, &'a Entry)> {
-        let meets = |entry: &Entry| goal.is_met_by(&entry.zone, settings);
+        let settings = regions.settings;
+        let meets = |entry: &Entry| goal.is_met_by(&entry.zone, regions);
         let hosts = directory.iter().filter(|(_, entry)| meets(entry));
         let hosts = hosts.map(|(host, _)| host.as_str());
         // Every gateway has an order of its own, so that the links spread over the other side.
@@ -117,11 +135,11 @@
     let mut zones: BTreeSet<&ZoneId> = directory.values().map(|entry| &entry.zone).collect();
     zones.extend(fleet.known());
     zones.remove(&settings.zone);
-    let home = settings.region(&settings.zone);
+    let regions = Regions { settings, fleet };
     let mut wanted = BTreeSet::new();
     for zone in zones {
-        let region = settings.region(zone);
-        if region == home {
+        let region = regions.of(zone);
+        if region == settings.home() {
             wanted.insert(Goal::Zone(zone.clone()));
         } else {
             wanted.insert(Goal::Region(region.to_owned()));
@@ -142,10 +160,9 @@
             .take(settings.gateways)
             .any(|host| *host == me),
         Goal::Region(_) => {
-            let home = settings.region(&settings.zone);
-            let near = fleet
-                .reachable()
-                .filter(|zone| settings.region(zone) == home);
+            let regions = Regions { settings, fleet };
+            let is_near = |zone: &&ZoneId| regions.of(zone) == settings.home();
+            let near = fleet.reachable().filter(is_near);
             let zones = near.chain([&settings.zone]).map(String::as_str);
             let zones = ranking(zones, &duty);
             let chosen = zones.iter().take(settings.gateways);
--- a/crates/member/src/news.rs
+++ b/crates/member/src/news.rs
@@ -61,6 +61,9 @@
         for report in &beat.reports {
             if self.fleet.learn(report) {
                 self.announce_report(&report.zone, Some(&from.host));
+                if report.zone == self.settings.zone {
+                    self.dialer.hear(&report.members, now);
+                }
                 changed = true;
             }
         }
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -27,7 +27,8 @@
     /// Service name under which the host list shows the routers; their addresses there must be
     /// those on which they listen for peers.
     pub service: String,
-    /// Regions of the zones; zones that are not listed form one region.
+    /// Regions of zones, at least of this router's own unless there is one region only. Those of
+    /// other zones are learned from their reports; a zone that neither shows counts as near.
     pub regions: BTreeMap<ZoneId, RegionId>,
     /// Addresses of some routers, dialed while no other router is known; may include this one.
     pub seeds: Vec<SocketAddr>,
@@ -53,9 +54,9 @@
         }
     }
 
-    /// Returns the region of a zone; empty for zones that are not listed.
-    pub(crate) fn region(&self, zone: &str) -> &str {
-        self.regions.get(zone).map_or("", String::as_str)
+    /// Returns the region of this router's zone; empty if it is not listed.
+    pub(crate) fn home(&self) -> &str {
+        self.regions.get(&self.zone).map_or("", String::as_str)
     }
 }
 
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -44,7 +44,7 @@
     pub(crate) periods: u64,
     /// When the next period begins.
     pub(crate) next_period: Mono,
-    dialer: Dialer,
+    pub(crate) dialer: Dialer,
     draining: bool,
     last_tick: Mono,
     last_report: Option<Mono>,
@@ -251,6 +251,7 @@
         }
         let report = Report {
             zone: home.clone(),
+            region: self.settings.home().to_owned(),
             number: known.map_or(0, |had| had.number).saturating_add(1),
             author: me.clone(),
             members,
--- a/crates/member/tests/testsuite/converge.rs
+++ b/crates/member/tests/testsuite/converge.rs
@@ -183,3 +183,19 @@
 fn a_quiet_start_agrees() {
     converges(Vec::new()).unwrap();
 }
+
+#[test]
+fn a_fleet_without_a_host_list_finds_itself_by_one_seed() {
+    let mut net = Net::new(1);
+    net.seeds = vec!["127.0.0.1:10000".parse().unwrap()];
+    for (zone, _) in ZONES {
+        for number in 0..ROUTERS {
+            net.start(&host_name(zone, number), zone, 1, &ZONES);
+        }
+    }
+    net.run(Duration::from_secs(1) * FLEET_BEATS);
+    check_zones(&net).unwrap();
+    check_fleet(&net).unwrap();
+    // Nobody keeps the seed once it has found its own links.
+    assert!(net.nodes.values().all(|node| node.seeded.is_empty()));
+}
--- a/crates/member/tests/testsuite/net.rs
+++ b/crates/member/tests/testsuite/net.rs
@@ -36,6 +36,8 @@
     pub(crate) view: View,
     /// Hosts that it dials.
     pub(crate) dialed: BTreeSet<HostId>,
+    /// Hosts that it dials as seeds.
+    pub(crate) seeded: BTreeSet<HostId>,
     /// Everything that it told its caller, with the time.
     pub(crate) told: Vec<(Mono, Action)>,
     zone: ZoneId,
@@ -67,10 +69,14 @@
     pub(crate) doubling: u32,
     /// Longest delay of a beat, in steps; different delays reorder.
     pub(crate) delay: u32,
+    /// Addresses that routers are told to start from.
+    pub(crate) seeds: Vec<SocketAddr>,
     /// Called for each beat that is sent.
     pub(crate) meter: Meter,
     /// Links that are up, and since when they are cut.
     links: BTreeMap<Pair, Option<Mono>>,
+    /// Links that an end has closed; both hear of it at the next step.
+    closed: BTreeSet<Pair>,
     flights: Vec<Flight>,
     addrs: BTreeMap<HostId, SocketAddr>,
     rng: StdRng,
@@ -128,8 +134,10 @@
             delay: 1,
             meter: Box::new(|_, _, _| ()),
             links: BTreeMap::new(),
+            closed: BTreeSet::new(),
             flights: Vec::new(),
             addrs: BTreeMap::new(),
+            seeds: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -164,11 +172,15 @@
             incarnation,
         };
         let mut settings = Settings::new(me, zone.to_owned(), addr);
+        // Like the daemon, a router is told the region of its own zone only.
+        let own = zones.iter().filter(|(name, _)| *name == zone);
         let region = |(zone, region): &(&str, &str)| (zone.to_string(), region.to_string());
-        settings.regions = zones.iter().map(region).collect();
+        settings.regions = own.map(region).collect();
+        settings.seeds = self.seeds.clone();
         let node = Node {
             view: View::new(settings, self.now),
             dialed: BTreeSet::new(),
+            seeded: BTreeSet::new(),
             told: Vec::new(),
             zone: zone.to_owned(),
             addr,
@@ -229,12 +241,14 @@
                 Action::Connect { host, .. } => {
                     node.dialed.insert(host);
                 }
+                Action::ConnectSeed { addr } => {
+                    let seed = self.addrs.iter().find(|(_, known)| **known == addr);
+                    node.seeded.extend(seed.map(|(host, _)| host.clone()));
+                }
+                Action::DisconnectSeed { .. } => node.seeded.clear(),
                 Action::Disconnect { host: other } => {
                     node.dialed.remove(&other);
-                    self.links.entry(pair(host, &other)).and_modify(|cut| {
-                        // Both ends find the link dead at the next step.
-                        *cut = Some(Duration::ZERO);
-                    });
+                    self.closed.insert(pair(host, &other));
                 }
                 Action::SendBeat { to, beat } => {
                     (self.meter)(host, &to, &beat);
@@ -285,7 +299,8 @@
 
     fn find_dead_links(&mut self) {
         let now = self.now;
-        let mut dead = Vec::new();
+        let mut dead: Vec<Pair> = std::mem::take(&mut self.closed).into_iter().collect();
+        dead.retain(|link| self.links.contains_key(link));
         for (link, since) in self.links.clone() {
             let (a, b) = &link;
             let joined = self.joined(a, b);
@@ -309,8 +324,9 @@
 
     fn dial(&mut self) {
         let dialed = self.nodes.iter().flat_map(|(host, node)| {
-            let pairs = node.dialed.iter().map(move |other| pair(host, other));
-            pairs.filter(|_| !node.paused)
+            let others = node.dialed.union(&node.seeded);
+            let others = others.filter(move |other| *other != host && !node.paused);
+            others.map(move |other| pair(host, other))
         });
         let wanted: BTreeSet<Pair> = dialed.collect();
         for (a, b) in wanted {
