--- a/crates/member/tests/testsuite/cautious.rs
+++ b/crates/member/tests/testsuite/cautious.rs
@@ -7,7 +7,9 @@
 use primrose_member::Action;
 use primrose_member::Beat;
 use primrose_member::Event;
+use primrose_member::Line;
 use primrose_member::Record;
+use primrose_member::Report;
 use primrose_member::Settings;
 use primrose_member::TableMark;
 use primrose_member::View;
@@ -264,3 +266,44 @@
     let again = view.handle(Event::Tick, STEP * 400);
     assert!(dialed.iter().all(|action| again.contains(action)));
 }
+
+#[test]
+fn a_part_of_the_zone_that_only_a_report_shows_is_dialed() {
+    let mut view = view(Vec::new());
+    let x = member("x");
+    let up = Event::LinkUp {
+        member: x.clone(),
+        zone: "z1".to_owned(),
+        addr: addr(3),
+    };
+    view.handle(up, STEP);
+    // Its own report of the zone, of itself alone, is the first.
+    view.handle(Event::Tick, STEP * 2);
+    let report = Report {
+        zone: "z0".to_owned(),
+        region: String::new(),
+        number: 5,
+        author: member("c"),
+        members: vec![Line {
+            member: member("c"),
+            addr: addr(4),
+            draining: false,
+        }],
+        gates: vec!["z1".to_owned()],
+    };
+    let beat = Beat {
+        reports: vec![report],
+        ..Beat::default()
+    };
+    view.handle(Event::Heartbeat { from: x, beat }, STEP * 30);
+    let actions = view.handle(Event::Tick, STEP * 31);
+    let connect = Action::Connect {
+        host: "c".to_owned(),
+        addr: addr(4),
+    };
+    assert!(actions.contains(&connect), "{actions:?}");
+    // Meanwhile it has corrected the report, and still dials.
+    let later = view.handle(Event::Tick, STEP * 60);
+    let host = "c".to_owned();
+    assert!(!later.contains(&Action::Disconnect { host }));
+}
