--- /dev/null
+++ b/crates/table/tests/testsuite/main.rs
@@ -0,0 +1,11 @@
+//! Tests of the documents that operators edit.
+
+mod accounts;
+mod diff;
+mod faults;
+mod force;
+mod garbage;
+mod roundtrip;
+mod samples;
+mod stamp;
+mod support;
