--- a/crates/link/examples/beat_traffic.rs
+++ b/crates/link/examples/beat_traffic.rs
@@ -6,7 +6,7 @@
 //!
 //! Starts ZONES times ROUTERS routers, waits until all know each other, and prints bytes, messages
 //! and links a router at rest; then how long a leaving mark takes to reach all, and the bytes that
-//! it and a restarted router cost. Threads stand for hosts; nothing here asserts a time.
+//! that mark and a restarted router cost. Threads stand for hosts; nothing here asserts a time.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -19,6 +19,7 @@
 use crossbeam_channel::Receiver;
 use primrose_core::host::Host;
 use primrose_core::host::HostState;
+use primrose_core::id::Incarnation;
 use primrose_core::id::Member;
 use primrose_core::id::RegionId;
 use primrose_core::id::ZoneId;
@@ -38,6 +39,10 @@
 const POLL: Duration = Duration::from_millis(10);
 /// Longest wait for the fleet to settle.
 const PATIENCE: Duration = Duration::from_secs(120);
+/// Time over which the cost of an event is counted.
+const AFTER: Duration = Duration::from_secs(5);
+/// Incarnation of the first process of each host.
+const FIRST: u64 = 1_700_000_000_000;
 /// Events that may wait for a view.
 const RING: usize = 4096;
 /// Bytes in a kilobyte, as the budget of a node counts them.
@@ -96,9 +101,13 @@
     println!("all know all after {:.2} s", settled.as_secs_f64());
     // Lets gateways and seeds that lost out close their links.
     thread::sleep(Duration::from_secs(10));
-    report("at rest", &zones, shape.time);
-    spread(&zones, &entries, start);
-    report("after the mark", &zones, Duration::from_secs(5));
+    report("at rest", &zones, shape.time, || ());
+    report("with a leaving mark", &zones, AFTER, || {
+        spread(&zones, &entries, start);
+    });
+    report("with a restart", &zones, AFTER, || {
+        restart(&zones, &entries, shape, start);
+    });
     *running.lock().expect("lock poisoned") = false;
     stop.wait();
     for thread in threads {
@@ -125,7 +134,7 @@
 fn build(shape: Shape, start: Instant) -> Vec<Zone> {
     let zone = |n: usize| {
         let region = format!("region-{}", n % shape.regions);
-        let routers = (0..shape.routers).map(|r| router(n, r, &region, start));
+        let routers = (0..shape.routers).map(|r| router(n, r, FIRST, &region, start));
         Arc::new(Mutex::new(routers.collect()))
     };
     (0..shape.zones).map(zone).collect()
@@ -135,11 +144,17 @@
     format!("zone-{number:02}")
 }
 
-/// Starts one router.
-fn router(zone: usize, number: usize, region: &RegionId, start: Instant) -> Router {
+/// Starts one router process.
+fn router(
+    zone: usize,
+    number: usize,
+    incarnation: Incarnation,
+    region: &RegionId,
+    start: Instant,
+) -> Router {
     let me = Member {
         host: format!("router-{zone:02}-{number:02}"),
-        incarnation: 1_700_000_000_000,
+        incarnation,
     };
     let key = Key::from_bytes(&[7; 32]).expect("the key is long enough");
     let keys = Keys::new(vec![key]).expect("there is a key");
@@ -278,12 +293,37 @@
     );
 }
 
-/// Prints the use of the links over a time.
-fn report(name: &str, zones: &[Zone], time: Duration) {
+/// Replaces a router by an empty one on the same host and waits for all to know.
+fn restart(zones: &[Zone], entries: &[Host], shape: Shape, start: Instant) {
+    let region = "region-0".to_owned();
+    let mut fresh = router(0, 0, FIRST + 1, &region, start);
+    let member = fresh.view.me().clone();
+    let mut list = entries.to_vec();
+    list[0].addr = fresh.endpoint.local_addr();
+    fresh.handle(Event::Hosts(list), start);
+    let mut routers = zones[0].lock().expect("lock poisoned");
+    let old = std::mem::replace(&mut routers[0], fresh);
+    drop(routers);
+    old.endpoint.stop();
+    let total = shape.zones * shape.routers;
+    let back = |view: &View| {
+        let there = view.members_in(&zone_name(0));
+        there.contains(&&member) && known(view, shape) == total
+    };
+    let time = wait(zones, back);
+    println!(
+        "a restarted router knows all and is known to all after {} ms",
+        time.as_millis()
+    );
+}
+
+/// Prints the use of the links over a time in which something happens.
+fn report<F: FnOnce()>(name: &str, zones: &[Zone], time: Duration, happens: F) {
     let before = read(zones);
     let cpu = cpu_time();
     let since = Instant::now();
-    thread::sleep(time);
+    happens();
+    thread::sleep(time.saturating_sub(since.elapsed()));
     let after = read(zones);
     let seconds = since.elapsed().as_secs_f64();
     let cpu = (cpu_time() - cpu) / seconds;
@@ -333,7 +373,8 @@
 
 /// Returns the use between two readings of a router.
 fn usage(old: &Stats, new: &Stats, seconds: f64) -> Use {
-    let rate = |old: u64, new: u64| (new - old) as f64 / seconds;
+    // The counts of a router that was replaced begin anew.
+    let rate = |old: u64, new: u64| new.saturating_sub(old) as f64 / seconds;
     Use {
         bytes_out: rate(old.total.bytes_out, new.total.bytes_out),
         bytes_in: rate(old.total.bytes_in, new.total.bytes_in),
