Prove the gap bound and recovery on a small fleet with random failures

Cause: the promises of sharing had no test. Change: a fake fleet of three zones on a passed-in clock; fairness, baselines, weights, idle slots, and quickcheck plans of losses, doubles, reorders, holder changes, partitions and empty restarts. Found and mended: a lost router's slots were hardly ever freed by reports (now means over six reports); loans to a zone whose holder was replaced were never taken back (digests now list loans in use).

--- a/crates/dispatch/src/dispatcher/intake.rs
+++ b/crates/dispatch/src/dispatcher/intake.rs
@@ -66,7 +66,7 @@
                 number: progress.number,
             };
             listed.insert(attempt);
-            known &= self.progress(attempt, progress.used);
+            known &= self.progress(attempt, progress.used, now);
         }
         self.take_back(from, renew.seen, &listed, now, out);
         let same = self.expected(from, renew.seen)
@@ -103,12 +103,15 @@
     }
 
     /// Notes how far an attempt has come; tells whether the attempt is known.
-    fn progress(&mut self, id: AttemptId, used: Service) -> bool {
+    fn progress(&mut self, id: AttemptId, used: Service, now: Mono) -> bool {
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return false;
         };
         attempt.listed = true;
-        attempt.orphaned = false;
+        if std::mem::take(&mut attempt.orphaned) {
+            let slot = SlotId::Attempt(id);
+            self.servers.set_orphaned(&attempt.server, slot, false, now);
+        }
         attempt.entry = None;
         attempt.used = attempt.used.max(used);
         if attempt.used > attempt.charged {
@@ -123,7 +126,7 @@
     /// Counts an attempt that another dispatcher granted.
     fn keep_running(&mut self, from: &Member, running: Running, now: Mono) {
         let id = running.attempt;
-        if self.progress(id, running.used) {
+        if self.progress(id, running.used, now) {
             return;
         }
         let loan = running.loan.map(|id| Borrowing { id, zone: None });
@@ -150,7 +153,7 @@
             entry: None,
         };
         self.attempts.insert(id, attempt);
-        self.progress(id, running.used);
+        self.progress(id, running.used, now);
     }
 
     /// Takes back slots that the router does not list, unless the grant may still be on its way.
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -11,6 +11,7 @@
 
 mod attempt;
 mod intake;
+mod orphans;
 mod release;
 mod routers;
 mod schedule;
@@ -47,7 +48,6 @@
 use crate::status::ServerStatus;
 use crate::status::Status;
 use crate::status::Totals;
-use crate::timing::RENEW_EVERY;
 use crate::timing::SETTLE;
 
 use attempt::Attempt;
@@ -140,7 +140,6 @@
     settle_until: Mono,
     next_sweep: Mono,
     next_digest: Mono,
-    next_renew: Mono,
     digests: Sequence,
     totals: Totals,
 }
@@ -183,7 +182,6 @@
             settle_until: now + SETTLE,
             next_sweep: now,
             next_digest: now,
-            next_renew: now,
             digests: 0,
             totals: Totals::default(),
             pool,
@@ -199,7 +197,7 @@
             Event::Servers(entries) => self.servers.update(&entries, now),
             Event::Load(report) => self.load(&report, now),
             Event::Peers(holders) => self.set_peers(holders, now, &mut out),
-            Event::RouterDown(router) => self.router_down(&router),
+            Event::RouterDown(router) => self.router_down(&router, now, &mut out),
             Event::Tick => self.tick(now, &mut out),
         }
         self.schedule(now, &mut out);
@@ -240,7 +238,6 @@
             Body::Demand(demand) => self.demand(from, demand, now),
             Body::Loan(loan) => self.loan(from, loan, now, out),
             Body::LoanReturn(over) => self.loan_return(&over, now),
-            Body::LoanRenew(renew) => self.loan_renew(from, &renew, now),
             other => log::warn!("dispatcher got a message that is not for it: {other:?}"),
         }
     }
@@ -259,10 +256,6 @@
         if now >= self.next_digest {
             self.send_digest(now, out);
         }
-        if now >= self.next_renew {
-            self.next_renew = now + RENEW_EVERY;
-            self.renew_loans(out);
-        }
     }
 
     fn next_sequence(&mut self) -> Sequence {
--- a/crates/dispatch/src/dispatcher/release.rs
+++ b/crates/dispatch/src/dispatcher/release.rs
@@ -16,7 +16,6 @@
 use crate::message::Ending;
 use crate::message::Finished;
 use crate::message::LoanReturn;
-use crate::timing::LOAD_LAG;
 
 /// Part of the difference to a new cost that the average of all costs takes over.
 const MEAN_GAIN: f64 = 0.05;
@@ -88,16 +87,26 @@
     }
 
     pub(super) fn load(&mut self, report: &LoadReport, now: Mono) {
-        self.free_orphans(report, now);
-        if let Some(server) = self.servers.get_mut(&report.server) {
-            server.report(report.running, now);
+        let Some(server) = self.servers.get_mut(&report.server) else {
+            return;
+        };
+        for slot in server.report(report.running, now) {
+            match slot {
+                SlotId::Attempt(id) => self.end_orphan(id, now),
+                SlotId::Loan(id) => self.end_loan(id, now),
+            }
         }
     }
 
-    pub(super) fn router_down(&mut self, router: &Member) {
+    pub(super) fn router_down(&mut self, router: &Member, now: Mono, out: &mut Vec<Action>) {
         self.routers.remove(router);
-        for attempt in self.attempts.values_mut() {
-            attempt.orphaned |= attempt.router == *router;
+        let attempts = self.attempts.iter();
+        let orphans: Vec<_> = attempts
+            .filter(|(_, a)| a.router == *router)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in orphans {
+            self.orphan(id, now, out);
         }
         for entry in self.waiting.remove_router(router) {
             self.note_waiting(&entry.registration.account);
@@ -107,7 +116,7 @@
     /// Looks for silent routers, passed deadlines and orphans past the longest run.
     pub(super) fn sweep(&mut self, now: Mono, out: &mut Vec<Action>) {
         for router in self.routers.remove_silent(now) {
-            self.router_down(&router);
+            self.router_down(&router, now, out);
         }
         let longest = self.pool.longest_run;
         let over = |at: Mono| now.saturating_sub(at) >= longest;
@@ -117,7 +126,7 @@
             .map(|(id, _)| *id)
             .collect();
         for id in gone {
-            self.end_orphan(id, now, out);
+            self.end_orphan(id, now);
         }
         let loans = self.spill.lent.iter();
         let gone: Vec<_> = loans
@@ -130,57 +139,30 @@
         self.ledger.forget(now);
     }
 
-    /// Frees the slots of lost routers that the server's report shows as no longer used.
-    fn free_orphans(&mut self, report: &LoadReport, now: Mono) {
-        let Some(server) = self.servers.get(&report.server) else {
+    /// Keeps the slot of a lost router counted; a lent one is the lender's matter.
+    fn orphan(&mut self, id: AttemptId, now: Mono, out: &mut Vec<Action>) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
             return;
         };
-        // A report may have been taken before a slot was taken.
-        let settled = |at: Mono| now.saturating_sub(at) > LOAD_LAG;
-        let mut orphans = Vec::new();
-        let mut others = 0;
-        for slot in server.slots() {
-            match slot {
-                SlotId::Attempt(id) => {
-                    let Some(attempt) = self.attempts.get(id) else {
-                        continue;
-                    };
-                    if !settled(attempt.granted) {
-                        continue;
-                    }
-                    if attempt.orphaned {
-                        orphans.push(*slot);
-                    } else if attempt.used > 0 {
-                        // It surely ran when the report was taken.
-                        others += 1;
-                    }
-                }
-                SlotId::Loan(id) => {
-                    let lent = self.spill.lent.get(id);
-                    if lent.is_some_and(|l| l.orphaned && settled(l.at)) {
-                        orphans.push(*slot);
-                    }
-                }
-            }
+        if attempt.loan.is_none() {
+            attempt.orphaned = true;
+            let slot = SlotId::Attempt(id);
+            self.servers.set_orphaned(&attempt.server, slot, true, now);
+            return;
         }
-        let running = usize::try_from(report.running).unwrap_or(usize::MAX);
-        let may_run = running.saturating_sub(others);
-        let over = orphans.len().saturating_sub(may_run);
-        for slot in orphans.into_iter().take(over) {
-            match slot {
-                SlotId::Attempt(id) => self.end_orphan(id, now, &mut Vec::new()),
-                SlotId::Loan(id) => self.end_loan(id, now),
-            }
+        if let Some(attempt) = self.attempts.remove(&id) {
+            self.return_loan(&attempt, None, true, out);
         }
     }
 
-    fn end_orphan(&mut self, id: AttemptId, now: Mono, out: &mut Vec<Action>) {
+    fn end_orphan(&mut self, id: AttemptId, now: Mono) {
         let Some(attempt) = self.attempts.remove(&id) else {
             return;
         };
         self.totals.orphans += 1;
         // Nobody will tell what it used: the charge stands.
-        self.free_slot(id, &attempt, None, now, out);
+        let slot = SlotId::Attempt(id);
+        self.servers.release(&attempt.server, slot, now);
     }
 
     /// Corrects the charge to what was used.
@@ -200,14 +182,30 @@
         finished: Option<Finished>,
         now: Mono,
         out: &mut Vec<Action>,
+    ) {
+        if attempt.loan.is_some() {
+            self.return_loan(attempt, finished, false, out);
+            return;
+        }
+        let slot = SlotId::Attempt(id);
+        self.servers.release(&attempt.server, slot, now);
+    }
+
+    fn return_loan(
+        &self,
+        attempt: &Attempt,
+        finished: Option<Finished>,
+        orphaned: bool,
+        out: &mut Vec<Action>,
     ) {
         let Some(loan) = &attempt.loan else {
-            let slot = SlotId::Attempt(id);
-            self.servers.release(&attempt.server, slot, now);
             return;
         };
-        let id = loan.id;
-        let over = Body::LoanReturn(LoanReturn { id, finished });
+        let over = Body::LoanReturn(LoanReturn {
+            id: loan.id,
+            finished,
+            orphaned,
+        });
         match &loan.zone {
             Some(zone) => {
                 if let Some(holder) = self.spill.holder(zone) {
--- a/crates/dispatch/src/dispatcher/schedule.rs
+++ b/crates/dispatch/src/dispatcher/schedule.rs
@@ -217,6 +217,7 @@
             account,
             at: now,
             orphaned: false,
+            lost: false,
             suspect,
         };
         self.spill.lent.insert(id, lent);
--- a/crates/dispatch/src/dispatcher/server.rs
+++ b/crates/dispatch/src/dispatcher/server.rs
@@ -10,6 +10,7 @@
 use primrose_core::table::SlotBounds;
 
 use crate::affinity::Affinity;
+use crate::dispatcher::orphans::Orphans;
 use crate::dispatcher::ServerEntry;
 use crate::limit::Limit;
 use crate::message::LoanId;
@@ -46,6 +47,7 @@
     adopted: Option<Mono>,
     cap: Option<u32>,
     slots: BTreeSet<SlotId>,
+    orphans: Orphans,
     pub(crate) limit: Limit,
     pub(crate) affinity: Affinity,
     failures: u32,
@@ -63,6 +65,7 @@
             adopted: None,
             cap: None,
             slots: BTreeSet::new(),
+            orphans: Orphans::default(),
             limit: Limit::new(bounds),
             affinity: Affinity::default(),
             failures: 0,
@@ -114,29 +117,40 @@
     }
 
     pub(crate) fn take(&mut self, slot: SlotId, now: Mono) {
+        self.count_others(now);
         if self.slots.insert(slot) {
             self.note_count(now);
         }
     }
 
-    pub(crate) fn release(&mut self, slot: SlotId, now: Mono) -> bool {
-        let held = self.slots.remove(&slot);
-        if held {
+    pub(crate) fn release(&mut self, slot: SlotId, now: Mono) {
+        self.count_others(now);
+        self.orphans.remove(slot);
+        if self.slots.remove(&slot) {
             self.note_count(now);
         }
-        held
     }
 
-    /// Takes in a load report, which may lag.
+    /// The slot's router or borrower is gone, or has come back.
+    pub(crate) fn set_orphaned(&mut self, slot: SlotId, orphaned: bool, now: Mono) {
+        if orphaned && self.slots.contains(&slot) {
+            self.orphans.insert(slot, now);
+        } else {
+            self.orphans.remove(slot);
+        }
+    }
+
+    /// Takes in a load report, which may lag; returns the orphaned slots that it shows to be free.
     ///
-    /// It only lowers what may be granted, and only by what cannot be explained by the own count at
-    /// any moment within the lag.
-    pub(crate) fn report(&mut self, running: u32, now: Mono) {
-        self.prune_counts(now);
-        let most = self.counts.iter().map(|c| c.slots).max();
-        let most = most.unwrap_or(0).max(self.busy());
+    /// Otherwise it only lowers what may be granted, and only by what cannot be explained by the own
+    /// count at any moment within the lag.
+    pub(crate) fn report(&mut self, running: u32, now: Mono) -> Vec<SlotId> {
+        self.count_others(now);
+        self.note_count(now);
+        let most = self.counts.iter().map(|c| c.slots).max().unwrap_or(0);
         let slots = running.saturating_sub(most);
         self.excess = Some(Excess { at: now, slots });
+        self.orphans.report(running, now)
     }
 
     /// The server answered as it should.
@@ -157,6 +171,12 @@
         self.excess.filter(valid).map_or(0, |e| e.slots)
     }
 
+    /// Adds up the slots that are not orphaned, before their number changes.
+    fn count_others(&mut self, now: Mono) {
+        let others = self.busy().saturating_sub(self.orphans.len());
+        self.orphans.count(others, now);
+    }
+
     fn note_count(&mut self, now: Mono) {
         let slots = self.busy();
         self.counts.push_back(Count { at: now, slots });
--- a/crates/dispatch/src/dispatcher/servers.rs
+++ b/crates/dispatch/src/dispatcher/servers.rs
@@ -79,6 +79,12 @@
         self.prune();
     }
 
+    pub(crate) fn set_orphaned(&mut self, id: &str, slot: SlotId, orphaned: bool, now: Mono) {
+        if let Some(server) = self.by_id.get_mut(id) {
+            server.set_orphaned(slot, orphaned, now);
+        }
+    }
+
     /// Tells whether any server has a slot for requests that are not suspect.
     pub(crate) fn has_free(&self, now: Mono) -> bool {
         self.open().any(|(_, server)| server.free(now) > 0)
--- a/crates/dispatch/src/dispatcher/zones.rs
+++ b/crates/dispatch/src/dispatcher/zones.rs
@@ -21,8 +21,9 @@
 use crate::message::Digest;
 use crate::message::Loan;
 use crate::message::LoanId;
-use crate::message::LoanRenew;
 use crate::message::LoanReturn;
+use crate::message::Loans;
+use crate::message::Seen;
 use crate::message::Snapshot;
 use crate::spill::Lent;
 use crate::timing::DIGEST_EVERY;
@@ -32,6 +33,8 @@
 
 /// A dispatcher younger than this starts from another's standings.
 const JOIN_WITHIN: Duration = Duration::from_secs(5);
+/// A dispatcher younger than this does not list loans: routers may not have registered yet.
+const LOANS_AFTER: Duration = START_LEASE;
 /// Digests are moved by up to this part of their period, so that zones do not fall into step.
 const DIGEST_JITTER: f64 = 0.2;
 
@@ -43,7 +46,7 @@
         out: &mut Vec<Action>,
     ) {
         let new = self.spill.set_peers(holders);
-        self.note_cut_zones();
+        self.note_cut_zones(now);
         if new.is_empty() {
             return;
         }
@@ -79,6 +82,9 @@
         if self.spill.note_digest(&zone, digest.sequence) {
             let waiting: BTreeSet<AccountId> = digest.waiting.iter().cloned().collect();
             self.ledger.set_zone(&zone, &waiting);
+            if let Some(loans) = &digest.loans {
+                self.keep_loans(&zone, loans, now);
+            }
         }
     }
 
@@ -103,8 +109,12 @@
         }
         let next = self.next(loan.suspect, now).filter(|_| fresh);
         let Some(next) = next else {
-            let finished = None;
-            self.send(from, Body::LoanReturn(LoanReturn { id, finished }), out);
+            let unused = LoanReturn {
+                id,
+                finished: None,
+                orphaned: false,
+            };
+            self.send(from, Body::LoanReturn(unused), out);
             return;
         };
         let borrowing = Borrowing { id, zone };
@@ -112,10 +122,17 @@
     }
 
     pub(super) fn loan_return(&mut self, over: &LoanReturn, now: Mono) {
-        let Some(lent) = self.spill.lent.get(&over.id) else {
+        let Some(lent) = self.spill.lent.get_mut(&over.id) else {
             return;
         };
         let server = lent.server.clone();
+        if over.orphaned {
+            lent.orphaned = true;
+            lent.lost = true;
+            let slot = SlotId::Loan(over.id);
+            self.servers.set_orphaned(&server, slot, true, now);
+            return;
+        }
         match &over.finished {
             Some(finished) => self.judge(&server, finished, now),
             None => self.totals.unused += 1,
@@ -124,23 +141,20 @@
     }
 
     /// Keeps the loans that a zone lists, and takes back those that it does not.
-    pub(super) fn loan_renew(&mut self, from: &Member, renew: &LoanRenew, now: Mono) {
-        let Some(zone) = self.spill.zone_of(from).cloned() else {
-            return;
-        };
-        let listed: BTreeSet<LoanId> = renew.loans.iter().map(|l| l.id).collect();
-        for borrowed in &renew.loans {
-            self.keep_loan(&zone, borrowed, now);
+    fn keep_loans(&mut self, zone: &str, loans: &Loans, now: Mono) {
+        let listed: BTreeSet<LoanId> = loans.loans.iter().map(|l| l.id).collect();
+        for borrowed in &loans.loans {
+            self.keep_loan(zone, borrowed, now);
         }
         let epoch = self.epoch;
         let over = |id: &LoanId, lent: &Lent| {
-            let seen = renew.seen.epoch == epoch && id.epoch == epoch;
-            let received = seen && id.sequence <= renew.seen.sequence;
+            let seen = loans.seen.epoch == epoch && id.epoch == epoch;
+            let received = seen && id.sequence <= loans.seen.sequence;
             received || now >= lent.at + START_LEASE + LEASE_MARGIN
         };
         let lent = self.spill.lent.iter();
         let gone: Vec<_> = lent
-            .filter(|(id, l)| l.zone == zone && !listed.contains(id) && over(id, l))
+            .filter(|(id, l)| l.zone == zone && !l.lost && !listed.contains(id) && over(id, l))
             .map(|(id, _)| *id)
             .collect();
         for id in gone {
@@ -155,44 +169,33 @@
         }
     }
 
-    /// Lists the loans in use to their lenders.
-    pub(super) fn renew_loans(&mut self, out: &mut Vec<Action>) {
-        let mut sends = Vec::new();
-        for (zone, peer) in &mut self.spill.peers {
-            let Some(holder) = &peer.holder else {
+    /// Lists the loans of a zone that are in use; nothing while routers may not have registered.
+    fn loans_of(&self, zone: &str, seen: Seen, now: Mono) -> Option<Loans> {
+        if self.ledger.age(now) < LOANS_AFTER {
+            return None;
+        }
+        let mut loans = Vec::new();
+        for attempt in self.attempts.values() {
+            let Some(loan) = &attempt.loan else {
                 continue;
             };
-            let mut loans = Vec::new();
-            for attempt in self.attempts.values() {
-                let Some(loan) = &attempt.loan else {
-                    continue;
-                };
-                if loan.zone.as_ref().is_none_or(|z| z == zone) {
-                    loans.push(Borrowed {
-                        id: loan.id,
-                        server: attempt.server.clone(),
-                    });
-                }
-            }
-            if loans.is_empty() && peer.seen == peer.renewed {
-                continue;
+            if loan.zone.as_ref().is_none_or(|z| z == zone) {
+                loans.push(Borrowed {
+                    id: loan.id,
+                    server: attempt.server.clone(),
+                });
             }
-            peer.renewed = peer.seen;
-            let seen = peer.seen;
-            sends.push((holder.clone(), LoanRenew { seen, loans }));
-        }
-        for (holder, renew) in sends {
-            self.send(&holder, Body::LoanRenew(renew), out);
         }
+        Some(Loans { seen, loans })
     }
 
     pub(super) fn send_digest(&mut self, now: Mono, out: &mut Vec<Action>) {
-        let holders: Vec<_> = self.spill.holders().cloned().collect();
-        let groups = holders.len().div_ceil(DIGEST_PEERS).max(1);
+        let holders = self.spill.holders().count();
+        let groups = holders.div_ceil(DIGEST_PEERS).max(1);
         let period = DIGEST_EVERY.mul_f64(groups as f64);
         let jitter = self.rng.random_range(0.0..DIGEST_JITTER);
         self.next_digest = now + period.mul_f64(1.0 - jitter);
-        if holders.is_empty() {
+        if holders == 0 {
             return;
         }
         self.digests += 1;
@@ -201,9 +204,17 @@
             age: message::millis(self.ledger.age(now)),
             rows: self.ledger.digest(),
             waiting: self.waiting.accounts().map(|(a, _)| a.clone()).collect(),
+            loans: None,
         };
-        for holder in &holders {
-            self.send(holder, Body::Digest(digest.clone()), out);
+        for (zone, peer) in &self.spill.peers {
+            if let Some(holder) = &peer.holder {
+                let loans = self.loans_of(zone, peer.seen, now);
+                let digest = Digest {
+                    loans,
+                    ..digest.clone()
+                };
+                self.send(holder, Body::Digest(digest), out);
+            }
         }
     }
 
@@ -229,6 +240,9 @@
     fn keep_loan(&mut self, zone: &str, borrowed: &Borrowed, now: Mono) {
         if let Some(lent) = self.spill.lent.get_mut(&borrowed.id) {
             lent.orphaned = false;
+            lent.lost = false;
+            let slot = SlotId::Loan(borrowed.id);
+            self.servers.set_orphaned(&lent.server, slot, false, now);
             return;
         }
         // Renewals of loans whose lender is unknown go to all zones.
@@ -243,22 +257,23 @@
             account: AccountId::new(),
             at: now,
             orphaned: false,
+            lost: false,
             suspect: false,
         };
         self.spill.lent.insert(borrowed.id, lent);
     }
 
     /// Marks loans to zones that cannot be reached, and forgets who waits there.
-    fn note_cut_zones(&mut self) {
+    fn note_cut_zones(&mut self, now: Mono) {
         let reachable = |zone: &str| self.spill.holder(zone).is_some();
         let zones: Vec<_> = self.spill.peers.keys().cloned().collect();
         let cut: BTreeSet<_> = zones.iter().filter(|z| !reachable(z)).cloned().collect();
-        for lent in self.spill.lent.values_mut() {
-            lent.orphaned = self
-                .spill
-                .peers
-                .get(&lent.zone)
-                .is_none_or(|p| p.holder.is_none());
+        for (id, lent) in &mut self.spill.lent {
+            if cut.contains(&lent.zone) && !lent.orphaned {
+                lent.orphaned = true;
+                let slot = SlotId::Loan(*id);
+                self.servers.set_orphaned(&lent.server, slot, true, now);
+            }
         }
         for zone in &cut {
             self.ledger.set_zone(zone, &BTreeSet::new());
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -89,7 +89,7 @@
     /// Dispatcher to a new dispatcher: where the accounts stand.
     #[serde(rename = "o")]
     Snapshot(Snapshot),
-    /// Dispatcher to another zone's dispatcher: service charged, and who waits.
+    /// Dispatcher to another zone's dispatcher: service charged, who waits, and loans in use.
     #[serde(rename = "i")]
     Digest(Digest),
     /// Dispatcher to another zone's dispatcher: what waits without a slot.
@@ -101,9 +101,6 @@
     /// Dispatcher to the lender: a slot is free again.
     #[serde(rename = "t")]
     LoanReturn(LoanReturn),
-    /// Dispatcher to the lender: the loans that are in use.
-    #[serde(rename = "e")]
-    LoanRenew(LoanRenew),
 }
 
 impl Body {
@@ -360,6 +357,9 @@
     /// Accounts that wait.
     #[serde(rename = "w")]
     pub waiting: Vec<AccountId>,
+    /// The receiver's loans that are in use; nothing while the dispatcher is new and may not know.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub loans: Option<Loans>,
 }
 
 /// Requests of one account that wait.
@@ -428,6 +428,9 @@
     /// How the attempt ended; nothing if the slot was not used.
     #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
     pub finished: Option<Finished>,
+    /// The router that used the slot is gone; the request may still run.
+    #[serde(rename = "o", default, skip_serializing_if = "is_false")]
+    pub orphaned: bool,
 }
 
 /// One loan that is in use.
@@ -441,9 +444,9 @@
     pub server: ServerId,
 }
 
-/// The loans that are in use.
+/// All loans of one lender that are in use.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoanRenew {
+pub struct Loans {
     /// Latest loan received.
     #[serde(rename = "s")]
     pub seen: Seen,
--- a/crates/dispatch/src/spill.rs
+++ b/crates/dispatch/src/spill.rs
@@ -57,8 +57,6 @@
     digest: Sequence,
     /// Latest loan received from it.
     pub(crate) seen: Seen,
-    /// Latest loan that a renewal has acknowledged.
-    pub(crate) renewed: Seen,
 }
 
 /// A slot that another zone uses.
@@ -68,7 +66,10 @@
     pub(crate) server: ServerId,
     pub(crate) account: AccountId,
     pub(crate) at: Mono,
+    /// The borrower cannot be reached, or its router is lost.
     pub(crate) orphaned: bool,
+    /// The borrower's router is lost; the borrower has given the loan up.
+    pub(crate) lost: bool,
     pub(crate) suspect: bool,
 }
 
--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatch crate: cases for each state machine, and a small fleet of them joined by
 //! queues, with a clock that is passed in.
 
+mod fairness;
 mod fleet;
-mod requester;
+mod plan;
--- a/crates/dispatch/tests/testsuite/requester.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The requester alone: bounds, deadlines, leases, re-registration.
