--- a/crates/share/src/ledger.rs
+++ b/crates/share/src/ledger.rs
@@ -262,7 +262,9 @@
 
     /// Limits how far any account lies above the least backlogged, so that none waits for long.
     fn clamp(&mut self) {
-        self.update_floor();
+        if !self.update_floor() {
+            return;
+        }
         // By the greatest weight, because the least backlogged account may be the heaviest one.
         let weights = self.accounts.values().filter_map(|a| a.weight);
         let heaviest = weights.max().unwrap_or(1).max(self.default_weight);
@@ -274,11 +276,14 @@
         }
     }
 
-    fn update_floor(&mut self) {
+    /// Finds the least counter among the backlogged accounts; tells whether there are any.
+    fn update_floor(&mut self) -> bool {
         let backlogged = self.accounts.values().filter(|a| !a.waiting.is_empty());
-        if let Some(least) = backlogged.map(|a| a.service).min() {
-            self.floor = least;
-        }
+        let Some(least) = backlogged.map(|a| a.service).min() else {
+            return false;
+        };
+        self.floor = least;
+        true
     }
 
     fn next_refresh(&self) -> Option<AccountId> {
--- /dev/null
+++ b/crates/share/tests/testsuite/ledger.rs
@@ -0,0 +1,229 @@
+//! Ledgers agree whatever happens to their digests.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use primrose_core::id::Member;
+use primrose_share::weighted;
+use primrose_share::Ledger;
+use primrose_share::Row;
+use primrose_share::CATCH_UP_UNITS;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+const T0: Duration = Duration::from_secs(1);
+const ACCOUNTS: [&str; 3] = ["temple", "mosque", "ward"];
+
+fn member(host: &str, incarnation: u64) -> Member {
+    Member {
+        host: host.into(),
+        incarnation,
+    }
+}
+
+fn row(account: &str, charged: u64, refunded: u64) -> Row {
+    Row {
+        account: account.into(),
+        charged,
+        refunded,
+    }
+}
+
+/// One step of a random history.
+#[derive(Debug, Clone)]
+enum Step {
+    Charge(usize, u16),
+    Refund(usize, u16),
+    Digest,
+    /// Deliver one of the digests so far, in any order, as often as it is drawn.
+    Deliver(usize),
+    /// The writer restarts empty.
+    Restart,
+}
+
+impl quickcheck::Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let account = usize::arbitrary(g) % ACCOUNTS.len();
+        match u8::arbitrary(g) % 8 {
+            0..=2 => Self::Charge(account, u16::arbitrary(g)),
+            3 => Self::Refund(account, u16::arbitrary(g)),
+            4 => Self::Digest,
+            5..=6 => Self::Deliver(usize::arbitrary(g)),
+            _ => Self::Restart,
+        }
+    }
+}
+
+/// After the last full digest has arrived, the reader holds what all lives charged and told; what
+/// was lost, doubled or crossed before makes no difference.
+fn reader_ends_with_the_writers_total(steps: Vec<Step>) -> bool {
+    let mut reader = Ledger::new(member("reader", 1), T0);
+    let mut incarnation = 1;
+    let mut writer = Ledger::new(member("writer", incarnation), T0);
+    let mut sent: Vec<(Member, Vec<Row>)> = Vec::new();
+    let mut truth: BTreeMap<&str, i64> = BTreeMap::new();
+    let mut deliver = |reader: &mut Ledger, (from, rows): &(Member, Vec<Row>)| {
+        reader.merge(from, Duration::ZERO, rows, T0);
+    };
+    for step in steps {
+        match step {
+            Step::Charge(account, units) => {
+                writer.charge(ACCOUNTS[account], units.into());
+                *truth.entry(ACCOUNTS[account]).or_default() += i64::from(units);
+            }
+            Step::Refund(account, units) => {
+                writer.refund(ACCOUNTS[account], units.into());
+                *truth.entry(ACCOUNTS[account]).or_default() -= i64::from(units);
+            }
+            Step::Digest => sent.push((member("writer", incarnation), writer.digest())),
+            Step::Deliver(pick) if !sent.is_empty() => {
+                deliver(&mut reader, &sent[pick % sent.len()]);
+            }
+            Step::Deliver(_) => {}
+            Step::Restart => {
+                // The last digest before the end arrives; nothing can tell what was never sent.
+                writer.resend_all();
+                deliver(
+                    &mut reader,
+                    &(member("writer", incarnation), writer.digest()),
+                );
+                incarnation += 1;
+                writer = Ledger::new(member("writer", incarnation), T0);
+            }
+        }
+    }
+    writer.resend_all();
+    deliver(
+        &mut reader,
+        &(member("writer", incarnation), writer.digest()),
+    );
+    for late in &sent {
+        deliver(&mut reader, late);
+    }
+    ACCOUNTS.iter().all(|account| {
+        let expected = truth.get(account).copied().unwrap_or(0) * 1024;
+        reader.service(account) == expected
+    })
+}
+
+#[test]
+fn digests_are_harmless_late_doubled_crossed_and_lost() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 4))
+        .tests(500)
+        .quickcheck(reader_ends_with_the_writers_total as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn lost_digests_are_made_good_by_later_ones() {
+    let mut writer = Ledger::new(member("writer", 1), T0);
+    let mut reader = Ledger::new(member("reader", 1), T0);
+    for number in 0..20 {
+        writer.charge(&format!("account{number}"), 100);
+    }
+    // Lost.
+    writer.digest();
+    for _ in 0..5 {
+        let rows = writer.digest();
+        assert!(rows.len() < 20);
+        reader.merge(&member("writer", 1), Duration::ZERO, &rows, T0);
+    }
+    for number in 0..20 {
+        let account = format!("account{number}");
+        assert_eq!(reader.service(&account), weighted(100, 1));
+    }
+}
+
+#[test]
+fn old_writer_counts_from_its_first_row() {
+    let mut reader = Ledger::new(member("reader", 1), T0);
+    let writer = member("writer", 1);
+    let age = Duration::from_secs(3600);
+    reader.merge(&writer, age, &[row("temple", 9000, 0)], T0);
+    assert_eq!(reader.service("temple"), 0);
+    reader.merge(&writer, age, &[row("temple", 9100, 0)], T0);
+    assert_eq!(reader.service("temple"), weighted(100, 1));
+    // Rows of other accounts that come later are a base too.
+    reader.merge(&writer, age, &[row("mosque", 5000, 0)], T0);
+    assert_eq!(reader.service("mosque"), 0);
+}
+
+#[test]
+fn forgotten_writer_comes_back_without_a_jump() {
+    let mut reader = Ledger::new(member("reader", 1), T0);
+    let writer = member("writer", 1);
+    reader.merge(&writer, Duration::ZERO, &[row("temple", 500, 0)], T0);
+    let later = T0 + Duration::from_secs(3600);
+    reader.forget(later);
+    reader.merge(&writer, Duration::ZERO, &[row("temple", 600, 0)], later);
+    assert_eq!(reader.service("temple"), weighted(500, 1));
+    reader.merge(&writer, Duration::ZERO, &[row("temple", 650, 0)], later);
+    assert_eq!(reader.service("temple"), weighted(550, 1));
+}
+
+#[test]
+fn idleness_earns_no_credit() {
+    let mut ledger = Ledger::new(member("h", 1), T0);
+    ledger.set_waiting("ward", "z0", true);
+    ledger.set_waiting("temple", "z0", true);
+    ledger.charge("ward", 5000);
+    ledger.charge("temple", 4000);
+    ledger.set_waiting("shrine", "z0", true);
+    assert_eq!(ledger.service("shrine"), ledger.service("temple"));
+    // Waiting in another zone counts: no second lift.
+    ledger.set_waiting("shrine", "z1", true);
+    ledger.set_waiting("shrine", "z0", false);
+    ledger.charge("ward", 100);
+    ledger.charge("temple", 900);
+    let before = ledger.service("shrine");
+    ledger.set_waiting("shrine", "z0", true);
+    assert_eq!(ledger.service("shrine"), before);
+    // An account that is ahead is never lowered.
+    ledger.set_waiting("ward", "z0", false);
+    let ahead = ledger.service("ward");
+    ledger.set_waiting("ward", "z0", true);
+    assert_eq!(ledger.service("ward"), ahead);
+}
+
+#[test]
+fn catch_up_after_a_partition_is_clamped() {
+    let mut ledger = Ledger::new(member("h", 1), T0);
+    let other = member("other", 1);
+    ledger.set_waiting("temple", "z0", true);
+    ledger.set_waiting("ward", "z0", true);
+    ledger.merge(&other, Duration::ZERO, &[row("ward", 10, 0)], T0);
+    let healed = T0 + Duration::from_secs(300);
+    ledger.merge(&other, Duration::ZERO, &[row("ward", 9_000_000, 0)], healed);
+    let ahead = ledger.service("ward") - ledger.service("temple");
+    assert_eq!(ahead, weighted(CATCH_UP_UNITS, 1));
+    // The same row again changes nothing.
+    ledger.merge(&other, Duration::ZERO, &[row("ward", 9_000_000, 0)], healed);
+    assert_eq!(ledger.service("ward") - ledger.service("temple"), ahead);
+}
+
+#[test]
+fn new_weight_applies_from_now_on() {
+    let mut ledger = Ledger::new(member("h", 1), T0);
+    ledger.charge("ward", 1000);
+    let before = ledger.service("ward");
+    let weights = BTreeMap::from([("ward".to_owned(), 4)]);
+    ledger.set_weights(&weights, 1);
+    assert_eq!(ledger.service("ward"), before);
+    ledger.charge("ward", 1000);
+    assert_eq!(ledger.service("ward") - before, weighted(250, 1));
+}
+
+#[test]
+fn new_ledger_takes_over_standings_once() {
+    let mut old = Ledger::new(member("old", 1), T0);
+    old.set_waiting("temple", "z0", true);
+    old.set_waiting("ward", "z0", true);
+    old.charge("temple", 300);
+    old.charge("ward", 1000);
+    let mut new = Ledger::new(member("new", 1), T0);
+    new.charge("temple", 50);
+    new.adopt(&old.snapshot());
+    new.adopt(&old.snapshot());
+    let ahead = new.service("ward") - new.service("temple");
+    assert_eq!(ahead, weighted(1000 - 300 - 50, 1));
+}
--- /dev/null
+++ b/crates/share/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the share crate.
+
+mod estimate;
+mod ledger;
