--- /dev/null
+++ b/crates/dispatch/tests/testsuite/build.rs
@@ -0,0 +1,224 @@
+//! Builders of events and messages for the cases of one state machine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrose_core::clock::Mono;
+use primrose_core::host::HostState;
+use primrose_core::id::AttemptId;
+use primrose_core::id::Member;
+use primrose_core::table::Pool;
+use primrose_core::table::Table;
+use primrose_dispatch::dispatcher;
+use primrose_dispatch::dispatcher::Dispatcher;
+use primrose_dispatch::dispatcher::LoadReport;
+use primrose_dispatch::dispatcher::ServerEntry;
+use primrose_dispatch::message::Body;
+use primrose_dispatch::message::Ending;
+use primrose_dispatch::message::Finished;
+use primrose_dispatch::message::Grant;
+use primrose_dispatch::message::Message;
+use primrose_dispatch::message::Registration;
+use primrose_dispatch::message::Renew;
+use primrose_dispatch::message::Seen;
+use primrose_dispatch::requester::Work;
+use primrose_support::tables::engine_pool;
+
+pub(crate) const POOL: &str = "chat";
+
+pub(crate) fn seconds(secs: f64) -> Duration {
+    Duration::from_secs_f64(secs)
+}
+
+pub(crate) fn member(host: &str) -> Member {
+    Member {
+        host: host.into(),
+        incarnation: 1,
+    }
+}
+
+pub(crate) fn table(pool: Pool) -> Arc<Table> {
+    let mut table = Table::default();
+    table.pools.insert(pool.name.clone(), pool);
+    Arc::new(table)
+}
+
+pub(crate) fn attempt(request: u64) -> AttemptId {
+    AttemptId { request, number: 1 }
+}
+
+pub(crate) fn work(request: u64, account: &str) -> Work {
+    Work {
+        request,
+        number: 1,
+        account: account.into(),
+        route: "draft".into(),
+        pool: POOL.into(),
+        cost: 100,
+        bytes: 10,
+        fingerprint: request,
+        suspect: false,
+        prefixes: Vec::new(),
+        deadline: seconds(60.0),
+    }
+}
+
+pub(crate) fn registration(request: u64, account: &str) -> Registration {
+    Registration {
+        request,
+        number: 1,
+        account: account.into(),
+        route: "draft".into(),
+        cost: 100,
+        fingerprint: request,
+        suspect: false,
+        prefixes: Vec::new(),
+        left: 60_000,
+    }
+}
+
+pub(crate) fn message(body: Body) -> Message {
+    Message {
+        pool: POOL.into(),
+        body,
+    }
+}
+
+pub(crate) fn grant(request: u64, sequence: u64, beat: u64) -> Grant {
+    Grant {
+        epoch: 7,
+        sequence,
+        beat,
+        attempt: attempt(request),
+        server: "s0".into(),
+        loan: None,
+        charged: 100,
+    }
+}
+
+pub(crate) fn finished(request: u64, ending: Ending) -> Finished {
+    Finished {
+        attempt: attempt(request),
+        ending,
+        used: 100,
+        first: Some(100),
+        inter: Some(20_000),
+    }
+}
+
+pub(crate) fn server(id: &str) -> ServerEntry {
+    ServerEntry {
+        id: id.into(),
+        state: HostState::Live,
+        adopted: false,
+        cap: None,
+    }
+}
+
+/// A dispatcher past its settling time, one router `h0` that renews by itself, and what it granted.
+pub(crate) struct Bench {
+    pub(crate) now: Mono,
+    pub(crate) dispatcher: Dispatcher,
+    /// Grants that were sent, in order.
+    pub(crate) grants: Vec<Grant>,
+    /// All other messages that were sent.
+    pub(crate) sent: Vec<(Member, Body)>,
+    beat: u64,
+}
+
+impl Bench {
+    pub(crate) fn new(slots: (u32, u32), servers: &[&str]) -> Self {
+        let mut pool = engine_pool(POOL);
+        (pool.slots.min, pool.slots.max) = slots;
+        let now = seconds(1.0);
+        let dispatcher = Dispatcher::new(member("h0"), "z1".into(), pool, 1, now);
+        let mut bench = Self {
+            now,
+            dispatcher,
+            grants: Vec::new(),
+            sent: Vec::new(),
+            beat: 0,
+        };
+        bench.servers(servers.iter().map(|id| server(id)).collect());
+        bench.renew(Vec::new());
+        bench.pass(seconds(0.5));
+        bench
+    }
+
+    pub(crate) fn tell(&mut self, event: dispatcher::Event) {
+        let actions = self.dispatcher.handle(event, self.now);
+        for dispatcher::Action::Send { to, message } in actions {
+            match message.body {
+                Body::Grant(grant) => self.grants.push(grant),
+                body => self.sent.push((to, body)),
+            }
+        }
+    }
+
+    pub(crate) fn hear(&mut self, from: &str, body: Body) {
+        let from = member(from);
+        let message = message(body);
+        self.tell(dispatcher::Event::Message { from, message });
+    }
+
+    pub(crate) fn servers(&mut self, entries: Vec<ServerEntry>) {
+        self.tell(dispatcher::Event::Servers(entries));
+    }
+
+    pub(crate) fn load(&mut self, server: &str, running: u32) {
+        let server = server.into();
+        self.tell(dispatcher::Event::Load(LoadReport { server, running }));
+    }
+
+    pub(crate) fn register(&mut self, request: u64, account: &str) {
+        self.hear("h0", Body::Register(registration(request, account)));
+    }
+
+    pub(crate) fn finish(&mut self, request: u64, ending: Ending) {
+        self.hear("h0", Body::Finished(finished(request, ending)));
+    }
+
+    /// The router renews, having received all grants, and lists what runs.
+    pub(crate) fn renew(&mut self, running: Vec<u64>) {
+        self.beat += 1;
+        let last = self.grants.last();
+        let seen = last.map(|g| Seen {
+            epoch: g.epoch,
+            sequence: g.sequence,
+        });
+        let running = running
+            .iter()
+            .map(|r| primrose_dispatch::message::Progress {
+                request: *r,
+                number: 1,
+                used: 1,
+            });
+        let renew = Renew {
+            beat: self.beat,
+            seen: seen.unwrap_or_default(),
+            count: 0,
+            check: 0,
+            running: running.collect(),
+        };
+        self.hear("h0", Body::Renew(renew));
+    }
+
+    /// Lets time pass, with a tick every 100 ms and nothing from the router.
+    pub(crate) fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += seconds(0.1);
+            self.tell(dispatcher::Event::Tick);
+        }
+    }
+
+    /// Requests granted so far, in order.
+    pub(crate) fn granted(&self) -> Vec<u64> {
+        self.grants.iter().map(|g| g.attempt.request).collect()
+    }
+
+    pub(crate) fn on(&self, server: &str) -> usize {
+        let grants = self.grants.iter().filter(|g| g.server == server);
+        grants.count()
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/testsuite/requester.rs
@@ -0,0 +1,253 @@
+//! The requester alone: bounds, deadlines, leases, re-registration.
+
+use primrose_core::outcome::ErrorCode;
+use primrose_core::table::QueueBounds;
+use primrose_dispatch::message::Body;
+use primrose_dispatch::message::Decline;
+use primrose_dispatch::message::Ending;
+use primrose_dispatch::requester::Action;
+use primrose_dispatch::requester::Event;
+use primrose_dispatch::requester::Requester;
+use primrose_support::tables::engine_pool;
+
+use crate::build::attempt;
+use crate::build::finished;
+use crate::build::grant;
+use crate::build::member;
+use crate::build::message;
+use crate::build::seconds;
+use crate::build::table;
+use crate::build::work;
+use crate::build::POOL;
+
+fn requester() -> Requester {
+    let mut pool = engine_pool(POOL);
+    pool.queue = QueueBounds {
+        account_requests: 3,
+        account_bytes: 100,
+        total_requests: 5,
+        total_bytes: 120,
+    };
+    Requester::new(table(pool))
+}
+
+fn with_holder() -> Requester {
+    let mut requester = requester();
+    requester.handle(holder("h0"), seconds(1.0));
+    requester
+}
+
+fn holder(host: &str) -> Event {
+    Event::Holder {
+        pool: POOL.into(),
+        holder: Some(member(host)),
+    }
+}
+
+fn hear(requester: &mut Requester, from: &str, body: Body, at: f64) -> Vec<Action> {
+    let from = member(from);
+    let message = message(body);
+    requester.handle(Event::Message { from, message }, seconds(at))
+}
+
+fn refusals(actions: &[Action]) -> Vec<(u64, ErrorCode)> {
+    let refusal = |action: &Action| match action {
+        Action::Refuse { request, code } => Some((*request, *code)),
+        _ => None,
+    };
+    actions.iter().filter_map(refusal).collect()
+}
+
+fn runs(actions: &[Action]) -> usize {
+    let run = |action: &&Action| matches!(action, Action::Run(_));
+    actions.iter().filter(run).count()
+}
+
+fn declines(actions: &[Action]) -> Vec<Decline> {
+    let decline = |action: &Action| match action {
+        Action::Send { message, .. } => match message.body {
+            Body::Decline(decline) => Some(decline),
+            _ => None,
+        },
+        _ => None,
+    };
+    actions.iter().filter_map(decline).collect()
+}
+
+/// Requests that arrive, as account and body bytes, and which of them are refused.
+struct Bounds {
+    arrivals: &'static [(&'static str, usize)],
+    refused: &'static [u64],
+}
+
+#[test]
+fn only_the_flooding_account_is_refused() {
+    let cases = [
+        Bounds {
+            arrivals: &[("a", 1), ("a", 1), ("a", 1), ("a", 1), ("b", 1)],
+            refused: &[3],
+        },
+        Bounds {
+            arrivals: &[("a", 60), ("a", 41), ("a", 40), ("b", 20)],
+            refused: &[1],
+        },
+        // In all: by count, and by bytes.
+        Bounds {
+            arrivals: &[("a", 1), ("a", 1), ("b", 1), ("b", 1), ("c", 1), ("d", 1)],
+            refused: &[5],
+        },
+        Bounds {
+            arrivals: &[("a", 70), ("b", 51), ("c", 50)],
+            refused: &[1],
+        },
+    ];
+    for case in cases {
+        let mut requester = with_holder();
+        let mut refused = Vec::new();
+        for (request, (account, bytes)) in (0..).zip(case.arrivals) {
+            let mut work = work(request, account);
+            work.bytes = *bytes;
+            let actions = requester.handle(Event::Enqueue(work), seconds(1.0));
+            for (request, code) in refusals(&actions) {
+                assert_eq!(code, ErrorCode::QueueFull);
+                refused.push(request);
+            }
+        }
+        assert_eq!(refused, case.refused);
+    }
+}
+
+#[test]
+fn further_attempts_are_not_refused_for_room() {
+    let mut requester = with_holder();
+    for request in 0..3 {
+        requester.handle(Event::Enqueue(work(request, "a")), seconds(1.0));
+    }
+    let mut again = work(9, "a");
+    again.number = 2;
+    let actions = requester.handle(Event::Enqueue(again), seconds(1.0));
+    assert_eq!(refusals(&actions), []);
+}
+
+#[test]
+fn deadline_ends_a_wait_and_withdraws_it() {
+    let mut requester = with_holder();
+    requester.handle(Event::Enqueue(work(5, "a")), seconds(1.0));
+    assert_eq!(refusals(&requester.handle(Event::Tick, seconds(59.9))), []);
+    let actions = requester.handle(Event::Tick, seconds(60.0));
+    assert_eq!(refusals(&actions), [(5, ErrorCode::Deadline)]);
+    let withdraws = |a: &Action| matches!(a, Action::Send { message, .. } if matches!(message.body, Body::Withdraw(w) if w.request == 5));
+    assert!(actions.iter().any(withdraws));
+    // A grant that crossed it does not run.
+    let actions = hear(&mut requester, "h0", Body::Grant(grant(5, 1, 1)), 60.0);
+    assert_eq!(runs(&actions), 0);
+    assert!(!declines(&actions)[0].waits);
+}
+
+/// A grant, and whether it is run, or declined, and whether the request then still waits.
+struct Lease {
+    from: &'static str,
+    beat: u64,
+    at: f64,
+    runs: usize,
+    waits: Option<bool>,
+}
+
+#[test]
+fn grants_hold_by_the_own_clock() {
+    let cases = [
+        Lease {
+            from: "h0",
+            beat: 1,
+            at: 1.1,
+            runs: 1,
+            waits: None,
+        },
+        // The router was paused: the renewal that the grant rests on is too old.
+        Lease {
+            from: "h0",
+            beat: 1,
+            at: 4.0,
+            runs: 0,
+            waits: Some(true),
+        },
+        // A renewal that was never sent.
+        Lease {
+            from: "h0",
+            beat: 5,
+            at: 1.1,
+            runs: 0,
+            waits: Some(true),
+        },
+        // Not the holder that this router knows.
+        Lease {
+            from: "h1",
+            beat: 1,
+            at: 1.1,
+            runs: 0,
+            waits: Some(false),
+        },
+    ];
+    for case in cases {
+        let mut requester = with_holder();
+        requester.handle(Event::Enqueue(work(5, "a")), seconds(1.0));
+        let body = Body::Grant(grant(5, 1, case.beat));
+        let actions = hear(&mut requester, case.from, body, case.at);
+        assert_eq!(runs(&actions), case.runs);
+        let waits = declines(&actions).first().map(|d| d.waits);
+        assert_eq!(waits, case.waits);
+    }
+}
+
+#[test]
+fn doubled_and_crossed_grants_run_once() {
+    let mut requester = with_holder();
+    requester.handle(Event::Enqueue(work(5, "a")), seconds(1.0));
+    requester.handle(Event::Enqueue(work(6, "a")), seconds(1.0));
+    let late = hear(&mut requester, "h0", Body::Grant(grant(6, 2, 1)), 1.1);
+    assert_eq!(runs(&late), 1);
+    let doubled = hear(&mut requester, "h0", Body::Grant(grant(6, 2, 1)), 1.1);
+    assert_eq!(doubled, []);
+    // The earlier grant comes last: the dispatcher may have taken its slot back already.
+    let crossed = hear(&mut requester, "h0", Body::Grant(grant(5, 1, 1)), 1.1);
+    assert_eq!(runs(&crossed), 0);
+    assert!(declines(&crossed)[0].waits);
+    let ended = Event::Ended(finished(6, Ending::Done));
+    requester.handle(ended.clone(), seconds(2.0));
+    assert_eq!(requester.handle(ended, seconds(2.0)), []);
+    let after = hear(&mut requester, "h0", Body::Grant(grant(6, 2, 1)), 2.0);
+    assert_eq!(runs(&after), 0);
+}
+
+#[test]
+fn new_holder_learns_all_that_waits_and_runs() {
+    let mut requester = with_holder();
+    for request in [5, 6, 7] {
+        requester.handle(Event::Enqueue(work(request, "a")), seconds(1.0));
+    }
+    hear(&mut requester, "h0", Body::Grant(grant(6, 1, 1)), 1.1);
+    let actions = requester.handle(holder("h1"), seconds(1.2));
+    let [Action::Send { to, message }] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(*to, member("h1"));
+    let Body::Sync(sync) = &message.body else {
+        panic!("{message:?}");
+    };
+    let waiting: Vec<_> = sync.waiting.iter().map(|r| r.request).collect();
+    assert_eq!(waiting, [5, 7]);
+    assert_eq!(sync.running[0].attempt, attempt(6));
+    // Told again of the same holder, it says nothing.
+    assert_eq!(requester.handle(holder("h1"), seconds(1.3)), []);
+}
+
+#[test]
+fn shutdown_serves_what_waits_and_then_says_not_run() {
+    let mut requester = with_holder();
+    requester.handle(Event::Enqueue(work(5, "a")), seconds(1.0));
+    requester.handle(Event::Drain, seconds(1.0));
+    let actions = requester.handle(Event::Enqueue(work(6, "a")), seconds(1.0));
+    assert_eq!(refusals(&actions), [(6, ErrorCode::ShuttingDown)]);
+    let actions = requester.handle(Event::Abandon, seconds(2.0));
+    assert_eq!(refusals(&actions), [(5, ErrorCode::ShuttingDown)]);
+}
