--- a/crates/share/tests/testsuite/ledger.rs
+++ b/crates/share/tests/testsuite/ledger.rs
@@ -62,7 +62,7 @@
     let mut writer = Ledger::new(member("writer", incarnation), T0);
     let mut sent: Vec<(Member, Vec<Row>)> = Vec::new();
     let mut truth: BTreeMap<&str, i64> = BTreeMap::new();
-    let mut deliver = |reader: &mut Ledger, (from, rows): &(Member, Vec<Row>)| {
+    let deliver = |reader: &mut Ledger, (from, rows): &(Member, Vec<Row>)| {
         reader.merge(from, Duration::ZERO, rows, T0);
     };
     for step in steps {
