Lift newcomers to the settled counter; renew by checksum

Cause 1: an account that became backlogged was lifted to the least counter including what others had charged but not used; the later refund was credit that only they had, and views of zones stayed apart for good. Change: a third grow-only counter (settled), lifts go to the least counter without what is unsettled; a new account is estimated by the route's average. Cause 2: renewals listed every running attempt. Change: checksums, a full list only on a mismatch; attempt ids as pairs; no fingerprint on the wire.

--- a/crates/dispatch/src/dispatcher/attempt.rs
+++ b/crates/dispatch/src/dispatcher/attempt.rs
@@ -9,7 +9,9 @@
 use primrose_core::id::ZoneId;
 
 use crate::dispatcher::waiting::Entry;
+use crate::message::Epoch;
 use crate::message::LoanId;
+use crate::message::Seen;
 use crate::message::Sequence;
 
 /// The slot of another zone on which an attempt runs.
@@ -42,3 +44,10 @@
     /// The registration, to be put back if the grant is declined.
     pub(crate) entry: Option<Entry>,
 }
+
+impl Attempt {
+    /// Tells whether the router had the grant when it said what it had seen.
+    pub(crate) fn received(&self, seen: Seen, epoch: Epoch) -> bool {
+        self.sequence == 0 || (seen.epoch == epoch && self.sequence <= seen.sequence)
+    }
+}
--- a/crates/dispatch/src/dispatcher/intake.rs
+++ b/crates/dispatch/src/dispatcher/intake.rs
@@ -11,10 +11,10 @@
 use crate::dispatcher::attempt::Attempt;
 use crate::dispatcher::attempt::Borrowing;
 use crate::dispatcher::server::SlotId;
-use crate::dispatcher::waiting::Checksum;
 use crate::dispatcher::Action;
 use crate::dispatcher::Dispatcher;
 use crate::message::Body;
+use crate::message::Checksum;
 use crate::message::Decline;
 use crate::message::Registration;
 use crate::message::Renew;
@@ -27,10 +27,8 @@
 
 impl Dispatcher {
     pub(super) fn register(&mut self, from: &Member, registration: Registration, now: Mono) {
-        let number = registration.number;
-        let request = registration.request;
         // Late, or doubled: the attempt has been granted already.
-        if self.attempts.contains_key(&AttemptId { request, number }) {
+        if self.attempts.contains_key(&registration.attempt()) {
             return;
         }
         self.wait(from, registration, now);
@@ -58,23 +56,22 @@
         if !self.routers.renewed(from, renew.beat, now) {
             return;
         }
-        let mut listed = BTreeSet::new();
-        let mut known = true;
-        for progress in &renew.running {
-            let attempt = AttemptId {
-                request: progress.request,
-                number: progress.number,
-            };
-            listed.insert(attempt);
-            known &= self.progress(attempt, progress.used, now);
-        }
-        self.take_back(from, renew.seen, &listed, now, out);
-        let same = self.expected(from, renew.seen)
-            == Checksum {
-                count: renew.count,
-                check: renew.check,
-            };
-        if (!known || !same) && self.routers.may_ask(from, now) {
+        for progress in &renew.progress {
+            self.progress(progress.attempt, progress.used, now);
+        }
+        let epoch = self.epoch;
+        let attempts = self.attempts.iter().filter(|(_, a)| a.router == *from);
+        let received = attempts.filter(|(_, a)| a.received(renew.seen, epoch));
+        let received: BTreeSet<_> = received.map(|(id, _)| *id).collect();
+        let same_running = received.iter().copied().collect::<Checksum>() == renew.running;
+        if same_running {
+            for attempt in &received {
+                self.note_listed(*attempt, now);
+            }
+            self.take_back(from, renew.seen, &received, now, out);
+        }
+        let same_waiting = self.expected(from, renew.seen) == renew.waiting;
+        if !(same_running && same_waiting) && self.routers.may_ask(from, now) {
             self.send(from, Body::Resync, out);
         }
     }
@@ -102,17 +99,12 @@
         }
     }
 
-    /// Notes how far an attempt has come; tells whether the attempt is known.
-    fn progress(&mut self, id: AttemptId, used: Service, now: Mono) -> bool {
+    /// Notes how far an attempt has come, and charges what goes beyond the estimate.
+    fn progress(&mut self, id: AttemptId, used: Service, now: Mono) {
+        self.note_listed(id, now);
         let Some(attempt) = self.attempts.get_mut(&id) else {
-            return false;
+            return;
         };
-        attempt.listed = true;
-        if std::mem::take(&mut attempt.orphaned) {
-            let slot = SlotId::Attempt(id);
-            self.servers.set_orphaned(&attempt.server, slot, false, now);
-        }
-        attempt.entry = None;
         attempt.used = attempt.used.max(used);
         if attempt.used > attempt.charged {
             let more = attempt.used - attempt.charged;
@@ -120,13 +112,26 @@
             let account = attempt.account.clone();
             self.ledger.charge(&account, more);
         }
-        true
+    }
+
+    /// The router has listed the attempt as running.
+    fn note_listed(&mut self, id: AttemptId, now: Mono) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        attempt.listed = true;
+        attempt.entry = None;
+        if std::mem::take(&mut attempt.orphaned) {
+            let slot = SlotId::Attempt(id);
+            self.servers.set_orphaned(&attempt.server, slot, false, now);
+        }
     }
 
     /// Counts an attempt that another dispatcher granted.
     fn keep_running(&mut self, from: &Member, running: Running, now: Mono) {
         let id = running.attempt;
-        if self.progress(id, running.used, now) {
+        if self.attempts.contains_key(&id) {
+            self.progress(id, running.used, now);
             return;
         }
         let loan = running.loan.map(|id| Borrowing { id, zone: None });
@@ -167,9 +172,8 @@
     ) {
         let epoch = self.epoch;
         let over = |a: &Attempt| {
-            let received = seen.epoch == epoch && a.sequence <= seen.sequence;
             let expired = now >= a.granted + START_LEASE + LEASE_MARGIN;
-            received || expired
+            a.received(seen, epoch) || expired
         };
         let attempts = self.attempts.iter();
         let gone: Vec<_> = attempts
@@ -185,9 +189,9 @@
     fn expected(&self, from: &Member, seen: Seen) -> Checksum {
         let mut sum = self.waiting.checksum(from);
         for (id, attempt) in &self.attempts {
-            let received = seen.epoch == self.epoch && attempt.sequence <= seen.sequence;
+            let received = attempt.received(seen, self.epoch);
             if attempt.router == *from && !attempt.listed && !received {
-                sum.add(id.request);
+                sum.add(*id);
             }
         }
         sum
--- a/crates/dispatch/src/dispatcher/release.rs
+++ b/crates/dispatch/src/dispatcher/release.rs
@@ -151,6 +151,7 @@
             return;
         }
         if let Some(attempt) = self.attempts.remove(&id) {
+            self.ledger.settle(&attempt.account, attempt.charged);
             self.return_loan(&attempt, None, true, out);
         }
     }
@@ -161,6 +162,7 @@
         };
         self.totals.orphans += 1;
         // Nobody will tell what it used: the charge stands.
+        self.ledger.settle(&attempt.account, attempt.charged);
         let slot = SlotId::Attempt(id);
         self.servers.release(&attempt.server, slot, now);
     }
@@ -173,6 +175,7 @@
         } else {
             self.ledger.refund(&attempt.account, charged - used);
         }
+        self.ledger.settle(&attempt.account, used);
     }
 
     fn free_slot(
--- a/crates/dispatch/src/dispatcher/schedule.rs
+++ b/crates/dispatch/src/dispatcher/schedule.rs
@@ -2,7 +2,6 @@
 
 use primrose_core::clock::Mono;
 use primrose_core::cost::Service;
-use primrose_core::id::AttemptId;
 use primrose_core::id::RequestId;
 use primrose_core::id::ServerId;
 
@@ -138,8 +137,7 @@
             return;
         };
         let registration = &entry.registration;
-        let number = registration.number;
-        let id = AttemptId { request, number };
+        let id = registration.attempt();
         let account = registration.account.clone();
         let route = registration.route.clone();
         let charged = self.estimator.estimate(&account, &route, registration.cost);
--- a/crates/dispatch/src/dispatcher/waiting.rs
+++ b/crates/dispatch/src/dispatcher/waiting.rs
@@ -8,6 +8,7 @@
 use primrose_core::id::RequestId;
 use primrose_share::Ledger;
 
+use crate::message::Checksum;
 use crate::message::Registration;
 use crate::message::Want;
 use crate::policy::Candidate;
@@ -34,25 +35,6 @@
     pub(crate) rank: i64,
 }
 
-/// Number and exclusive or of the ids of a router's waiting requests.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(crate) struct Checksum {
-    pub(crate) count: u32,
-    pub(crate) check: u64,
-}
-
-impl Checksum {
-    pub(crate) fn add(&mut self, request: RequestId) {
-        self.count += 1;
-        self.check ^= request;
-    }
-
-    fn remove(&mut self, request: RequestId) {
-        self.count -= 1;
-        self.check ^= request;
-    }
-}
-
 type Arrivals = BTreeMap<u64, RequestId>;
 type Accounts = BTreeMap<AccountId, Arrivals>;
 
@@ -99,7 +81,7 @@
             }
         }
         if let Some(sum) = self.checksums.get_mut(&entry.router) {
-            sum.remove(request);
+            sum.remove(entry.registration.attempt());
             if sum.count == 0 {
                 self.checksums.remove(&entry.router);
             }
@@ -208,7 +190,7 @@
         let arrivals = accounts.entry(account).or_default();
         arrivals.insert(entry.arrival, request);
         let sum = self.checksums.entry(entry.router.clone()).or_default();
-        sum.add(request);
+        sum.add(entry.registration.attempt());
         self.entries.insert(request, entry);
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -81,7 +81,6 @@
 //!     pool: "chat".into(),
 //!     cost: 200,
 //!     bytes: 64,
-//!     fingerprint: 9,
 //!     suspect: false,
 //!     prefixes: vec![],
 //!     deadline: now + Duration::from_secs(30),
--- a/crates/dispatch/src/message/mod.rs
+++ b/crates/dispatch/src/message/mod.rs
@@ -5,12 +5,12 @@
 //! order: a message either states a level (everything that waits, everything that runs) or names the
 //! one attempt or loan it is about.
 
+mod compact;
 mod zone;
 
 use std::time::Duration;
 
 use primrose_core::cost::Service;
-use primrose_core::fingerprint::Fingerprint;
 use primrose_core::id::AccountId;
 use primrose_core::id::AttemptId;
 use primrose_core::id::PoolId;
@@ -75,7 +75,7 @@
     /// Requester to dispatcher: everything that waits and runs.
     #[serde(rename = "s")]
     Sync(Sync),
-    /// Requester to dispatcher: what runs, and a checksum of what waits.
+    /// Requester to dispatcher: checksums of what waits and runs, and progress.
     #[serde(rename = "n")]
     Renew(Renew),
     /// Requester to dispatcher: a grant is not used.
@@ -141,9 +141,6 @@
     /// Estimated cost in units, by the caller's hint or the route.
     #[serde(rename = "c")]
     pub cost: Service,
-    /// Fingerprint.
-    #[serde(rename = "f")]
-    pub fingerprint: Fingerprint,
     /// The request may crash its server: run it alone on the server set apart.
     #[serde(rename = "x", default, skip_serializing_if = "is_false")]
     pub suspect: bool,
@@ -155,6 +152,16 @@
     pub left: Millis,
 }
 
+impl Registration {
+    /// Returns the attempt that the next grant is for.
+    pub fn attempt(&self) -> AttemptId {
+        AttemptId {
+            request: self.request,
+            number: self.number,
+        }
+    }
+}
+
 fn is_false(value: &bool) -> bool {
     !value
 }
@@ -191,7 +198,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Running {
     /// The attempt.
-    #[serde(rename = "i")]
+    #[serde(rename = "i", with = "compact")]
     pub attempt: AttemptId,
     /// Client account.
     #[serde(rename = "a")]
@@ -216,7 +223,7 @@
     pub suspect: bool,
 }
 
-/// What runs, and a checksum of what waits.
+/// Checksums of what waits and runs, and progress that changes what is charged.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Renew {
     /// Number of this renewal.
@@ -225,26 +232,63 @@
     /// Latest grant received.
     #[serde(rename = "s")]
     pub seen: Seen,
-    /// Number of requests that wait.
+    /// Requests that wait.
     #[serde(rename = "w")]
+    pub waiting: Checksum,
+    /// Attempts that run.
+    #[serde(rename = "r")]
+    pub running: Checksum,
+    /// Attempts that have used more than was charged.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub progress: Vec<Progress>,
+}
+
+/// Number of attempts, and exclusive or of their ids.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Checksum {
+    /// Number.
+    #[serde(rename = "n")]
     pub count: u32,
-    /// Exclusive or of the ids of the requests that wait.
+    /// Exclusive or.
     #[serde(rename = "k")]
     pub check: u64,
-    /// Attempts that run.
-    #[serde(rename = "r")]
-    pub running: Vec<Progress>,
+}
+
+impl Checksum {
+    /// Counts one more.
+    pub fn add(&mut self, attempt: AttemptId) {
+        self.count += 1;
+        self.check ^= Self::mark(attempt);
+    }
+
+    /// Counts one less, which was added before.
+    pub fn remove(&mut self, attempt: AttemptId) {
+        self.count -= 1;
+        self.check ^= Self::mark(attempt);
+    }
+
+    /// Request ids are random; rotation tells the attempts of one request apart.
+    fn mark(attempt: AttemptId) -> u64 {
+        attempt.request.rotate_left(attempt.number)
+    }
+}
+
+impl FromIterator<AttemptId> for Checksum {
+    fn from_iter<T: IntoIterator<Item = AttemptId>>(attempts: T) -> Self {
+        let mut sum = Self::default();
+        for attempt in attempts {
+            sum.add(attempt);
+        }
+        sum
+    }
 }
 
 /// How far an attempt has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
-    /// The request.
-    #[serde(rename = "r")]
-    pub request: RequestId,
-    /// Number of the attempt.
-    #[serde(rename = "n")]
-    pub number: u32,
+    /// The attempt.
+    #[serde(rename = "i", with = "compact")]
+    pub attempt: AttemptId,
     /// Units used so far.
     #[serde(rename = "u")]
     pub used: Service,
@@ -254,7 +298,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Decline {
     /// The attempt.
-    #[serde(rename = "i")]
+    #[serde(rename = "i", with = "compact")]
     pub attempt: AttemptId,
     /// Life of the dispatcher that granted.
     #[serde(rename = "e")]
@@ -302,7 +346,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Finished {
     /// The attempt.
-    #[serde(rename = "i")]
+    #[serde(rename = "i", with = "compact")]
     pub attempt: AttemptId,
     /// How it ended.
     #[serde(rename = "e")]
@@ -331,7 +375,7 @@
     #[serde(rename = "b")]
     pub beat: Beat,
     /// The attempt.
-    #[serde(rename = "i")]
+    #[serde(rename = "i", with = "compact")]
     pub attempt: AttemptId,
     /// Backend server.
     #[serde(rename = "v")]
--- a/crates/dispatch/src/requester/lane.rs
+++ b/crates/dispatch/src/requester/lane.rs
@@ -20,6 +20,7 @@
 use crate::message::Finished;
 use crate::message::Grant;
 use crate::message::Message;
+use crate::message::Progress;
 use crate::message::Registration;
 use crate::message::Renew;
 use crate::message::Running;
@@ -202,7 +203,7 @@
 
     fn waits_for(&self, attempt: AttemptId) -> bool {
         let work = self.queue.get(attempt.request);
-        work.is_some_and(|w| w.number == attempt.number)
+        work.is_some_and(|w| w.attempt() == attempt)
     }
 
     fn lease_holds(&self, beat: Beat, now: Mono) -> bool {
@@ -237,22 +238,31 @@
         if self.holder.is_none() {
             return;
         }
-        let running = self.running.values().map(|r| message::Progress {
-            request: r.attempt.request,
-            number: r.attempt.number,
-            used: r.used,
-        });
-        let running = running.collect();
         let renew = Renew {
             beat: self.next_beat(now),
             seen: self.seen,
-            count: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
-            check: self.queue.check(),
-            running,
+            waiting: self.queue.checksum(),
+            running: self.running.keys().copied().collect(),
+            progress: self.take_progress(),
         };
         self.send(Body::Renew(renew), out);
     }
 
+    /// Lists the attempts that have used more than the dispatcher has charged, as far as known here.
+    fn take_progress(&mut self) -> Vec<Progress> {
+        let mut progress = Vec::new();
+        for running in self.running.values_mut() {
+            if running.used > running.charged {
+                running.charged = running.used;
+                progress.push(Progress {
+                    attempt: running.attempt,
+                    used: running.used,
+                });
+            }
+        }
+        progress
+    }
+
     fn send(&self, body: Body, out: &mut Vec<Action>) {
         if let Some(holder) = self.holder.clone() {
             self.send_to(holder, body, out);
@@ -282,7 +292,6 @@
         account: work.account.clone(),
         route: work.route.clone(),
         cost: work.cost,
-        fingerprint: work.fingerprint,
         suspect: work.suspect,
         prefixes: work.prefixes.clone(),
         left: message::millis(work.deadline.saturating_sub(now)),
--- a/crates/dispatch/src/requester/mod.rs
+++ b/crates/dispatch/src/requester/mod.rs
@@ -17,7 +17,6 @@
 
 use primrose_core::clock::Mono;
 use primrose_core::cost::Service;
-use primrose_core::fingerprint::Fingerprint;
 use primrose_core::id::AccountId;
 use primrose_core::id::AttemptId;
 use primrose_core::id::Member;
@@ -55,8 +54,6 @@
     pub cost: Service,
     /// Size of the body that the router holds.
     pub bytes: usize,
-    /// Fingerprint.
-    pub fingerprint: Fingerprint,
     /// The request may crash its server.
     pub suspect: bool,
     /// Hashes of the prompt's beginning, shortest first.
@@ -65,6 +62,16 @@
     pub deadline: Mono,
 }
 
+impl Work {
+    /// Returns the attempt that the next grant is for.
+    pub fn attempt(&self) -> AttemptId {
+        AttemptId {
+            request: self.request,
+            number: self.number,
+        }
+    }
+}
+
 /// Something that a requester is told.
 #[derive(Debug, Clone)]
 pub enum Event {
--- a/crates/dispatch/src/requester/queue.rs
+++ b/crates/dispatch/src/requester/queue.rs
@@ -8,6 +8,7 @@
 use primrose_core::id::RequestId;
 use primrose_core::table::QueueBounds;
 
+use crate::message::Checksum;
 use crate::requester::Work;
 
 #[derive(Debug, Default, Clone, Copy)]
@@ -42,7 +43,7 @@
     deadlines: BTreeSet<(Mono, RequestId)>,
     accounts: BTreeMap<AccountId, Usage>,
     total: Usage,
-    check: u64,
+    sum: Checksum,
     arrived: u64,
 }
 
@@ -66,7 +67,7 @@
         self.total.add(work.bytes);
         let usage = self.accounts.entry(work.account.clone()).or_default();
         usage.add(work.bytes);
-        self.check ^= request;
+        self.sum.add(work.attempt());
         let arrival = self.arrived;
         self.entries.insert(request, Entry { work, arrival });
     }
@@ -86,7 +87,7 @@
                 self.accounts.remove(&work.account);
             }
         }
-        self.check ^= request;
+        self.sum.remove(work.attempt());
         Some(work)
     }
 
@@ -109,12 +110,7 @@
         self.accounts.iter().map(|(a, usage)| (a, usage.requests))
     }
 
-    pub(crate) fn len(&self) -> usize {
-        self.entries.len()
-    }
-
-    /// Returns the exclusive or of the ids that wait.
-    pub(crate) fn check(&self) -> u64 {
-        self.check
+    pub(crate) fn checksum(&self) -> Checksum {
+        self.sum
     }
 }
--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -7,3 +7,4 @@
 mod plan;
 mod requester;
 mod slots;
+mod ways;
--- a/crates/primrosed/src/decide/requests.rs
+++ b/crates/primrosed/src/decide/requests.rs
@@ -103,7 +103,6 @@
             pool: waiting.pool,
             cost,
             bytes: waiting.bytes,
-            fingerprint: waiting.fingerprint,
             suspect: waiting.suspect,
             prefixes: waiting.prefixes.iter().map(|hash| fold(*hash)).collect(),
             deadline: now + waiting.left,
--- a/crates/share/src/estimate.rs
+++ b/crates/share/src/estimate.rs
@@ -26,6 +26,8 @@
 #[derive(Debug, Default)]
 pub struct Estimator {
     averages: BTreeMap<AccountId, BTreeMap<RouteId, Average>>,
+    /// Averages over all accounts, for an account that is new on a route.
+    routes: BTreeMap<RouteId, f64>,
     entries: usize,
     settled: u64,
 }
@@ -38,16 +40,18 @@
 
     /// Estimates a cost in units; never zero.
     ///
-    /// Without an average, the hint stands. A hint outside the allowed factor of the average is
+    /// An account that is new on a route has the average of all accounts; without any, the hint
+    /// stands. A hint outside the allowed factor of the average is
     /// moved to the nearest allowed value.
     pub fn estimate(&self, account: &str, route: &str, hint: Service) -> Service {
-        let Some(average) = self.average(account, route) else {
+        let own = self.average(account, route).map(|a| a.mean);
+        let Some(mean) = own.or_else(|| self.routes.get(route).copied()) else {
             return hint.max(1);
         };
-        let low = average.mean / HINT_FACTOR;
-        let high = average.mean * HINT_FACTOR;
+        let low = mean / HINT_FACTOR;
+        let high = mean * HINT_FACTOR;
         // Half the weight goes to the hint, because it may know this one request.
-        let blend = ((hint as f64).clamp(low, high) + average.mean) / 2.0;
+        let blend = ((hint as f64).clamp(low, high) + mean) / 2.0;
         (blend.round() as Service).max(1)
     }
 
@@ -55,6 +59,7 @@
     pub fn settle(&mut self, account: &str, route: &str, cost: Service) {
         self.settled += 1;
         let settled = self.settled;
+        self.settle_route(route, cost as f64);
         let routes = self.averages.entry(account.to_owned()).or_default();
         if let Some(average) = routes.get_mut(route) {
             average.mean += GAIN * (cost as f64 - average.mean);
@@ -69,6 +74,14 @@
         }
     }
 
+    fn settle_route(&mut self, route: &str, cost: f64) {
+        if let Some(mean) = self.routes.get_mut(route) {
+            *mean += GAIN * (cost - *mean);
+        } else if self.routes.len() < MAX_ENTRIES {
+            self.routes.insert(route.to_owned(), cost);
+        }
+    }
+
     fn average(&self, account: &str, route: &str) -> Option<&Average> {
         self.averages.get(account)?.get(route)
     }
--- a/crates/share/src/ledger.rs
+++ b/crates/share/src/ledger.rs
@@ -50,6 +50,8 @@
 #[derive(Debug, Default)]
 struct Account {
     service: Virtual,
+    /// Charged for requests that have not ended.
+    unsettled: Virtual,
     weight: Option<Weight>,
     /// Zones in which requests of the account wait.
     waiting: BTreeSet<ZoneId>,
@@ -57,6 +59,14 @@
     own: Counter,
 }
 
+impl Account {
+    /// Counter without what was charged for requests that have not ended.
+    fn settled(&self) -> Virtual {
+        // Settling what another writer charged may run ahead of its digest.
+        self.service.saturating_sub(self.unsettled.max(0))
+    }
+}
+
 /// Weighted service of every client account in one pool, as one dispatcher knows it.
 #[derive(Debug)]
 pub struct Ledger {
@@ -65,7 +75,8 @@
     default_weight: Weight,
     accounts: BTreeMap<AccountId, Account>,
     writers: Writers,
-    /// The least counter among the backlogged accounts when there last was one.
+    /// The least counter among the backlogged accounts when there last was one, without what is
+    /// unsettled.
     floor: Virtual,
     changed: BTreeSet<AccountId>,
     refreshed: AccountId,
@@ -120,7 +131,8 @@
         self.accounts.get(account).map_or(self.floor, |a| a.service)
     }
 
-    /// Returns the least weighted service among the backlogged accounts.
+    /// Returns the least weighted service among the backlogged accounts, without what was charged
+    /// for requests that have not ended.
     pub fn floor(&self) -> Virtual {
         self.floor
     }
@@ -130,6 +142,7 @@
         let cost = weighted(units, self.weight(account));
         let entry = self.entry(account);
         entry.service = entry.service.saturating_add(cost);
+        entry.unsettled = entry.unsettled.saturating_add(cost);
         entry.own.charged += units;
         self.changed.insert(account.to_owned());
     }
@@ -139,14 +152,26 @@
         let cost = weighted(units, self.weight(account));
         let entry = self.entry(account);
         entry.service = entry.service.saturating_sub(cost);
+        entry.unsettled = entry.unsettled.saturating_sub(cost);
         entry.own.refunded += units;
         self.changed.insert(account.to_owned());
     }
 
+    /// Notes that a request which was charged these units in the end has ended.
+    pub fn settle(&mut self, account: &str, units: Service) {
+        let cost = weighted(units, self.weight(account));
+        let entry = self.entry(account);
+        entry.unsettled = entry.unsettled.saturating_sub(cost);
+        entry.own.settled += units;
+        self.changed.insert(account.to_owned());
+    }
+
     /// Notes whether requests of an account wait in a zone.
     ///
     /// An account that waited nowhere and now waits is lifted to the least counter among the
-    /// backlogged, so that being idle earns no credit.
+    /// backlogged, so that being idle earns no credit. What is unsettled does not count for the
+    /// others: it is in flight, and the newcomer has nothing in flight yet. Lifted to the whole
+    /// counter, it would lose what is later refunded to them.
     pub fn set_waiting(&mut self, account: &str, zone: &str, waiting: bool) {
         if !waiting {
             if let Some(entry) = self.accounts.get_mut(account) {
@@ -218,7 +243,13 @@
             let weight = self.weight(&row.account);
             let charged = weighted(added.charged, weight);
             let refunded = weighted(added.refunded, weight);
+            let settled = weighted(added.settled, weight);
             let entry = self.entry(&row.account);
+            entry.unsettled = entry
+                .unsettled
+                .saturating_add(charged)
+                .saturating_sub(refunded)
+                .saturating_sub(settled);
             entry.service = entry
                 .service
                 .saturating_add(charged)
@@ -279,7 +310,7 @@
     /// Finds the least counter among the backlogged accounts; tells whether there are any.
     fn update_floor(&mut self) -> bool {
         let backlogged = self.accounts.values().filter(|a| !a.waiting.is_empty());
-        let Some(least) = backlogged.map(|a| a.service).min() else {
+        let Some(least) = backlogged.map(Account::settled).min() else {
             return false;
         };
         self.floor = least;
@@ -303,6 +334,7 @@
             account,
             charged: own.charged,
             refunded: own.refunded,
+            settled: own.settled,
         })
     }
 
--- a/crates/share/src/writer.rs
+++ b/crates/share/src/writer.rs
@@ -29,13 +29,17 @@
     /// All that was ever refunded.
     #[serde(rename = "r")]
     pub refunded: Service,
+    /// All that was delivered by requests that have ended.
+    #[serde(rename = "s")]
+    pub settled: Service,
 }
 
-/// Charged and refunded totals.
+/// Totals that only grow.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct Counter {
     pub(crate) charged: Service,
     pub(crate) refunded: Service,
+    pub(crate) settled: Service,
 }
 
 /// How a digest's increments count.
@@ -99,6 +103,7 @@
         let total = Counter {
             charged: row.charged,
             refunded: row.refunded,
+            settled: row.settled,
         };
         let Some(counter) = known.counters.get_mut(&row.account) else {
             known.counters.insert(row.account.clone(), total);
@@ -111,9 +116,11 @@
         let added = Counter {
             charged: total.charged.saturating_sub(counter.charged),
             refunded: total.refunded.saturating_sub(counter.refunded),
+            settled: total.settled.saturating_sub(counter.settled),
         };
         counter.charged = counter.charged.max(total.charged);
         counter.refunded = counter.refunded.max(total.refunded);
+        counter.settled = counter.settled.max(total.settled);
         added
     }
 
