claim: finishing ends although a call is under way; request: name the waiting attempt

Desk::finish went round for ever when a planned call had not been answered: the fault matrix, in the making, hung on it. It now stops when no call could be made.

--- a/crates/claim/src/desk.rs
+++ b/crates/claim/src/desk.rs
@@ -334,7 +334,12 @@
     pub fn finish(&mut self, store: &dyn Store, clock: &dyn Clock) -> usize {
         self.limits.window = Duration::ZERO;
         while self.waiting() > 0 && self.outage.blocked(clock.now()).is_none() {
+            let calls = self.counts.commits + self.counts.reads;
             self.step(store, clock);
+            if self.counts.commits + self.counts.reads == calls {
+                // A call that somebody else has planned is still under way.
+                break;
+            }
         }
         self.waiting()
     }
--- a/crates/claim/tests/testsuite/calls.rs
+++ b/crates/claim/tests/testsuite/calls.rs
@@ -115,3 +115,14 @@
     bench.store.set_down(true);
     assert_eq!(desk.finish(&bench.store, &*bench.clock), 1);
 }
+
+#[test]
+fn finishing_does_not_wait_for_a_call_that_is_under_way() {
+    let bench = Bench::new();
+    let mut desk = desk();
+    bench.submit(&mut desk, keyed(1, Wish::Claim));
+    bench.clock.advance(Duration::from_millis(5));
+    assert!(desk.plan(bench.clock.now(), 0).is_some());
+    bench.submit(&mut desk, keyed(2, Wish::Release));
+    assert_eq!(desk.finish(&bench.store, &*bench.clock), 2);
+}
--- a/crates/request/src/lifecycle.rs
+++ b/crates/request/src/lifecycle.rs
@@ -138,6 +138,14 @@
         }
     }
 
+    /// The attempt that waits for a grant.
+    pub fn waiting(&self) -> Option<AttemptId> {
+        match self.phase {
+            Phase::Queued(attempt) => Some(attempt),
+            _ => None,
+        }
+    }
+
     /// Takes an event and tells what to do, in order.
     pub fn handle(&mut self, event: Event, now: Mono) -> Vec<Action> {
         let mut out = Vec::new();
