End a router without waiting for calls at the platform

Cause: a shutdown joined the watch and host list threads, which may wait ten seconds in a call; nine routers took over a minute to stop. Change: those threads are not joined; they hold nothing. Conclusion: a graceful shutdown waits for requests only.

--- a/crates/primrosed/src/router.rs
+++ b/crates/primrosed/src/router.rs
@@ -137,6 +137,8 @@
     operators: SocketAddr,
     ring: Sender<Input>,
     stop: Arc<Stop>,
+    /// Threads that end at once when told to. Those that wait at the platform end by themselves
+    /// when their call returns, and hold nothing that a shutdown would have to wait for.
     threads: Vec<JoinHandle<()>>,
     drained: Receiver<()>,
     clock: Arc<dyn Clock>,
@@ -240,7 +242,7 @@
                 ring: self.ring.clone(),
                 stop: Arc::clone(&self.stop),
             };
-            self.spawn("watch", move || watch.run())?;
+            drop(spawn("watch", move || watch.run())?);
         }
         let loads = Loads {
             published: Arc::clone(published),
@@ -257,7 +259,7 @@
             ring: self.ring.clone(),
             stop: Arc::clone(&self.stop),
         };
-        self.spawn("hosts", move || hosts.run())?;
+        drop(spawn("hosts", move || hosts.run())?);
         Ok(())
     }
 
@@ -266,11 +268,7 @@
         name: &str,
         body: impl FnOnce() + Send + 'static,
     ) -> Result<(), RouterError> {
-        let thread = std::thread::Builder::new()
-            .name(name.to_owned())
-            .spawn(body)
-            .context(ThreadSnafu { name })?;
-        self.threads.push(thread);
+        self.threads.push(spawn(name, body)?);
         Ok(())
     }
 
@@ -348,6 +346,13 @@
     }
 }
 
+fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, RouterError> {
+    std::thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(body)
+        .context(ThreadSnafu { name })
+}
+
 fn front_limits(settings: &Settings) -> primrose_front::Limits {
     let limits = &settings.limits;
     primrose_front::Limits {
