--- a/crates/front/src/act.rs
+++ b/crates/front/src/act.rs
@@ -119,6 +119,7 @@
                     tokens: self.meter.tokens(),
                     first_token: self.meter.first_token(),
                     inter_token: self.meter.inter_token(),
+                    token_gaps: self.meter.token_gaps(),
                 };
                 self.deliver(Ask::Report(report)).await;
             }
--- a/crates/front/src/broker.rs
+++ b/crates/front/src/broker.rs
@@ -103,6 +103,17 @@
     pub first_token: Option<Duration>,
     /// Mean time between tokens.
     pub inter_token: Option<Duration>,
+    /// Times between tokens, each with how often it was seen.
+    pub token_gaps: Vec<TokenGap>,
+}
+
+/// A time between two tokens, in steps of 100 microseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TokenGap {
+    /// The time.
+    pub time: Duration,
+    /// How often it was seen.
+    pub count: u64,
 }
 
 /// How a request ended for its caller, for the sums of the day.
--- a/crates/front/src/meter.rs
+++ b/crates/front/src/meter.rs
@@ -1,5 +1,6 @@
 //! Times and token counts of one request: its hops in the trace, and what the dispatcher is told.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use primrose_core::clock::Mono;
@@ -8,11 +9,15 @@
 use primrose_request::ConnEvent;
 use primrose_request::Event;
 
+use crate::broker::TokenGap;
 use crate::trace::Trace;
 
 /// Time between two reports of progress.
 const PROGRESS_TIME: Duration = Duration::from_millis(250);
 
+/// Step in which times between tokens are told apart, in microseconds.
+const GAP_STEP_MICROS: u64 = 100;
+
 /// Measures one request.
 #[derive(Debug)]
 pub(crate) struct Meter {
@@ -25,6 +30,8 @@
     first: Option<Mono>,
     last: Option<Mono>,
     items: u32,
+    /// Times between items, in steps, with how often each was seen.
+    gaps: BTreeMap<u64, u64>,
     reported: Mono,
     tokens: Tokens,
     /// Time from arrival to the first item of any attempt.
@@ -43,6 +50,7 @@
             first: None,
             last: None,
             items: 0,
+            gaps: BTreeMap::new(),
             reported: arrived,
             tokens: Tokens::default(),
             first_part: None,
@@ -56,6 +64,7 @@
         self.first = None;
         self.last = None;
         self.items = 0;
+        self.gaps.clear();
         self.tokens = Tokens::default();
     }
 
@@ -90,7 +99,12 @@
             return;
         }
         self.items += 1;
-        self.last = Some(now);
+        if let Some(last) = self.last.replace(now) {
+            *self
+                .gaps
+                .entry(steps(now.saturating_sub(last)))
+                .or_default() += 1;
+        }
         if self.first.is_some() {
             return;
         }
@@ -135,6 +149,15 @@
         Some(self.last?.saturating_sub(self.first?) / gaps)
     }
 
+    /// Times between tokens, each with how often it was seen.
+    pub(crate) fn token_gaps(&self) -> Vec<TokenGap> {
+        let gaps = self.gaps.iter().map(|(steps, count)| TokenGap {
+            time: Duration::from_micros(steps.saturating_mul(GAP_STEP_MICROS)),
+            count: *count,
+        });
+        gaps.collect()
+    }
+
     pub(crate) fn first_part(&self) -> Option<Duration> {
         self.first_part
     }
@@ -144,3 +167,7 @@
         self.trace.hop(self.request, name, start, took);
     }
 }
+
+fn steps(time: Duration) -> u64 {
+    u64::try_from(time.as_micros() / u128::from(GAP_STEP_MICROS)).unwrap_or(u64::MAX)
+}
--- a/crates/primrosed/src/broker.rs
+++ b/crates/primrosed/src/broker.rs
@@ -15,6 +15,8 @@
 
 use crate::input::Input;
 use crate::published::Published;
+use crate::reporter::Reporter;
+use crate::seen;
 
 /// Hands asks to the thread whose duty they are.
 pub(crate) struct RingBroker {
@@ -22,6 +24,7 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) decide: Sender<Input>,
     pub(crate) claims: Sender<Ask>,
+    pub(crate) reporter: Reporter,
 }
 
 impl Broker for RingBroker {
@@ -43,6 +46,11 @@
     }
 
     fn ask(&self, ask: Ask) -> Result<(), Overloaded> {
+        match &ask {
+            Ask::Ended(ended) => self.reporter.see_all(seen::request(ended, &self.table())),
+            Ask::Report(report) => self.reporter.see_all(seen::attempt(report)),
+            _ => {}
+        }
         match ask {
             Ask::Claim { .. } | Ask::Release { .. } | Ask::Settle { .. } => {
                 offer_claim(&self.claims, ask)
--- a/crates/primrosed/src/decide/directory.rs
+++ b/crates/primrosed/src/decide/directory.rs
@@ -108,7 +108,7 @@
 
     /// The servers that the dispatcher of a zone has: its own, and those it has taken over.
     pub(crate) fn entries(&self, pool: &Pool, zone: &str) -> Vec<ServerEntry> {
-        let with_routers = self.router_zones();
+        let with_routers: BTreeSet<&str> = self.router_zones().collect();
         let mut entries = Vec::new();
         for server in self.servers(pool) {
             let own = server.zone == zone;
@@ -135,9 +135,16 @@
     }
 
     /// Zones of the routers that the host list shows.
-    fn router_zones(&self) -> BTreeSet<&str> {
+    pub(crate) fn router_zones(&self) -> impl Iterator<Item = &str> {
         let routers = self.hosts.get(ROUTER_SERVICE).into_iter().flatten();
-        routers.map(|host| host.zone.as_str()).collect()
+        let zones: BTreeSet<&str> = routers.map(|host| host.zone.as_str()).collect();
+        zones.into_iter()
+    }
+
+    /// Whether the host list shows routers, and this host is none of them.
+    pub(crate) fn lacks_router(&self, host: &str) -> bool {
+        let routers = self.hosts.get(ROUTER_SERVICE);
+        routers.is_some_and(|all| !all.is_empty() && all.iter().all(|one| one.id != host))
     }
 }
 
--- a/crates/primrosed/src/decide/documents.rs
+++ b/crates/primrosed/src/decide/documents.rs
@@ -63,6 +63,10 @@
 
     /// Takes what a peer has in force.
     pub(super) fn peer_header(&mut self, from: &Member, header: DocumentHeader) {
+        if header.kind == DocumentKind::Tables {
+            let now = self.clock.now();
+            self.observer.heard_of(header.generation, now);
+        }
         let event = Event::Peer {
             host: from.host.clone(),
             header: header.header(),
@@ -115,6 +119,7 @@
             }
         }
         if let Some(header) = self.header(DocumentKind::Tables) {
+            self.observer.in_force(header.generation, now);
             let mark = TableMark {
                 generation: header.generation,
                 change: format!("{:016x}", header.change),
--- a/crates/primrosed/src/decide/fleet.rs
+++ b/crates/primrosed/src/decide/fleet.rs
@@ -47,6 +47,7 @@
                 log::info!(member:% = member; "router left the zone");
                 self.update_holders(now);
                 self.router_down(&member, now);
+                self.observer.went_silent(&member, now);
             }
             Action::ServerLeaving { host, incarnation } => {
                 log::info!(host = host.as_str(), incarnation; "host is leaving");
--- a/crates/primrosed/src/decide/mod.rs
+++ b/crates/primrosed/src/decide/mod.rs
@@ -8,6 +8,7 @@
 mod directory;
 mod documents;
 mod fleet;
+mod observe;
 mod requests;
 mod run;
 mod show;
@@ -41,6 +42,8 @@
 use crate::message::DocumentKind;
 use crate::message::PeerMessage;
 use crate::published::Published;
+use crate::reporter::ReportInput;
+use crate::reporter::Reporter;
 use crate::router::Sharing;
 
 pub(crate) use directory::ROUTER_SERVICE;
@@ -48,6 +51,7 @@
 pub(crate) use wires::Wires;
 
 use directory::Directory;
+use observe::Observer;
 use requests::Pending;
 
 /// A link that is up.
@@ -84,6 +88,7 @@
     next_view: Mono,
     next_headers: Mono,
     draining: bool,
+    observer: Observer,
 }
 
 impl Decider {
@@ -95,6 +100,7 @@
         published: Arc<Published>,
         sharing: Sharing,
         seed: u64,
+        reporter: Reporter,
     ) -> Self {
         let now = clock.now();
         Self {
@@ -121,6 +127,7 @@
             next_view: now,
             next_headers: now,
             draining: false,
+            observer: Observer::new(reporter, now),
             clock,
         }
     }
@@ -144,6 +151,10 @@
             Input::Lift(_, reply) => {
                 let _ = reply.try_send(false);
             }
+            Input::Finish(reply) => {
+                // Without room the router ends without the last seconds of its day.
+                self.observer.reporter.tell(ReportInput::Finish(reply));
+            }
             Input::Stop => {}
         }
     }
@@ -171,6 +182,10 @@
             PeerMessage::Header(header) => self.peer_header(from, header),
             PeerMessage::Fetch(kind) => self.send_document(from, kind),
             PeerMessage::Document(text) => self.fetched(from, text),
+            PeerMessage::Record(record) => {
+                // One that finds no room is followed by the next.
+                self.observer.reporter.tell(ReportInput::Record(record));
+            }
         }
     }
 
@@ -184,5 +199,6 @@
             self.tell_headers(now);
         }
         self.tick_slots(now);
+        self.sample(now);
     }
 }
--- a/crates/primrosed/src/decide/requests.rs
+++ b/crates/primrosed/src/decide/requests.rs
@@ -22,6 +22,7 @@
 use primrose_front::broker::Report;
 use primrose_front::broker::Told;
 use primrose_front::broker::Waiting;
+use primrose_report::observation::Observation;
 use primrose_request::AttemptResult;
 use primrose_request::Event;
 use primrose_request::Grant;
@@ -118,6 +119,11 @@
     fn report(&mut self, report: &Report, now: Mono) {
         let used = self.used(report);
         self.pending.remove(&report.attempt.request);
+        self.observer.reporter.see(Observation::Served {
+            pool: report.pool.clone(),
+            account: report.account.clone(),
+            service: used,
+        });
         let finished = Finished {
             attempt: report.attempt,
             ending: ending(report.result),
@@ -161,6 +167,7 @@
 
     /// Hands a grant to its request; whatever keeps it from starting gives the slot back.
     pub(super) fn start(&mut self, run: Run, now: Mono) {
+        self.observe_grant(&run.pool, &run.server, now);
         let addr = self.directory.addr(&run.pool, &run.server);
         let pending = self.pending.get_mut(&run.attempt.request);
         let wanted = pending.filter(|pending| pending.attempt == run.attempt);
--- /dev/null
+++ b/crates/primrosed/src/duty/gather.rs
@@ -0,0 +1,155 @@
+//! The gather thread: carries out what the zone's gatherer wants done at the key-value service.
+
+use std::sync::Arc;
+
+use crossbeam_channel::Receiver;
+use crossbeam_channel::Sender;
+use primrose_core::clock::Clock;
+use primrose_core::id::ZoneId;
+use primrose_platform::store::CommitResult;
+use primrose_platform::store::Entry;
+use primrose_platform::store::Op;
+use primrose_platform::store::Result;
+use primrose_platform::store::Store;
+use primrose_report::gather::Action;
+use primrose_report::gather::Event;
+use primrose_report::gather::Gatherer;
+use primrose_report::record::Record;
+
+use crate::reporter::ReportInput;
+use crate::reporter::Reporter;
+
+/// Jobs that may wait.
+pub(crate) const RING: usize = 64;
+/// Most calls for one writing at the end: read and swap, and again after a conflict.
+const FINISH_CALLS: usize = 24;
+
+/// Something to be done at the service.
+#[derive(Debug)]
+pub(crate) enum Job {
+    /// What the gatherer wants.
+    Do(Action),
+    /// Write these records, then answer.
+    Finish {
+        records: Vec<Record>,
+        reply: Sender<()>,
+    },
+}
+
+/// The gather duty of one router.
+pub(crate) struct Gather {
+    pub(crate) prefix: String,
+    pub(crate) zone: ZoneId,
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) reporter: Reporter,
+}
+
+impl Gather {
+    /// Runs until the ring is closed.
+    pub(crate) fn run(self, jobs: &Receiver<Job>) {
+        for job in jobs {
+            match job {
+                Job::Do(action) => {
+                    if let Some(event) = self.perform(action) {
+                        self.reporter.deliver(ReportInput::Gathered(event));
+                    }
+                }
+                Job::Finish { records, reply } => {
+                    self.finish(records);
+                    // A router that has stopped waiting has ended.
+                    let _ = reply.try_send(());
+                }
+            }
+        }
+    }
+
+    /// Makes one call; returns what the gatherer is to hear.
+    fn perform(&self, action: Action) -> Option<Event> {
+        match action {
+            Action::Read { key } => Some(self.read(key)),
+            Action::Swap {
+                key,
+                version,
+                value,
+            } => Some(self.swap(key, version, value)),
+            Action::Delete { key } => {
+                self.delete(&key);
+                None
+            }
+            Action::Warn { key, detail } => {
+                log::warn!(key = key.as_str(); "the zone's day cannot be kept: {detail}");
+                None
+            }
+        }
+    }
+
+    fn read(&self, key: String) -> Event {
+        match self.heard(self.store.get(&key)) {
+            Some(entry) => {
+                let (version, value) = match entry {
+                    Some(Entry { version, value, .. }) => (version, value),
+                    None => (0, Vec::new()),
+                };
+                Event::Read {
+                    key,
+                    version,
+                    value,
+                }
+            }
+            None => Event::Failed { key },
+        }
+    }
+
+    fn swap(&self, key: String, version: u64, value: Vec<u8>) -> Event {
+        let op = Op::swap(key.clone(), value, version);
+        match self.heard(self.store.commit(&[op])) {
+            Some(result) => {
+                let done = matches!(result, CommitResult::Applied(_));
+                Event::Swapped { key, done }
+            }
+            None => Event::Failed { key },
+        }
+    }
+
+    /// Removes a day that is past keeping; one that could not be removed stays.
+    fn delete(&self, key: &str) {
+        if let Some(Some(entry)) = self.heard(self.store.get(key)) {
+            let op = Op::Delete {
+                key: key.to_owned(),
+                version: entry.version,
+            };
+            self.heard(self.store.commit(&[op]));
+        }
+    }
+
+    /// Notes whether the service answered.
+    fn heard<T>(&self, result: Result<T>) -> Option<T> {
+        self.reporter.tell(ReportInput::Platform(result.is_ok()));
+        if let Err(error) = &result {
+            log::warn!("failed to keep the day's records: {error}");
+        }
+        result.ok()
+    }
+
+    /// Folds records into the zone's value at once, whoever has the duty: a router that ends cannot
+    /// wait until the gatherer writes.
+    fn finish(&self, records: Vec<Record>) {
+        let mut gatherer = Gatherer::new(&self.prefix, &self.zone);
+        let now = self.clock.now();
+        gatherer.decide(Event::Duty(true), now);
+        for record in records {
+            gatherer.decide(Event::Report(Box::new(record)), now);
+        }
+        let mut actions = gatherer.decide(Event::Tick, now);
+        for _ in 0..FINISH_CALLS {
+            let Some(action) = actions.pop() else {
+                return;
+            };
+            if let Some(event) = self.perform(action) {
+                actions.extend(gatherer.decide(event, now));
+            }
+        }
+        log::warn!("failed to write the day's records at the end: others kept writing");
+    }
+}
--- a/crates/primrosed/src/duty/mod.rs
+++ b/crates/primrosed/src/duty/mod.rs
@@ -1,9 +1,12 @@
 //! Threads of a router that talk to the outside: one duty each.
 
 pub(crate) mod claims;
+pub(crate) mod gather;
 pub(crate) mod hosts;
 pub(crate) mod loads;
 pub(crate) mod operator;
+pub(crate) mod page;
+pub(crate) mod report;
 pub(crate) mod watch;
 
 use std::sync::atomic::AtomicBool;
--- a/crates/primrosed/src/duty/operator.rs
+++ b/crates/primrosed/src/duty/operator.rs
@@ -1,4 +1,4 @@
-//! The operators' listener: status, tables in force, metrics, draining.
+//! The operators' listener: status, tables in force, the day's page, metrics, draining.
 //!
 //! Nothing here streams, so `rouille` serves it. It listens apart from callers and peers, and is
 //! meant for the operators' network only.
@@ -13,10 +13,13 @@
 use crossbeam_channel::Sender;
 use metrics_exporter_prometheus::PrometheusHandle;
 use primrose_core::fingerprint::Fingerprint;
+use primrose_report::html;
 use rouille::Request;
 use rouille::Response;
 use snafu::Snafu;
 
+use crate::duty::page::PageError;
+use crate::duty::page::Pages;
 use crate::duty::Stop;
 use crate::input::Input;
 use crate::message::DocumentKind;
@@ -42,6 +45,7 @@
 /// What the operators' listener needs.
 pub(crate) struct Operator {
     pub(crate) ring: Sender<Input>,
+    pub(crate) pages: Pages,
     pub(crate) metrics: Option<PrometheusHandle>,
     /// Asks the router to shut down gracefully.
     pub(crate) drain: Sender<()>,
@@ -80,6 +84,8 @@
         match (request.method(), path.as_str()) {
             ("GET", "/status") => self.status(),
             ("GET", "/tables") => self.tables(),
+            ("GET", "/today") => self.today(request),
+            ("GET", "/" | "/today.html") => self.today_html(request),
             ("GET", "/metrics") => self.metrics(),
             ("GET", "/healthz") => Response::text("ok\n"),
             ("POST", "/drain") => self.start_drain(),
@@ -106,6 +112,20 @@
         }
     }
 
+    fn today(&self, request: &Request) -> Response {
+        match self.pages.page(request.get_param("date")) {
+            Ok(page) => Response::json(&page),
+            Err(error) => no_page(&error),
+        }
+    }
+
+    fn today_html(&self, request: &Request) -> Response {
+        match self.pages.page(request.get_param("date")) {
+            Ok(page) => Response::html(html::render(&page)),
+            Err(error) => no_page(&error),
+        }
+    }
+
     fn metrics(&self) -> Response {
         match &self.metrics {
             Some(handle) => Response::text(handle.render()),
@@ -139,6 +159,14 @@
     Response::text("the router did not answer in time\n").with_status_code(503)
 }
 
+fn no_page(error: &PageError) -> Response {
+    let status = match error {
+        PageError::Day { .. } => 400,
+        PageError::Busy => 503,
+    };
+    Response::text(format!("{error}\n")).with_status_code(status)
+}
+
 /// Reads the fingerprint of a path `/suspects/FINGERPRINT/lift`.
 fn lifted(path: &str) -> Option<Fingerprint> {
     let rest = path.strip_prefix("/suspects/")?;
--- a/crates/primrosed/src/duty/watch.rs
+++ b/crates/primrosed/src/duty/watch.rs
@@ -17,6 +17,8 @@
 use crate::input::Shown;
 use crate::message::DocumentKind;
 use crate::published::Published;
+use crate::reporter::ReportInput;
+use crate::reporter::Reporter;
 
 /// Longest wait of one watch at the service.
 const WATCH_TIME: Duration = Duration::from_secs(10);
@@ -37,6 +39,7 @@
     pub(crate) store: Arc<dyn Store>,
     pub(crate) published: Arc<Published>,
     pub(crate) ring: Sender<Input>,
+    pub(crate) reporter: Reporter,
     pub(crate) stop: Arc<Stop>,
 }
 
@@ -46,7 +49,9 @@
         let mut version = None;
         let mut backoff = Backoff::new(BACKOFF);
         while !self.stop.stopped() {
-            match self.look(version) {
+            let looked = self.look(version);
+            self.reporter.tell(ReportInput::Platform(looked.is_ok()));
+            match looked {
                 Ok(seen) => {
                     version = Some(seen);
                     backoff.reset();
--- a/crates/primrosed/src/input.rs
+++ b/crates/primrosed/src/input.rs
@@ -36,6 +36,8 @@
     Text(DocumentKind, Sender<Option<String>>),
     /// An operator lifts a refused fingerprint; answers whether it was known.
     Lift(Fingerprint, Sender<bool>),
+    /// Pass on, after all that came before, that the day's record is to be handed on.
+    Finish(Sender<()>),
     /// End the thread.
     Stop,
 }
--- a/crates/primrosed/src/lib.rs
+++ b/crates/primrosed/src/lib.rs
@@ -21,4 +21,6 @@
 pub mod message;
 pub mod ops;
 mod published;
+mod reporter;
 pub mod router;
+mod seen;
--- a/crates/primrosed/src/message.rs
+++ b/crates/primrosed/src/message.rs
@@ -3,6 +3,7 @@
 use primrose_core::id::Generation;
 use primrose_member::Beat;
 use primrose_member::Routed;
+use primrose_report::record::Record;
 use primrose_table::header::ChangeId;
 use primrose_table::header::Header;
 use serde::Deserialize;
@@ -29,6 +30,9 @@
     /// The document that was asked for.
     #[serde(rename = "t")]
     Document(DocumentText),
+    /// What a router of the zone counted on a day, for the zone's gatherer.
+    #[serde(rename = "s")]
+    Record(Box<Record>),
 }
 
 /// The two documents that operators change.
--- a/crates/primrosed/src/router.rs
+++ b/crates/primrosed/src/router.rs
@@ -25,6 +25,11 @@
 use primrose_link::LinkConfig;
 use primrose_platform::hosts::HostList;
 use primrose_platform::store::Store;
+use primrose_report::calendar::Calendar;
+use primrose_report::calendar::CalendarError;
+use primrose_report::gather::Gatherer;
+use primrose_report::observation::Observation;
+use primrose_report::recorder::Recorder;
 use primrose_settings::Settings;
 use rand::Rng;
 use snafu::ResultExt;
@@ -35,10 +40,14 @@
 use crate::decide::Decider;
 use crate::duty::claims;
 use crate::duty::claims::Claims;
+use crate::duty::gather;
+use crate::duty::gather::Gather;
 use crate::duty::hosts::HostLists as Follower;
 use crate::duty::loads::Loads;
 use crate::duty::operator::Operator;
 use crate::duty::operator::OperatorError;
+use crate::duty::page::Pages;
+use crate::duty::report::Report;
 use crate::duty::watch::Watch;
 use crate::duty::Stop;
 use crate::input;
@@ -46,12 +55,17 @@
 use crate::message::PeerMessage;
 use crate::message::DOCUMENT_KINDS;
 use crate::published::Published;
+use crate::reporter::ReportInput;
+use crate::reporter::Reporter;
 
 pub use primrose_front::CutRequest;
 
 /// Link events that may wait for the deciding thread.
 const LINK_RING: usize = 1024;
 
+/// Longest wait at a shutdown until what was counted is written.
+const HAND_ON_TIME: Duration = Duration::from_secs(3);
+
 /// Gives the host list of one service.
 pub type HostLists = Arc<dyn Fn(&str) -> Arc<dyn HostList> + Send + Sync>;
 
@@ -112,6 +126,12 @@
         /// The cause.
         source: OperatorError,
     },
+    /// The settings name no time zone for the day.
+    #[snafu(display("failed to read the settings of the day"))]
+    Day {
+        /// The cause.
+        source: CalendarError,
+    },
     /// A thread could not be made.
     #[snafu(display("failed to start the {name} thread"))]
     Thread {
@@ -136,6 +156,7 @@
     endpoint: Arc<Endpoint<PeerMessage>>,
     operators: SocketAddr,
     ring: Sender<Input>,
+    reporter: Reporter,
     stop: Arc<Stop>,
     /// Threads that end at once when told to. Those that wait at the platform end by themselves
     /// when their call returns, and hold nothing that a shutdown would have to wait for.
@@ -165,8 +186,18 @@
         let zone = settings.router.zone.clone();
         let config = LinkConfig::new(me.clone(), zone, settings.listen.peers, parts.keys.clone());
         let endpoint = Arc::new(Endpoint::start(config, link_ring).context(LinkSnafu)?);
+        let (reporter, seen) = Reporter::new(Arc::clone(&parts.clock));
+        let calendar = Calendar::new(&settings.day.time_zone).context(DaySnafu)?;
         let operator = Operator {
             ring: ring.clone(),
+            pages: Pages {
+                prefix: settings.platform.prefix.clone(),
+                calendar: calendar.clone(),
+                clock: Arc::clone(&parts.clock),
+                store: Arc::clone(&parts.store),
+                published: Arc::clone(&published),
+                reporter: reporter.clone(),
+            },
             metrics: parts.metrics.clone(),
             drain,
         };
@@ -178,6 +209,7 @@
             clock: Arc::clone(&parts.clock),
             decide: ring.clone(),
             claims: claim_ring,
+            reporter: reporter.clone(),
         });
         let front = Front::start(
             settings.listen.callers,
@@ -195,6 +227,7 @@
             Arc::clone(&published),
             parts.sharing,
             rand::rng().random(),
+            reporter.clone(),
         );
         let mut router = Self {
             me: me.clone(),
@@ -202,6 +235,7 @@
             endpoint,
             operators: listener.addr,
             ring: ring.clone(),
+            reporter,
             stop: Arc::clone(&stop),
             threads: vec![listener.thread],
             drained,
@@ -218,6 +252,7 @@
             inboxes: HashMap::new(),
         };
         router.spawn("claims", move || desk.run(&claim_asks))?;
+        router.start_report(settings, &parts, calendar, seen)?;
         router.start_duties(settings, &parts, &published)?;
         log::info!(
             callers:% = router.callers(), peers:% = router.peers(), operators:% = router.operators();
@@ -226,6 +261,37 @@
         Ok(router)
     }
 
+    /// Starts the threads that count the day and hand it on.
+    fn start_report(
+        &mut self,
+        settings: &Settings,
+        parts: &Parts,
+        calendar: Calendar,
+        seen: Receiver<ReportInput>,
+    ) -> Result<(), RouterError> {
+        let zone = &settings.router.zone;
+        let prefix = &settings.platform.prefix;
+        let (jobs, todo) = bounded(gather::RING);
+        let gather = Gather {
+            prefix: prefix.clone(),
+            zone: zone.clone(),
+            store: Arc::clone(&parts.store),
+            clock: Arc::clone(&parts.clock),
+            reporter: self.reporter.clone(),
+        };
+        drop(spawn("gather", move || gather.run(&todo))?);
+        let report = Report {
+            me: self.me.clone(),
+            recorder: Recorder::new(self.me.clone(), zone, calendar),
+            gatherer: Gatherer::new(prefix, zone),
+            clock: Arc::clone(&parts.clock),
+            reporter: self.reporter.clone(),
+            endpoint: Arc::clone(&self.endpoint),
+            jobs,
+        };
+        self.spawn("report", move || report.run(&seen))
+    }
+
     /// Starts the threads that look at the platform and at servers.
     fn start_duties(
         &mut self,
@@ -240,6 +306,7 @@
                 store: Arc::clone(&parts.store),
                 published: Arc::clone(published),
                 ring: self.ring.clone(),
+                reporter: self.reporter.clone(),
                 stop: Arc::clone(&self.stop),
             };
             drop(spawn("watch", move || watch.run())?);
@@ -324,10 +391,24 @@
                 );
             }
         }
+        let requests = cut.len() as u64;
+        if requests > 0 {
+            self.reporter.see(Observation::Cut { requests });
+        }
+        self.hand_on();
         self.end();
         Shutdown { cut }
     }
 
+    /// Waits until what was counted is handed on, or that takes too long.
+    fn hand_on(&self) {
+        let (reply, written) = bounded(1);
+        let _ = self.ring.send(Input::Finish(reply));
+        if written.recv_timeout(HAND_ON_TIME).is_err() {
+            log::warn!("the last figures of the day were not written in time");
+        }
+    }
+
     /// Ends all threads without waiting for requests, as a crash would, but in order.
     pub fn abort(mut self) {
         self.end();
@@ -337,6 +418,7 @@
         self.stop.stop();
         self.front.stop();
         let _ = self.ring.send(Input::Stop);
+        self.reporter.deliver(ReportInput::Stop);
         self.endpoint.stop();
         for thread in self.threads.drain(..) {
             if thread.join().is_err() {
--- /dev/null
+++ b/crates/primrosed/src/seen.rs
@@ -0,0 +1,63 @@
+//! What the ends of requests and attempts tell the sums of the day.
+
+use primrose_core::outcome::Outcome;
+use primrose_core::table::PoolKind;
+use primrose_core::table::Table;
+use primrose_front::broker::Ended;
+use primrose_front::broker::Report;
+use primrose_report::observation::Ending;
+use primrose_report::observation::Observation;
+use primrose_report::observation::TokenGap;
+
+/// Returns what the end of a request is counted as.
+pub(crate) fn request(ended: &Ended, table: &Table) -> Vec<Observation> {
+    let pool = || ended.pool.clone();
+    let mut seen = Vec::new();
+    if let Some(ending) = ending(ended) {
+        seen.push(Observation::Answer {
+            pool: pool(),
+            ending,
+        });
+    }
+    if let (Some(code), Outcome::NotRun) = (ended.code, ended.outcome) {
+        seen.push(Observation::Refused { code });
+    }
+    if !ended.idempotent {
+        let outcome = ended.outcome;
+        seen.push(Observation::Order {
+            pool: pool(),
+            outcome,
+        });
+    }
+    let row = table.pools.get(&ended.pool);
+    let engine = row.is_some_and(|row| row.kind == PoolKind::Engine);
+    if let Some(time) = ended.first_part.filter(|_| engine) {
+        seen.push(Observation::FirstToken { pool: pool(), time });
+    }
+    seen
+}
+
+/// Says how an answer ended; nothing if the request surely did not run.
+fn ending(ended: &Ended) -> Option<Ending> {
+    match (ended.code, ended.outcome) {
+        _ if ended.caller_gone => Some(Ending::Abandoned),
+        (None, _) => Some(Ending::Whole),
+        (Some(_), Outcome::NotRun) => None,
+        (Some(_), _) => Some(Ending::Broken),
+    }
+}
+
+/// Returns what the end of an attempt is counted as, besides its service.
+pub(crate) fn attempt(report: &Report) -> Vec<Observation> {
+    if report.token_gaps.is_empty() {
+        return Vec::new();
+    }
+    let gaps = report.token_gaps.iter().map(|gap| TokenGap {
+        time: gap.time,
+        count: gap.count,
+    });
+    vec![Observation::InterTokens {
+        pool: report.pool.clone(),
+        gaps: gaps.collect(),
+    }]
+}
--- a/crates/report/src/observation.rs
+++ b/crates/report/src/observation.rs
@@ -42,6 +42,15 @@
     Zone(ZoneId),
 }
 
+/// A time between two tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TokenGap {
+    /// The time.
+    pub time: Duration,
+    /// How often it was seen.
+    pub count: u64,
+}
+
 /// One thing that a router saw.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Observation {
@@ -73,6 +82,13 @@
         /// Time since the token before.
         time: Duration,
     },
+    /// Further tokens of an answer were sent to the caller.
+    InterTokens {
+        /// Pool.
+        pool: PoolId,
+        /// Times since the token before, each with how often it was seen.
+        gaps: Vec<TokenGap>,
+    },
     /// An answer that had begun came to its end.
     Answer {
         /// Pool.
@@ -155,6 +171,11 @@
         /// Difference of their service, each divided by its weight.
         gap: Service,
     },
+    /// Observations found no room and were not counted.
+    Lost {
+        /// How many.
+        observations: u64,
+    },
     /// Something could not be reached; told again, with the same beginning, while it lasts.
     Outage {
         /// What.
--- a/crates/report/src/page.rs
+++ b/crates/report/src/page.rs
@@ -184,6 +184,12 @@
 
 fn notes(total: &Total) -> Vec<String> {
     let mut notes = Vec::new();
+    let lost = total.sums.fleet.lost;
+    if lost > 0 {
+        notes.push(format!(
+            "Routers had no room for {lost} observations: the figures above are too low."
+        ));
+    }
     if total.trimmed {
         notes.push(
             "Accounts over the day are left out for a zone whose record was too large.".into(),
--- a/crates/report/src/record.rs
+++ b/crates/report/src/record.rs
@@ -93,6 +93,9 @@
     pub control_rate: u64,
     /// Times during which something could not be reached.
     pub outages: Vec<OutageSpan>,
+    /// Observations that found no room and are in no other sum.
+    #[serde(default)]
+    pub lost: u64,
 }
 
 /// What one router process counted on one day.
@@ -165,6 +168,11 @@
             } => self.served(interval, pool, account, *service),
             Observation::FirstToken { pool, time } => self.pool(pool).first_token.record(*time),
             Observation::InterToken { pool, time } => self.pool(pool).inter_token.record(*time),
+            Observation::InterTokens { pool, gaps } => {
+                let times = &mut self.pool(pool).inter_token;
+                gaps.iter()
+                    .for_each(|gap| times.record_n(gap.time, gap.count));
+            }
             Observation::Answer { pool, ending } => self.pool(pool).answer(*ending),
             Observation::Order { pool, outcome } => self.pool(pool).order(*outcome),
             Observation::DoubledRun { pool } => self.pool(pool).orders.doubled += 1,
@@ -188,6 +196,7 @@
             | Observation::Cut { .. }
             | Observation::InForce { .. }
             | Observation::Control { .. }
+            | Observation::Lost { .. }
             | Observation::Outage { .. } => self.fleet.observe(interval, observation),
         }
     }
@@ -257,6 +266,7 @@
                 self.control_bytes += bytes;
                 self.control_messages += messages;
             }
+            Observation::Lost { observations } => self.lost += observations,
             Observation::Outage {
                 outage,
                 began,
@@ -313,6 +323,7 @@
             *self.refused.entry(code.clone()).or_default() += count;
         }
         self.cut += other.cut;
+        self.lost += other.lost;
         self.first_generation = lowest(self.first_generation, other.first_generation);
         self.last_generation = self.last_generation.max(other.last_generation);
         self.in_force.add_all(&other.in_force);
--- a/crates/report/src/times.rs
+++ b/crates/report/src/times.rs
@@ -33,8 +33,13 @@
 impl Times {
     /// Counts one duration.
     pub fn record(&mut self, time: Duration) {
+        self.record_n(time, 1);
+    }
+
+    /// Counts one duration several times.
+    pub fn record_n(&mut self, time: Duration, count: u64) {
         let units = u64::try_from(time.as_micros() / UNIT_MICROS).unwrap_or(u64::MAX);
-        self.0.saturating_record(units);
+        self.0.saturating_record_n(units, count);
     }
 
     /// Returns how many were counted.
--- a/crates/report/src/verdict.rs
+++ b/crates/report/src/verdict.rs
@@ -17,12 +17,13 @@
         .collect();
     let counted = !total.covered.is_empty();
     let well = missed.is_empty() && counted;
-    let whole = gaps.is_empty() && counted;
+    let lost = total.sums.fleet.lost;
+    let whole = gaps.is_empty() && counted && lost == 0;
     let sentence = match (counted, missed.split_first()) {
         (false, _) => "Nothing was counted on this day.".to_owned(),
         (true, Some((first, rest))) => not_well(first, rest.len(), over),
         (true, None) if whole => all_well(measures, over),
-        (true, None) => well_as_seen(gaps, over),
+        (true, None) => well_as_seen(gaps, lost, over),
     };
     Verdict {
         well,
@@ -63,7 +64,7 @@
     }
 }
 
-fn well_as_seen(gaps: &[Gap], over: bool) -> String {
+fn well_as_seen(gaps: &[Gap], lost: u64, over: bool) -> String {
     let when = match over {
         true => "The day went well as far as it was seen",
         false => "The day has gone well so far, as far as it was seen",
@@ -76,9 +77,11 @@
             None => zones.push((&gap.zone, seconds)),
         }
     }
+    let uncounted = (lost > 0).then(|| format!("{lost} observations were not counted"));
     let hidden: Vec<String> = zones
         .iter()
         .map(|(zone, seconds)| format!("zone {zone} was not seen for {}", span(*seconds)))
+        .chain(uncounted)
         .collect();
     format!("{when}: {}.", hidden.join(", "))
 }
