Refuse requests that crash backend servers, on every router

Cause: nothing fed the register of suspects; a poison request could take one server after another. Change: the front tells whether the server was gone right after an attempt broke; the deciding thread strikes, sets apart, refuses and clears, spreads records over the links, and shows and lifts them for operators.

--- a/crates/dispatch/src/requester/lane.rs
+++ b/crates/dispatch/src/requester/lane.rs
@@ -104,6 +104,24 @@
         true
     }
 
+    /// Registers a waiting request anew, as suspect.
+    pub(crate) fn suspect(&mut self, request: RequestId, now: Mono, out: &mut Vec<Action>) {
+        let Some(work) = self
+            .queue
+            .get(request)
+            .filter(|work| !work.suspect)
+            .cloned()
+        else {
+            return;
+        };
+        self.cancel(request, out);
+        let work = Work {
+            suspect: true,
+            ..work
+        };
+        self.enqueue(work, now, out);
+    }
+
     pub(crate) fn progress(&mut self, attempt: AttemptId, used: Service) {
         if let Some(running) = self.running.get_mut(&attempt) {
             running.used = running.used.max(used);
--- a/crates/dispatch/src/requester/mod.rs
+++ b/crates/dispatch/src/requester/mod.rs
@@ -97,6 +97,8 @@
     },
     /// A running attempt ended.
     Ended(Finished),
+    /// A waiting request has become suspect: it is to run alone on the server set apart.
+    Suspect(RequestId),
     /// A message for [`Duty::Requester`](crate::message::Duty::Requester) came.
     Message {
         /// Sender.
@@ -188,6 +190,7 @@
             Event::Cancel(request) => self.cancel(request, &mut out),
             Event::Progress { attempt, used } => self.progress(attempt, used),
             Event::Ended(finished) => self.ended(finished, &mut out),
+            Event::Suspect(request) => self.suspect(request, now, &mut out),
             Event::Message { from, message } => self.message(&from, message, now, &mut out),
             Event::Drain => self.draining = true,
             Event::Abandon => self.abandon(&mut out),
@@ -283,6 +286,12 @@
         }
     }
 
+    fn suspect(&mut self, request: RequestId, now: Mono, out: &mut Vec<Action>) {
+        if let Some(lane) = self.lane_of(request) {
+            lane.suspect(request, now, out);
+        }
+    }
+
     fn message(&mut self, from: &Member, message: Message, now: Mono, out: &mut Vec<Action>) {
         let lane = self.lane(&message.pool);
         match message.body {
--- a/crates/front/src/act.rs
+++ b/crates/front/src/act.rs
@@ -3,9 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use primrose_core::id::AttemptId;
+use primrose_core::id::ServerId;
 use primrose_core::outcome::ErrorCode;
 use primrose_core::table::PoolKind;
 use primrose_request::Action;
+use primrose_request::AttemptResult;
 use primrose_request::ConnId;
 use primrose_request::Event;
 use primrose_request::Part;
@@ -109,18 +112,7 @@
                 result,
             } => {
                 self.run_limit = None;
-                let report = Report {
-                    attempt,
-                    pool: self.job.pool.name.clone(),
-                    server,
-                    account: self.job.spec.account.clone(),
-                    fingerprint: self.job.spec.fingerprint,
-                    result,
-                    tokens: self.meter.tokens(),
-                    first_token: self.meter.first_token(),
-                    inter_token: self.meter.inter_token(),
-                };
-                self.deliver(Ask::Report(report)).await;
+                self.report(attempt, server, result).await;
             }
             Action::Finish(verdict) => self.finish(verdict).await,
         }
@@ -281,6 +273,35 @@
         }
     }
 
+    async fn report(&mut self, attempt: AttemptId, server: ServerId, result: AttemptResult) {
+        let spec = &self.job.spec;
+        let report = Report {
+            attempt,
+            pool: self.job.pool.name.clone(),
+            server,
+            account: spec.account.clone(),
+            route: spec.route.name.clone(),
+            fingerprint: spec.fingerprint,
+            result,
+            server_down: self.server_down(result).await,
+            tokens: self.meter.tokens(),
+            first_token: self.meter.first_token(),
+            inter_token: self.meter.inter_token(),
+        };
+        self.deliver(Ask::Report(report)).await;
+    }
+
+    /// Whether the server's process is gone, after an attempt that broke.
+    async fn server_down(&mut self, result: AttemptResult) -> bool {
+        // An engine that no longer knows the stream has lost its state.
+        let forgotten = std::mem::take(&mut self.stream_lost);
+        let broken = matches!(result, AttemptResult::Broken | AttemptResult::ServerLost);
+        match self.addr {
+            Some(addr) if broken => forgotten || self.shared.connections.is_refused(addr).await,
+            _ => false,
+        }
+    }
+
     async fn finish(&mut self, verdict: Verdict) {
         self.record(&verdict);
         match verdict.code {
--- a/crates/front/src/broker.rs
+++ b/crates/front/src/broker.rs
@@ -93,10 +93,14 @@
     pub server: ServerId,
     /// Client account.
     pub account: AccountId,
+    /// Route.
+    pub route: RouteId,
     /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
     /// How it ended.
     pub result: AttemptResult,
+    /// Whether the server's process was seen to be gone right after the attempt broke.
+    pub server_down: bool,
     /// Tokens used, as far as known.
     pub tokens: Tokens,
     /// Time from sending to the first token.
--- a/crates/front/src/connections.rs
+++ b/crates/front/src/connections.rs
@@ -6,6 +6,7 @@
 //! as the request goes out, and then nobody could say whether it ran.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -24,6 +25,9 @@
 /// Idle connections kept for each backend server.
 const IDLE_PER_SERVER: usize = 32;
 
+/// Longest time for seeing whether a server still listens.
+const PROBE_TIME: Duration = Duration::from_millis(200);
+
 /// A request body towards a backend server.
 pub(crate) type OutBody = Full<Bytes>;
 
@@ -121,6 +125,16 @@
         }
     }
 
+    /// Whether nothing listens at the address any more.
+    pub(crate) async fn is_refused(&self, addr: SocketAddr) -> bool {
+        let opened = tokio::time::timeout(PROBE_TIME, TcpStream::connect(addr)).await;
+        match opened {
+            Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
+            // A server that accepts, or that cannot be told from a slow one, counts as alive.
+            _ => false,
+        }
+    }
+
     fn take(&self, addr: SocketAddr) -> Option<SendRequest<OutBody>> {
         let mut idle = self.idle.lock().expect("idle connections lock poisoned");
         let kept = idle.get_mut(&addr)?;
--- a/crates/front/src/drive.rs
+++ b/crates/front/src/drive.rs
@@ -89,6 +89,8 @@
     pub(crate) run_limit: Option<Mono>,
     pub(crate) cut: watch::Receiver<bool>,
     pub(crate) caller_left: bool,
+    /// The server said that it no longer knows the stream.
+    pub(crate) stream_lost: bool,
     _active: ActiveGuard,
 }
 
@@ -118,6 +120,7 @@
             run_limit: None,
             cut: shared.cut.clone(),
             caller_left: false,
+            stream_lost: false,
             _active: active,
             job,
             shared,
@@ -194,6 +197,7 @@
             return;
         }
         let now = self.shared.clock.now();
+        self.stream_lost |= note.event == ConnEvent::ResumeRefused;
         self.meter.observe(note.event, note.tokens, now);
         self.answer.receive(note.event, note.load);
         self.step(Event::Conn {
--- a/crates/local/src/measure/load.rs
+++ b/crates/local/src/measure/load.rs
@@ -64,7 +64,6 @@
     /// Time to the first event; nothing if none came.
     pub(crate) first: Option<Duration>,
     pub(crate) whole: bool,
-    pub(crate) status: u16,
 }
 
 /// What all callers share.
@@ -162,7 +161,6 @@
                 begun,
                 first: answer.times.first().map(|at| at.saturating_sub(begun)),
                 whole: answer.whole,
-                status: answer.status,
             },
             Err(error) => {
                 log::debug!("a caller got no answer: {error}");
@@ -171,7 +169,6 @@
                     begun,
                     first: None,
                     whole: false,
-                    status: 0,
                 }
             }
         };
--- a/crates/primrosed/src/decide/fleet.rs
+++ b/crates/primrosed/src/decide/fleet.rs
@@ -68,6 +68,7 @@
         };
         self.links.insert(member.host.clone(), link);
         self.greet(&member.host);
+        self.tell_suspects(&member.host);
         self.view_event(Event::LinkUp { member, zone, addr }, now);
         self.update_holders(now);
     }
--- a/crates/primrosed/src/decide/mod.rs
+++ b/crates/primrosed/src/decide/mod.rs
@@ -12,6 +12,7 @@
 mod run;
 mod show;
 mod slots;
+mod suspects;
 mod wires;
 
 use std::collections::BTreeMap;
@@ -32,6 +33,7 @@
 use primrose_link::LinkEvent;
 use primrose_member::View;
 use primrose_retry::Budget;
+use primrose_suspect::Register;
 use primrose_table::accounts::Accounts;
 use primrose_table::force::Force;
 use rand::rngs::StdRng;
@@ -80,9 +82,11 @@
     peers: BTreeMap<PoolId, BTreeMap<ZoneId, Option<Member>>>,
     pending: HashMap<RequestId, Pending>,
     budgets: BTreeMap<PoolId, Budget>,
+    suspects: Register,
     links: BTreeMap<HostId, Link>,
     next_view: Mono,
     next_headers: Mono,
+    next_sweep: Mono,
     draining: bool,
 }
 
@@ -117,9 +121,11 @@
             peers: BTreeMap::new(),
             pending: HashMap::new(),
             budgets: BTreeMap::new(),
+            suspects: Register::new(primrose_suspect::Limits::default()),
             links: BTreeMap::new(),
             next_view: now,
             next_headers: now,
+            next_sweep: now,
             draining: false,
             clock,
         }
@@ -141,8 +147,11 @@
             Input::Text(kind, reply) => {
                 let _ = reply.try_send(self.text(kind));
             }
-            Input::Lift(_, reply) => {
-                let _ = reply.try_send(false);
+            Input::Suspects(reply) => {
+                let _ = reply.try_send(self.suspect_list());
+            }
+            Input::Lift(fingerprint, reply) => {
+                let _ = reply.try_send(self.lift(fingerprint));
             }
             Input::Stop => {}
         }
@@ -171,6 +180,7 @@
             PeerMessage::Header(header) => self.peer_header(from, header),
             PeerMessage::Fetch(kind) => self.send_document(from, kind),
             PeerMessage::Document(text) => self.fetched(from, text),
+            PeerMessage::Suspects(message) => self.peer_suspects(from, &message),
         }
     }
 
@@ -183,6 +193,9 @@
         if now >= self.next_headers {
             self.tell_headers(now);
         }
+        if now >= self.next_sweep {
+            self.sweep_suspects(now);
+        }
         self.tick_slots(now);
     }
 }
--- a/crates/primrosed/src/decide/requests.rs
+++ b/crates/primrosed/src/decide/requests.rs
@@ -5,6 +5,7 @@
 use primrose_core::clock::Mono;
 use primrose_core::cost::service;
 use primrose_core::cost::Service;
+use primrose_core::fingerprint::Fingerprint;
 use primrose_core::id::AccountId;
 use primrose_core::id::AttemptId;
 use primrose_core::id::PoolId;
@@ -30,7 +31,9 @@
 use primrose_retry::BackoffConfig;
 use primrose_retry::Budget;
 use primrose_retry::BudgetConfig;
+use primrose_suspect::Standing;
 
+use crate::decide::suspects::UnixMillis;
 use crate::decide::Decider;
 
 /// How long the front may take to start a grant.
@@ -53,6 +56,9 @@
     pool: PoolId,
     /// When it began to wait; nothing once it has a slot.
     since: Option<Mono>,
+    /// When it got its slot, by the wall clock.
+    began: Option<UnixMillis>,
+    fingerprint: Fingerprint,
 }
 
 impl Decider {
@@ -70,8 +76,13 @@
                 self.requester_event(event, now);
             }
             Ask::Report(report) => self.report(&report, now),
-            Ask::Retry { pool, inbox, .. } => {
-                let verdict = self.retry_verdict(&pool);
+            Ask::Retry {
+                pool,
+                inbox,
+                fingerprint,
+                ..
+            } => {
+                let verdict = self.retry_verdict(&pool, fingerprint);
                 tell(&inbox, Event::Retry(verdict));
             }
             Ask::Ended(_) => {}
@@ -93,6 +104,8 @@
             account: waiting.account.clone(),
             pool: waiting.pool.clone(),
             since: Some(now),
+            began: None,
+            fingerprint: waiting.fingerprint,
         };
         self.pending.insert(waiting.attempt.request, pending);
         let work = Work {
@@ -117,7 +130,8 @@
 
     fn report(&mut self, report: &Report, now: Mono) {
         let used = self.used(report);
-        self.pending.remove(&report.attempt.request);
+        let pending = self.pending.remove(&report.attempt.request);
+        self.learn(report, pending.and_then(|pending| pending.began));
         let finished = Finished {
             attempt: report.attempt,
             ending: ending(report.result),
@@ -149,18 +163,29 @@
             .or_insert_with(|| Budget::new(BudgetConfig::default()))
     }
 
-    fn retry_verdict(&mut self, pool: &str) -> RetryVerdict {
+    fn retry_verdict(&mut self, pool: &str, fingerprint: Fingerprint) -> RetryVerdict {
+        let standing = self.suspect_standing(fingerprint);
+        if let Standing::Refused { retry_after } = standing {
+            return RetryVerdict::Poisoned { retry_after };
+        }
         if !self.budget(pool).try_retry() {
             return RetryVerdict::Denied;
         }
         RetryVerdict::Allowed {
             delay: Backoff::new(RETRY_DELAY).next_delay(&mut self.rng),
-            suspect: false,
+            suspect: standing == Standing::Suspect,
         }
     }
 
     /// Hands a grant to its request; whatever keeps it from starting gives the slot back.
     pub(super) fn start(&mut self, run: Run, now: Mono) {
+        if self.is_refused(run.attempt.request) {
+            // Refused since it was registered: it must not reach another server.
+            self.refuse(run.attempt.request, ErrorCode::Poison);
+            self.unsent(run.attempt, now);
+            return;
+        }
+        let began = self.unix_millis();
         let addr = self.directory.addr(&run.pool, &run.server);
         let pending = self.pending.get_mut(&run.attempt.request);
         let wanted = pending.filter(|pending| pending.attempt == run.attempt);
@@ -176,12 +201,42 @@
             valid_until: now + START_TIME,
         });
         pending.since = None;
+        pending.began = Some(began);
         if !tell(&pending.inbox, granted) {
             self.pending.remove(&run.attempt.request);
             self.unsent(run.attempt, now);
         }
     }
 
+    fn is_refused(&self, request: RequestId) -> bool {
+        let pending = self.pending.get(&request);
+        let standing = pending.map(|pending| self.suspect_standing(pending.fingerprint));
+        matches!(standing, Some(Standing::Refused { .. }))
+    }
+
+    /// Ends the wait of every request with a fingerprint.
+    pub(super) fn refuse_waiting(&mut self, fingerprint: Fingerprint, code: ErrorCode) {
+        let now = self.clock.now();
+        for request in self.waiting_with(fingerprint) {
+            self.refuse(request, code);
+            self.requester_event(requester::Event::Cancel(request), now);
+        }
+    }
+
+    /// Lets every waiting request with a fingerprint run only apart.
+    pub(super) fn suspect_waiting(&mut self, fingerprint: Fingerprint) {
+        let now = self.clock.now();
+        for request in self.waiting_with(fingerprint) {
+            self.requester_event(requester::Event::Suspect(request), now);
+        }
+    }
+
+    fn waiting_with(&self, fingerprint: Fingerprint) -> Vec<RequestId> {
+        let waits = |one: &&Pending| one.fingerprint == fingerprint && one.since.is_some();
+        let waiting = self.pending.values().filter(waits);
+        waiting.map(|one| one.attempt.request).collect()
+    }
+
     fn unsent(&mut self, attempt: AttemptId, now: Mono) {
         let finished = Finished {
             attempt,
--- a/crates/primrosed/src/duty/operator.rs
+++ b/crates/primrosed/src/duty/operator.rs
@@ -80,6 +80,7 @@
         match (request.method(), path.as_str()) {
             ("GET", "/status") => self.status(),
             ("GET", "/tables") => self.tables(),
+            ("GET", "/suspects") => self.suspects(),
             ("GET", "/metrics") => self.metrics(),
             ("GET", "/healthz") => Response::text("ok\n"),
             ("POST", "/drain") => self.start_drain(),
@@ -106,6 +107,13 @@
         }
     }
 
+    fn suspects(&self) -> Response {
+        match self.ask(Input::Suspects) {
+            Some(suspects) => Response::json(&suspects),
+            None => busy(),
+        }
+    }
+
     fn metrics(&self) -> Response {
         match &self.metrics {
             Some(handle) => Response::text(handle.render()),
--- a/crates/primrosed/src/input.rs
+++ b/crates/primrosed/src/input.rs
@@ -8,6 +8,7 @@
 use primrose_dispatch::dispatcher::LoadReport;
 use primrose_front::broker::Ask;
 use primrose_report::status::RouterStatus;
+use primrose_report::status::SuspectStatus;
 use primrose_table::force::Raw;
 
 use crate::message::DocumentKind;
@@ -34,6 +35,8 @@
     Status(Sender<RouterStatus>),
     /// An operator wants the text of a document in force.
     Text(DocumentKind, Sender<Option<String>>),
+    /// An operator wants the suspect requests.
+    Suspects(Sender<Vec<SuspectStatus>>),
     /// An operator lifts a refused fingerprint; answers whether it was known.
     Lift(Fingerprint, Sender<bool>),
     /// End the thread.
--- a/crates/primrosed/src/message.rs
+++ b/crates/primrosed/src/message.rs
@@ -29,6 +29,9 @@
     /// The document that was asked for.
     #[serde(rename = "t")]
     Document(DocumentText),
+    /// Records of requests that were on servers which died.
+    #[serde(rename = "s")]
+    Suspects(primrose_suspect::Message),
 }
 
 /// The two documents that operators change.
