--- a/crates/primrosed/src/duty/operator.rs
+++ b/crates/primrosed/src/duty/operator.rs
@@ -86,6 +86,7 @@
             ("GET", "/tables") => self.tables(),
             ("GET", "/today") => self.today(request),
             ("GET", "/" | "/today.html") => self.today_html(request),
+            ("GET", "/suspects") => self.suspects(),
             ("GET", "/metrics") => self.metrics(),
             ("GET", "/healthz") => Response::text("ok\n"),
             ("POST", "/drain") => self.start_drain(),
@@ -126,6 +127,13 @@
         }
     }
 
+    fn suspects(&self) -> Response {
+        match self.ask(Input::Suspects) {
+            Some(suspects) => Response::json(&suspects),
+            None => busy(),
+        }
+    }
+
     fn metrics(&self) -> Response {
         match &self.metrics {
             Some(handle) => Response::text(handle.render()),
--- a/crates/primrosed/src/message.rs
+++ b/crates/primrosed/src/message.rs
@@ -30,8 +30,11 @@
     /// The document that was asked for.
     #[serde(rename = "t")]
     Document(DocumentText),
-    /// What a router of the zone counted on a day, for the zone's gatherer.
+    /// Records of requests that were on servers which died.
     #[serde(rename = "s")]
+    Suspects(primrose_suspect::Message),
+    /// What a router of the zone counted on a day, for the zone's gatherer.
+    #[serde(rename = "y")]
     Record(Box<Record>),
 }
 
