--- a/crates/primrosed/src/decide/observe.rs
+++ b/crates/primrosed/src/decide/observe.rs
@@ -12,8 +12,10 @@
 use primrose_core::id::ZoneId;
 use primrose_dispatch::status::AccountStatus;
 use primrose_dispatch::status::Status;
+use primrose_front::broker::Report;
 use primrose_report::observation::Observation;
 use primrose_share::weighted;
+use primrose_suspect::Standing;
 
 use crate::decide::Decider;
 use crate::reporter::FleetSight;
@@ -161,6 +163,26 @@
         }
     }
 
+    /// Notes a server that died under a request which is refused as poison now.
+    pub(super) fn observe_death(&self, report: &Report, before: Standing) {
+        let is_refused = |standing| matches!(standing, Standing::Refused { .. });
+        if !is_refused(self.suspect_standing(report.fingerprint)) {
+            return;
+        }
+        let pool = || report.pool.clone();
+        if is_refused(before) {
+            let lost = Observation::LostToPoison { pool: pool() };
+            self.observer.reporter.see(lost);
+            return;
+        }
+        let listed = self.suspects.list(self.unix_millis()).into_iter();
+        let known = listed.filter(|one| one.fingerprint == report.fingerprint);
+        let servers: usize = known.map(|one| one.servers.len()).sum();
+        let mut seen = vec![Observation::Poison { pool: pool() }];
+        seen.extend((0..servers).map(|_| Observation::LostToPoison { pool: pool() }));
+        self.observer.reporter.see_all(seen);
+    }
+
     /// Tells which silent routers cannot speak again.
     fn tell_gone(&mut self, now: Mono) {
         let (view, links) = (&self.view, &self.links);
--- a/crates/primrosed/src/decide/suspects.rs
+++ b/crates/primrosed/src/decide/suspects.rs
@@ -49,7 +49,10 @@
                 fingerprint = format!("{:016x}", report.fingerprint).as_str();
                 "a backend server died under a request"
             );
-            self.suspects.server_died(&death_of(report), now)
+            let before = self.suspect_standing(report.fingerprint);
+            let news = self.suspects.server_died(&death_of(report), now);
+            self.observe_death(report, before);
+            news
         } else if report.result == AttemptResult::Done {
             let began = began.unwrap_or(now);
             self.suspects.completed(report.fingerprint, began, now)
--- a/crates/primrosed/src/router.rs
+++ b/crates/primrosed/src/router.rs
@@ -27,9 +27,7 @@
 use primrose_platform::store::Store;
 use primrose_report::calendar::Calendar;
 use primrose_report::calendar::CalendarError;
-use primrose_report::gather::Gatherer;
 use primrose_report::observation::Observation;
-use primrose_report::recorder::Recorder;
 use primrose_settings::Settings;
 use rand::Rng;
 use snafu::ResultExt;
@@ -40,14 +38,11 @@
 use crate::decide::Decider;
 use crate::duty::claims;
 use crate::duty::claims::Claims;
-use crate::duty::gather;
-use crate::duty::gather::Gather;
 use crate::duty::hosts::HostLists as Follower;
 use crate::duty::loads::Loads;
 use crate::duty::operator::Operator;
 use crate::duty::operator::OperatorError;
 use crate::duty::page::Pages;
-use crate::duty::report::Report;
 use crate::duty::watch::Watch;
 use crate::duty::Stop;
 use crate::input;
@@ -60,12 +55,11 @@
 
 pub use primrose_front::CutRequest;
 
+mod counting;
+
 /// Link events that may wait for the deciding thread.
 const LINK_RING: usize = 1024;
 
-/// Longest wait at a shutdown until what was counted is written.
-const HAND_ON_TIME: Duration = Duration::from_secs(3);
-
 /// Gives the host list of one service.
 pub type HostLists = Arc<dyn Fn(&str) -> Arc<dyn HostList> + Send + Sync>;
 
@@ -261,37 +255,6 @@
         Ok(router)
     }
 
-    /// Starts the threads that count the day and hand it on.
-    fn start_report(
-        &mut self,
-        settings: &Settings,
-        parts: &Parts,
-        calendar: Calendar,
-        seen: Receiver<ReportInput>,
-    ) -> Result<(), RouterError> {
-        let zone = &settings.router.zone;
-        let prefix = &settings.platform.prefix;
-        let (jobs, todo) = bounded(gather::RING);
-        let gather = Gather {
-            prefix: prefix.clone(),
-            zone: zone.clone(),
-            store: Arc::clone(&parts.store),
-            clock: Arc::clone(&parts.clock),
-            reporter: self.reporter.clone(),
-        };
-        drop(spawn("gather", move || gather.run(&todo))?);
-        let report = Report {
-            me: self.me.clone(),
-            recorder: Recorder::new(self.me.clone(), zone, calendar),
-            gatherer: Gatherer::new(prefix, zone),
-            clock: Arc::clone(&parts.clock),
-            reporter: self.reporter.clone(),
-            endpoint: Arc::clone(&self.endpoint),
-            jobs,
-        };
-        self.spawn("report", move || report.run(&seen))
-    }
-
     /// Starts the threads that look at the platform and at servers.
     fn start_duties(
         &mut self,
@@ -400,15 +363,6 @@
         Shutdown { cut }
     }
 
-    /// Waits until what was counted is handed on, or that takes too long.
-    fn hand_on(&self) {
-        let (reply, written) = bounded(1);
-        let _ = self.ring.send(Input::Finish(reply));
-        if written.recv_timeout(HAND_ON_TIME).is_err() {
-            log::warn!("the last figures of the day were not written in time");
-        }
-    }
-
     /// Ends all threads without waiting for requests, as a crash would, but in order.
     pub fn abort(mut self) {
         self.end();
