--- a/crates/local/src/deployment.rs
+++ b/crates/local/src/deployment.rs
@@ -1,8 +1,10 @@
 //! Starting and changing a local deployment.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -50,6 +52,8 @@
 use crate::documents::ACCOUNTS_KEY;
 use crate::documents::PREFIX;
 use crate::documents::TABLES_KEY;
+use crate::gate::Gate;
+use crate::gate::GatedStore;
 use crate::shape::Policy;
 use crate::shape::Shape;
 
@@ -131,12 +135,18 @@
     kv: Kv,
     runtime: Runtime,
     incarnation: Incarnation,
+    /// By host: whether its router is cut off from the key-value service.
+    gates: BTreeMap<String, Gate>,
 }
 
 impl Deployment {
     /// Starts stand-ins and routers, and waits until every router is ready.
     pub fn start(shape: Shape) -> Result<Self> {
-        let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+        Self::start_with(shape, Arc::new(SystemClock::new()))
+    }
+
+    /// Does the same with another clock, which must run at the pace of the machine's.
+    pub fn start_with(shape: Shape, clock: Arc<dyn Clock>) -> Result<Self> {
         let runtime = Runtime::new().context(StandinSnafu)?;
         let board = HostBoard::new(Arc::clone(&clock), shape.host_lag);
         let kv = Kv::start(
@@ -161,6 +171,7 @@
             kv,
             runtime,
             incarnation: 1,
+            gates: BTreeMap::new(),
             shape,
         };
         deployment.store_documents()?;
@@ -226,7 +237,8 @@
     fn start_router(&mut self, zone: &str, host: &str, sharing: Sharing) -> Result<Placed> {
         self.incarnation += 1;
         let settings = self.settings(zone, host);
-        let router = Router::start(&settings, self.parts(sharing)).context(RouterSnafu)?;
+        let gate = Arc::clone(self.gates.entry(host.to_owned()).or_default());
+        let router = Router::start(&settings, self.parts(sharing, gate)).context(RouterSnafu)?;
         self.list(host, zone, ROUTERS, router.peers());
         Ok(Placed {
             zone: zone.to_owned(),
@@ -282,13 +294,16 @@
         }
     }
 
-    fn parts(&self, sharing: Sharing) -> Parts {
+    fn parts(&self, sharing: Sharing, shut: Gate) -> Parts {
         let config = ConsulConfig::new(vec![self.kv.addr()]);
         let hosts = ConsulConfig::new(vec![self.hosts.addr()]);
         let key = Key::from_bytes(PEER_KEY).expect("the key is long enough");
         Parts {
             clock: Arc::clone(&self.clock),
-            store: Arc::new(ConsulStore::new(config)),
+            store: Arc::new(GatedStore {
+                store: ConsulStore::new(config),
+                shut,
+            }),
             hosts: Some(Arc::new(move |service: &str| {
                 Arc::new(ConsulHosts::new(hosts.clone(), service)) as Arc<dyn HostList>
             })),
@@ -323,7 +338,7 @@
     }
 
     /// Waits until the documents are in force on every router and the links are up.
-    fn wait_ready(&self) -> Result<()> {
+    pub fn wait_ready(&self) -> Result<()> {
         let limit = Duration::from_secs(20);
         self.wait("all routers are ready", limit, |deployment| {
             let mut running = deployment.routers.iter().flatten();
@@ -464,6 +479,14 @@
         unreachable!("every place belongs to a zone")
     }
 
+    /// Cuts a router's place off from the key-value service, or lets it through again.
+    pub fn cut_platform(&self, place: usize, cut: bool) {
+        let (_, host) = self.names_of(place);
+        if let Some(gate) = self.gates.get(&host) {
+            gate.store(cut, Ordering::Relaxed);
+        }
+    }
+
     /// Puts the tables of another generation into the key-value service.
     pub fn edit_tables(&self, generation: Generation) -> Result<()> {
         let text = TablesText::new(&self.shape).render(generation);
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -13,6 +13,7 @@
 mod client;
 mod deployment;
 mod documents;
+mod gate;
 pub mod measure;
 mod shape;
 
