Say on the page what reads badly otherwise: gaps beside a miss, rates of short runs, lag

Cause: a page of the quick start, looked at in text and in a browser, showed 0 B/s for routers that had run for less than a minute, left the gaps out of the first line when a target was missed, and repeated the same gap for each zone.

Change: the first line names the gaps beside a miss and joins zones with the same gap; a rate is told after a minute; columns keep their widths; a page of today says how late figures come in. Sentences in the tests follow the new wording; cases for both kinds of gaps are added.

--- a/crates/primrosed/src/duty/page.rs
+++ b/crates/primrosed/src/duty/page.rs
@@ -34,6 +34,9 @@
 /// Longest wait for the report thread's answer.
 const ANSWER_TIME: Duration = Duration::from_secs(2);
 
+/// What a page of today says of its own age.
+const LAG_NOTE: &str = "Figures of other routers come in up to five minutes late.";
+
 /// There is no page.
 #[derive(Debug, Snafu)]
 pub(crate) enum PageError {
@@ -86,6 +89,9 @@
         if !answered {
             without_service(&mut page);
         }
+        if !page.verdict.over {
+            page.notes.push(LAG_NOTE.to_owned());
+        }
         let unread = assembled.unread.iter();
         page.notes
             .extend(unread.map(|error| format!("One zone's record is not shown: {error}.")));
--- a/crates/report/src/html.rs
+++ b/crates/report/src/html.rs
@@ -29,7 +29,8 @@
 h1{font-size:1.35em;line-height:1.3;padding:.6em .8em;border-left:.4em solid #0a7a45;margin:0 0 .6em}\
 h1.missed{border-color:#b3261e}h1.unseen{border-color:#8a6d00}\
 h2{font-size:1.1em;margin:1.6em 0 .4em}p{margin:.4em 0}.day{color:#555}\
-table{border-collapse:collapse;width:100%}\
+table{border-collapse:collapse;width:100%;table-layout:fixed}\
+th:nth-child(1){width:31%}th:nth-child(3){width:24%}th:nth-child(4){width:11%}\
 td,th{text-align:left;padding:.35em .5em;border-bottom:1px solid #ddd;vertical-align:top}\
 th{font-weight:600;font-size:.85em;color:#555}\
 td.met{color:#0a7a45}td.missed{color:#b3261e;font-weight:700}td.none{color:#777}\
@@ -37,7 +38,7 @@
 figcaption{font-size:.9em;color:#333}.key{white-space:nowrap;margin-right:1em}\
 .key b{display:inline-block;width:1.4em;border-top:.3em solid;vertical-align:middle;margin-right:.3em}\
 @media(max-width:34em){thead{display:none}tr{display:block;border-bottom:1px solid #ddd;\
-padding:.4em 0}td{display:block;border:0;padding:.05em 0}td.target:not(:empty)::before{\
+padding:.4em 0}td{display:block;border:0;padding:.05em 0}td.none{display:none}td.target:not(:empty)::before{\
 content:\"target: \";color:#555}td:first-child{font-weight:600}}\
 @media print{body{max-width:none;font-size:11pt;padding:0}section,figure,tr{break-inside:avoid}}";
 
--- a/crates/report/src/measure.rs
+++ b/crates/report/src/measure.rs
@@ -7,6 +7,7 @@
 use crate::page::Measure;
 use crate::page::View;
 use crate::pool::PoolRecord;
+use crate::record::RATE_AFTER;
 use crate::target::PoolTarget;
 use crate::text::count;
 use crate::text::span;
@@ -162,7 +163,7 @@
     Finding {
         found: match found {
             None => "nothing was measured".to_owned(),
-            Some(found) => format!("{} over {}", time(found), count(times.count())),
+            Some(found) => format!("{}, {} measured", time(found), count(times.count())),
         },
         target: written,
         met: found.zip(target).map(|(found, target)| found <= target),
@@ -209,12 +210,16 @@
     );
     add("table changes", changes(total, view.targets.in_force));
     let limit = view.targets.control;
+    let rated = fleet.control_bytes > 0 && fleet.covered.total() >= RATE_AFTER;
     add(
         "control traffic of one router",
         Finding {
-            found: format!("{} B/s at most", count(fleet.control_rate)),
+            found: match rated {
+                true => format!("{} B/s at most", count(fleet.control_rate)),
+                false => "no router ran for long enough".to_owned(),
+            },
             target: format!("at most {} B/s", count(limit)),
-            met: (fleet.control_bytes > 0).then_some(fleet.control_rate <= limit),
+            met: rated.then_some(fleet.control_rate <= limit),
         },
     );
     let refused: Vec<String> = fleet
--- a/crates/report/src/record.rs
+++ b/crates/report/src/record.rs
@@ -337,7 +337,7 @@
 }
 
 /// Seconds after which a router's rate of control traffic counts.
-const RATE_AFTER: u64 = 60;
+pub(crate) const RATE_AFTER: u64 = 60;
 
 fn lowest(one: Option<Generation>, other: Option<Generation>) -> Option<Generation> {
     match (one, other) {
--- a/crates/report/src/verdict.rs
+++ b/crates/report/src/verdict.rs
@@ -1,5 +1,7 @@
 //! The one sentence that says whether a day went well.
 
+use std::collections::BTreeMap;
+
 use primrose_core::id::ZoneId;
 
 use crate::calendar::INTERVAL;
@@ -21,7 +23,13 @@
     let whole = gaps.is_empty() && counted && lost == 0;
     let sentence = match (counted, missed.split_first()) {
         (false, _) => "Nothing was counted on this day.".to_owned(),
-        (true, Some((first, rest))) => not_well(first, rest.len(), over),
+        (true, Some((first, rest))) => {
+            let missed = not_well(first, rest.len(), over);
+            match whole {
+                true => missed,
+                false => format!("{missed} Not all was seen: {}.", unseen(gaps, lost)),
+            }
+        }
         (true, None) if whole => all_well(measures, over),
         (true, None) => well_as_seen(gaps, lost, over),
     };
@@ -40,7 +48,7 @@
     };
     let of = match first.pool.is_empty() {
         true => String::new(),
-        false => format!(" of {}", first.pool),
+        false => format!(" in pool {}", first.pool),
     };
     let Measure {
         name,
@@ -69,19 +77,40 @@
         true => "The day went well as far as it was seen",
         false => "The day has gone well so far, as far as it was seen",
     };
-    let mut zones: Vec<(&ZoneId, u64)> = Vec::new();
+    format!("{when}: {}.", unseen(gaps, lost))
+}
+
+/// Says what nobody saw.
+fn unseen(gaps: &[Gap], lost: u64) -> String {
+    let mut zones: BTreeMap<&ZoneId, u64> = BTreeMap::new();
     for gap in gaps {
         let seconds = INTERVAL.as_secs() * gap.intervals as u64;
-        match zones.iter_mut().find(|(zone, _)| *zone == &gap.zone) {
-            Some((_, sum)) => *sum += seconds,
-            None => zones.push((&gap.zone, seconds)),
+        *zones.entry(&gap.zone).or_default() += seconds;
+    }
+    // A platform's outage hides all zones for the same time: they share one phrase.
+    let mut lengths: Vec<(u64, Vec<&str>)> = Vec::new();
+    for (zone, seconds) in zones {
+        match lengths.iter_mut().find(|(length, _)| *length == seconds) {
+            Some((_, names)) => names.push(zone),
+            None => lengths.push((seconds, vec![zone])),
         }
     }
     let uncounted = (lost > 0).then(|| format!("{lost} observations were not counted"));
-    let hidden: Vec<String> = zones
+    let phrases = lengths
         .iter()
-        .map(|(zone, seconds)| format!("zone {zone} was not seen for {}", span(*seconds)))
-        .chain(uncounted)
-        .collect();
-    format!("{when}: {}.", hidden.join(", "))
+        .map(|(seconds, names)| phrase(names, *seconds));
+    let phrases: Vec<String> = phrases.chain(uncounted).collect();
+    phrases.join(", ")
+}
+
+fn phrase(zones: &[&str], seconds: u64) -> String {
+    let length = span(seconds);
+    match zones.split_last() {
+        Some((last, [])) => format!("zone {last} was not seen for {length}"),
+        Some((last, first)) => {
+            let first = first.join(", ");
+            format!("zones {first} and {last} were not seen for {length}")
+        }
+        None => String::new(),
+    }
 }
--- a/crates/report/tests/testsuite/page.rs
+++ b/crates/report/tests/testsuite/page.rs
@@ -95,33 +95,33 @@
             name: "late first tokens",
             seen: vec![first(millis(1500))],
             well: false,
-            sentence: "The day did not go well: first token, 95 in 100 of drafting was 1504 ms over 1, \
+            sentence: "The day did not go well: first token, 95 in 100 in pool drafting was 1504 ms, 1 measured, \
                        the target is at most 1300 ms.",
         },
         Case {
             name: "slow tokens",
             seen: vec![inter(millis(50))],
             well: false,
-            sentence: "between tokens, 95 in 100 of drafting was 50 ms over 1",
+            sentence: "between tokens, 95 in 100 in pool drafting was 50 ms, 1 measured",
         },
         Case {
             name: "a broken answer",
             seen: vec![ending(Ending::Broken), ending(Ending::Whole)],
             well: false,
-            sentence: "broken answers of drafting was 1; 1 whole, 0 left by their callers, the target is 0.",
+            sentence: "broken answers in pool drafting was 1; 1 whole, 0 left by their callers, the target is 0.",
         },
         Case {
             name: "a wide gap, by name",
             seen: vec![gap(5000)],
             well: false,
-            sentence: "fairness gap of drafting was 5,000 units, large ahead of small at 00:00, \
+            sentence: "fairness gap in pool drafting was 5,000 units, large ahead of small at 00:00, \
                        the target is at most 1,000.",
         },
         Case {
             name: "idle while work waits",
             seen: vec![slots(8, 9), slots(10, 9)],
             well: false,
-            sentence: "idle while work waited of drafting was 10.00 % of slot time, 2s, \
+            sentence: "idle while work waited in pool drafting was 10.00 % of slot time, 2s, \
                        the target is at most 1.00 %.",
         },
         Case {
@@ -134,7 +134,7 @@
             name: "an unknown order and a doubled one",
             seen: vec![order(Told::Unknown), Observation::DoubledRun { pool: pool() }],
             well: false,
-            sentence: "orders with unknown outcome of drafting was 1; 0 done, 0 not run, the target is 0; \
+            sentence: "orders with unknown outcome in pool drafting was 1; 0 done, 0 not run, the target is 0; \
                        1 more measure missed its target.",
         },
         Case {
@@ -146,13 +146,13 @@
                 Observation::LostToPoison { pool: pool() },
             ],
             well: false,
-            sentence: "servers lost to poison requests of drafting was 3 by 1 requests",
+            sentence: "servers lost to poison requests in pool drafting was 3 by 1 requests",
         },
         Case {
             name: "work after leaving",
             seen: vec![Observation::AfterLeaving { pool: pool() }],
             well: false,
-            sentence: "work given to leaving servers of drafting was 1",
+            sentence: "work given to leaving servers in pool drafting was 1",
         },
         Case {
             name: "cut by a shutdown",
@@ -211,7 +211,27 @@
     let morning = moment(6 * 3600 + 60);
     let mut early = record("a", "a-1", 1);
     (0..24).for_each(|interval| cover(&mut early, interval));
+    let mut cut = alive("a");
+    cut.observe(0, &Observation::Cut { requests: 2 });
+    let mut full = alive("a");
+    full.observe(0, &Observation::Lost { observations: 7 });
     let cases = [
+        Sight {
+            name: "a missed target and two zones that were not seen",
+            zones: &["a", "b", "c"],
+            records: vec![cut],
+            now: next_day(),
+            sentence: "the target is 0. Not all was seen: zones b and c were not seen for 24h.",
+            gaps: &[("b", "00:00", "00:00"), ("c", "00:00", "00:00")],
+        },
+        Sight {
+            name: "observations without room",
+            zones: &["a"],
+            records: vec![full],
+            now: next_day(),
+            sentence: "as far as it was seen: 7 observations were not counted.",
+            gaps: &[],
+        },
         Sight {
             name: "a zone that was cut off for an hour",
             zones: &["a", "b"],
