--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -10,7 +10,9 @@
 #[snafu(visibility(pub(crate)))]
 pub enum StartError {
     /// The address is in use or not of this host.
-    #[snafu(display("failed to listen for peers on {addr}; check `listen` in the settings"))]
+    #[snafu(display(
+        "failed to listen for peers on {addr}; check `peers` under `[listen]` in the settings"
+    ))]
     Listen {
         /// The address.
         addr: SocketAddr,
--- a/crates/link/src/handshake.rs
+++ b/crates/link/src/handshake.rs
@@ -129,7 +129,9 @@
         theirs: u16,
     },
     /// The proof fits none of the accepted keys.
-    #[snafu(display("wrong peer key; compare `peer-keys` in the settings of both hosts"))]
+    #[snafu(display(
+        "wrong peer key; compare the files that `peer-key-file` names on both hosts"
+    ))]
     WrongKey,
     /// The peer is this router itself or claims its name.
     #[snafu(display("the peer has the name of this host"))]
--- a/crates/link/tests/testsuite/attack.rs
+++ b/crates/link/tests/testsuite/attack.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::thread;
+use std::time::Instant;
 
 use primrose_link::handshake::HandshakeError;
 use primrose_link::DownReason;
@@ -27,6 +28,11 @@
 Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n\
 Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
 
+/// Refused connections in the test of the log; far more than the lines allowed for them.
+const REFUSED_TRIES: usize = 60;
+/// Lines about wrong keys that other tests may add.
+const OTHER_LINES: usize = 6;
+
 /// Bytes that went through a recorder, in one direction.
 type Tape = Arc<Mutex<Vec<u8>>>;
 
@@ -79,6 +85,74 @@
     assert!(a.endpoint.stats().refused >= 1);
 }
 
+/// Keeps the warnings of all tests of this program.
+struct Warnings {
+    lines: Mutex<Vec<String>>,
+}
+
+static WARNINGS: Warnings = Warnings {
+    lines: Mutex::new(Vec::new()),
+};
+
+impl log::Log for Warnings {
+    fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+        metadata.level() <= log::Level::Warn
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        if self.enabled(record.metadata()) {
+            let line = record.args().to_string();
+            self.lines.lock().unwrap().push(line);
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+#[test]
+fn a_wrong_key_is_logged_but_does_not_fill_the_log() {
+    log::set_logger(&WARNINGS).unwrap();
+    log::set_max_level(log::LevelFilter::Warn);
+    let a = Router::plain("logged");
+    let mut wrong = config(member("b", 1), "barasat");
+    wrong.keys = keys(&[2]);
+    let b = Router::start(wrong);
+    a.connect("b", &b);
+    let start = Instant::now();
+    (0..REFUSED_TRIES).for_each(|_| drop(a.wait_refused()));
+    // One line a second at either end, and a few of the other tests.
+    let seconds = usize::try_from(start.elapsed().as_secs()).unwrap();
+    let most = 2 * (seconds + 2) + OTHER_LINES;
+    let lines = WARNINGS.lines.lock().unwrap();
+    let text = HandshakeError::WrongKey.to_string();
+    let told = lines.iter().filter(|line| line.contains(&text)).count();
+    assert!(told >= 1);
+    assert!(told <= most, "{told} lines in {seconds} s");
+}
+
+#[test]
+fn a_frame_beyond_the_limit_of_the_receiver_ends_its_link() {
+    let mut small = config(member("b", 1), "barasat");
+    small.limits.frame_bytes = 4000;
+    let b = Router::start(small);
+    let a = Router::plain("a");
+    a.connect("b", &b);
+    b.wait_up();
+    a.wait_up();
+    a.send("b", &"x".repeat(3000));
+    b.wait_message();
+    a.send("b", &"x".repeat(5000));
+    let down = b.wait(|e| matches!(e, LinkEvent::Down { .. }));
+    let failed = matches!(
+        &down,
+        LinkEvent::Down {
+            reason: DownReason::Failed(_),
+            ..
+        }
+    );
+    assert!(failed, "{down:?}");
+}
+
 #[test]
 fn a_recorded_connection_cannot_be_replayed() {
     let (a, b) = (Router::plain("a"), Router::plain("b"));
