--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -35,6 +35,7 @@
 mod event;
 mod fleet;
 mod goals;
+mod lookup;
 mod marks;
 mod news;
 mod peers;
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -5,7 +5,6 @@
 use primrose_core::clock::Mono;
 use primrose_core::host::Host;
 use primrose_core::id::HostId;
-use primrose_core::id::Incarnation;
 use primrose_core::id::Member;
 use primrose_core::id::ZoneId;
 
@@ -22,7 +21,6 @@
 use crate::peers::Peers;
 use crate::rendezvous::holder;
 use crate::rendezvous::score;
-use crate::routed::Routes;
 use crate::settings::Settings;
 use crate::zone::Zone;
 
@@ -263,106 +261,3 @@
         }
     }
 }
-
-impl View {
-    /// Returns this process.
-    pub fn me(&self) -> &Member {
-        &self.settings.me
-    }
-
-    /// Returns the live routers of the zone, this one included.
-    pub fn members(&self) -> impl Iterator<Item = &Member> {
-        self.zone.live().map(|record| &record.member)
-    }
-
-    /// Returns the live router of the zone that holds a duty; none if all are draining.
-    pub fn holder(&self, duty: &str) -> Option<&Member> {
-        let hosts = self.zone.eligible().map(|r| r.member.host.as_str());
-        self.zone.member(holder(hosts, duty)?)
-    }
-
-    /// Returns the router of a zone that holds a duty there, as far as this router knows.
-    ///
-    /// None for a zone that cannot be reached.
-    pub fn holder_in(&self, zone: &str, duty: &str) -> Option<&Member> {
-        if zone == self.settings.zone {
-            return self.holder(duty);
-        }
-        self.fleet.first(zone)?;
-        let lines = self.fleet.members(zone);
-        let eligible = lines.iter().filter(|line| !line.draining);
-        let host = holder(eligible.map(|l| l.member.host.as_str()), duty)?;
-        let line = lines.iter().find(|line| line.member.host == host)?;
-        Some(&line.member)
-    }
-
-    /// Returns the other zones that can be reached.
-    pub fn reachable_zones(&self) -> impl Iterator<Item = &ZoneId> {
-        self.fleet.reachable()
-    }
-
-    /// Returns the known live routers of a zone that can be reached.
-    pub fn members_in(&self, zone: &str) -> Vec<&Member> {
-        if zone == self.settings.zone {
-            return self.members().collect();
-        }
-        let lines = self.fleet.first(zone).map(|_| self.fleet.members(zone));
-        let lines = lines.unwrap_or_default();
-        lines.iter().map(|line| &line.member).collect()
-    }
-
-    /// Whether an incarnation of a host is leaving and must get no new work.
-    pub fn is_leaving(&self, host: &str, incarnation: Incarnation) -> bool {
-        self.marks.is_leaving(host, incarnation)
-    }
-
-    /// Returns the newest table that a peer has in force, and the peer.
-    pub fn newest_table(&self) -> Option<(&Member, &TableMark)> {
-        let tables = self.peers.iter().map(|peer| (&peer.member, &peer.table));
-        tables.max_by_key(|(_, table)| table.generation)
-    }
-
-    /// Returns the tables that the linked peers have in force.
-    pub fn tables(&self) -> impl Iterator<Item = (&Member, &TableMark)> {
-        self.peers.iter().map(|peer| (&peer.member, &peer.table))
-    }
-
-    /// Returns the peer that is next on the way to a router; none if no way is known.
-    ///
-    /// A linked router is its own next hop. Inside the zone the way is the shortest over live
-    /// routers; towards another zone it leads over one of the zone's gateways, which the name of
-    /// the receiver chooses.
-    pub fn next_hop(&self, to: &Member) -> Option<&HostId> {
-        if let Some(peer) = self.peers.get(&to.host) {
-            return Some(&peer.member.host);
-        }
-        if let Some(via) = self.zone.via(&to.host) {
-            return (to.host != self.settings.me.host).then_some(via);
-        }
-        let zone = self.fleet.zone_of(&to.host)?;
-        let first = self.fleet.first(zone)?;
-        self.way_across(first, &to.host)
-    }
-
-    /// Returns the next hop towards a neighbouring zone.
-    fn way_across(&self, zone: &ZoneId, to: &str) -> Option<&HostId> {
-        let linked = self.peers.iter().filter(|peer| peer.zone == *zone);
-        let linked = linked.map(|peer| peer.member.host.as_str());
-        if let Some(host) = holder(linked, to) {
-            return self.peers.get(host).map(|peer| &peer.member.host);
-        }
-        let gateways = self.zone.live().filter(|r| r.gates.contains(zone));
-        let gateways = gateways.map(|r| r.member.host.as_str());
-        self.zone.via(holder(gateways, to)?)
-    }
-}
-
-impl Routes for View {
-    fn me(&self) -> &Member {
-        self.me()
-    }
-
-    fn next_hop(&self, to: &Member) -> Option<&HostId> {
-        self.next_hop(to)
-    }
-}
