--- a/crates/member/tests/testsuite/fleet.rs
+++ b/crates/member/tests/testsuite/fleet.rs
@@ -16,6 +16,8 @@
 const ZONES: usize = 31;
 const REGIONS: usize = 8;
 const ROUTERS: usize = 2;
+/// Time for dead links to be found, four routers to be tried in vain, and reports to be repaired.
+const SETTLE: Duration = Duration::from_secs(3 + 4 * 3 + 2 * 5);
 /// Links that a router of a small zone may have at most: its one peer, two gateways' links from
 /// either side to 4 neighbours and 7 regions, in the worst case all on one router.
 const MAX_LINKS: usize = 1 + 2 * 2 * (4 + 7);
@@ -43,20 +45,33 @@
     }
 }
 
-#[test]
-fn every_router_reaches_every_other_over_few_links() {
+/// Starts the fleet and lets it settle.
+fn settled() -> Net {
     let names = names();
     let zones: Vec<(&str, &str)> = names.iter().map(|(z, r)| (&z[..], &r[..])).collect();
     let mut net = Net::fleet(1, &zones, ROUTERS);
-    net.run(Duration::from_secs(20));
-    let hosts: Vec<HostId> = net.nodes.keys().cloned().collect();
-    for from in &hosts {
-        assert!(net.link_count(from) <= MAX_LINKS, "{from}");
-        for to in hosts.iter().filter(|to| *to != from) {
-            let to = net.nodes[to].view.me().clone();
-            hops(&net, from, &to).unwrap();
+    net.run(SETTLE);
+    net
+}
+
+/// Checks that each router reaches those of the same part, over few links, and no others.
+fn check(net: &Net) {
+    for from in net.nodes.keys() {
+        let links = net.link_count(from);
+        assert!(links <= MAX_LINKS, "{from} has {links} links");
+        for to in net.nodes.keys().filter(|to| *to != from) {
+            let member = net.nodes[to].view.me().clone();
+            let way = hops(net, from, &member);
+            let joined = net.parts[from] == net.parts[to];
+            assert_eq!(way.is_ok(), joined, "{from} to {to}: {way:?}");
         }
     }
+}
+
+#[test]
+fn every_router_reaches_every_other_over_few_links() {
+    let mut net = settled();
+    check(&net);
     // A leaving server that one router sees is known to all within 3 s.
     let mut list = net.router_list();
     list.push(server_entry("s1", 1, HostState::Leaving));
@@ -64,3 +79,24 @@
     net.run(Duration::from_secs(3));
     assert!(net.nodes.values().all(|n| n.view.is_leaving("s1", 1)));
 }
+
+#[test]
+fn regions_that_lose_each_other_go_on_and_join_again() {
+    let mut net = settled();
+    let far: Vec<HostId> = net.nodes.keys().cloned().collect();
+    let cut = |net: &mut Net, part| {
+        for host in &far {
+            let number: usize = host[1..3].parse().unwrap();
+            // The regions 0 to 2 are cut off from the others, and zone 30 from its region.
+            let parted = number % REGIONS < 3 || number == 30;
+            net.parts
+                .insert(host.clone(), if parted { part } else { 0 });
+        }
+    };
+    cut(&mut net, 1);
+    net.run(Duration::from_secs(20));
+    check(&net);
+    cut(&mut net, 0);
+    net.run(SETTLE);
+    check(&net);
+}
