--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message/mod.rs
@@ -5,21 +5,31 @@
 //! order: a message either states a level (everything that waits, everything that runs) or names the
 //! one attempt or loan it is about.
 
+mod compact;
+mod zone;
+
 use std::time::Duration;
 
 use primrose_core::cost::Service;
-use primrose_core::fingerprint::Fingerprint;
 use primrose_core::id::AccountId;
 use primrose_core::id::AttemptId;
 use primrose_core::id::PoolId;
 use primrose_core::id::RequestId;
 use primrose_core::id::RouteId;
 use primrose_core::id::ServerId;
-use primrose_share::Row;
-use primrose_share::Standing;
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use zone::Borrowed;
+pub use zone::Demand;
+pub use zone::Digest;
+pub use zone::Loan;
+pub use zone::LoanId;
+pub use zone::LoanReturn;
+pub use zone::Loans;
+pub use zone::Snapshot;
+pub use zone::Want;
+
 /// Number that a requester's renewals count up.
 pub type Beat = u64;
 /// Number that a dispatcher's grants and loans count up.
@@ -65,7 +75,7 @@
     /// Requester to dispatcher: everything that waits and runs.
     #[serde(rename = "s")]
     Sync(Sync),
-    /// Requester to dispatcher: what runs, and a checksum of what waits.
+    /// Requester to dispatcher: checksums of what waits and runs, and progress.
     #[serde(rename = "n")]
     Renew(Renew),
     /// Requester to dispatcher: a grant is not used.
@@ -89,7 +99,7 @@
     /// Dispatcher to a new dispatcher: where the accounts stand.
     #[serde(rename = "o")]
     Snapshot(Snapshot),
-    /// Dispatcher to another zone's dispatcher: service charged, and who waits.
+    /// Dispatcher to another zone's dispatcher: service charged, who waits, and loans in use.
     #[serde(rename = "i")]
     Digest(Digest),
     /// Dispatcher to another zone's dispatcher: what waits without a slot.
@@ -101,9 +111,6 @@
     /// Dispatcher to the lender: a slot is free again.
     #[serde(rename = "t")]
     LoanReturn(LoanReturn),
-    /// Dispatcher to the lender: the loans that are in use.
-    #[serde(rename = "e")]
-    LoanRenew(LoanRenew),
 }
 
 impl Body {
@@ -134,9 +141,6 @@
     /// Estimated cost in units, by the caller's hint or the route.
     #[serde(rename = "c")]
     pub cost: Service,
-    /// Fingerprint.
-    #[serde(rename = "f")]
-    pub fingerprint: Fingerprint,
     /// The request may crash its server: run it alone on the server set apart.
     #[serde(rename = "x", default, skip_serializing_if = "is_false")]
     pub suspect: bool,
@@ -148,6 +152,16 @@
     pub left: Millis,
 }
 
+impl Registration {
+    /// Returns the attempt that the next grant is for.
+    pub fn attempt(&self) -> AttemptId {
+        AttemptId {
+            request: self.request,
+            number: self.number,
+        }
+    }
+}
+
 fn is_false(value: &bool) -> bool {
     !value
 }
@@ -184,7 +198,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Running {
     /// The attempt.
-    #[serde(rename = "i")]
+    #[serde(rename = "i", with = "compact")]
     pub attempt: AttemptId,
     /// Client account.
     #[serde(rename = "a")]
@@ -209,7 +223,7 @@
     pub suspect: bool,
 }
 
-/// What runs, and a checksum of what waits.
+/// Checksums of what waits and runs, and progress that changes what is charged.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Renew {
     /// Number of this renewal.
@@ -218,26 +232,63 @@
     /// Latest grant received.
     #[serde(rename = "s")]
     pub seen: Seen,
-    /// Number of requests that wait.
+    /// Requests that wait.
     #[serde(rename = "w")]
+    pub waiting: Checksum,
+    /// Attempts that run.
+    #[serde(rename = "r")]
+    pub running: Checksum,
+    /// Attempts that have used more than was charged.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub progress: Vec<Progress>,
+}
+
+/// Number of attempts, and exclusive or of their ids.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Checksum {
+    /// Number.
+    #[serde(rename = "n")]
     pub count: u32,
-    /// Exclusive or of the ids of the requests that wait.
+    /// Exclusive or.
     #[serde(rename = "k")]
     pub check: u64,
-    /// Attempts that run.
-    #[serde(rename = "r")]
-    pub running: Vec<Progress>,
+}
+
+impl Checksum {
+    /// Counts one more.
+    pub fn add(&mut self, attempt: AttemptId) {
+        self.count += 1;
+        self.check ^= Self::mark(attempt);
+    }
+
+    /// Counts one less, which was added before.
+    pub fn remove(&mut self, attempt: AttemptId) {
+        self.count -= 1;
+        self.check ^= Self::mark(attempt);
+    }
+
+    /// Request ids are random; rotation tells the attempts of one request apart.
+    fn mark(attempt: AttemptId) -> u64 {
+        attempt.request.rotate_left(attempt.number)
+    }
+}
+
+impl FromIterator<AttemptId> for Checksum {
+    fn from_iter<T: IntoIterator<Item = AttemptId>>(attempts: T) -> Self {
+        let mut sum = Self::default();
+        for attempt in attempts {
+            sum.add(attempt);
+        }
+        sum
+    }
 }
 
 /// How far an attempt has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
-    /// The request.
-    #[serde(rename = "r")]
-    pub request: RequestId,
-    /// Number of the attempt.
-    #[serde(rename = "n")]
-    pub number: u32,
+    /// The attempt.
+    #[serde(rename = "i", with = "compact")]
+    pub attempt: AttemptId,
     /// Units used so far.
     #[serde(rename = "u")]
     pub used: Service,
@@ -247,7 +298,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Decline {
     /// The attempt.
-    #[serde(rename = "i")]
+    #[serde(rename = "i", with = "compact")]
     pub attempt: AttemptId,
     /// Life of the dispatcher that granted.
     #[serde(rename = "e")]
@@ -295,7 +346,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Finished {
     /// The attempt.
-    #[serde(rename = "i")]
+    #[serde(rename = "i", with = "compact")]
     pub attempt: AttemptId,
     /// How it ended.
     #[serde(rename = "e")]
@@ -324,7 +375,7 @@
     #[serde(rename = "b")]
     pub beat: Beat,
     /// The attempt.
-    #[serde(rename = "i")]
+    #[serde(rename = "i", with = "compact")]
     pub attempt: AttemptId,
     /// Backend server.
     #[serde(rename = "v")]
@@ -336,118 +387,3 @@
     #[serde(rename = "c")]
     pub charged: Service,
 }
-
-/// Where the accounts stand, for a dispatcher that is new.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Snapshot {
-    /// Standings of all accounts known.
-    #[serde(rename = "s")]
-    pub standings: Vec<Standing>,
-}
-
-/// Service charged by a dispatcher, and the accounts that wait there.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Digest {
-    /// Counts the dispatcher's digests; an older one says nothing about who waits.
-    #[serde(rename = "s")]
-    pub sequence: Sequence,
-    /// How long the dispatcher has been counting.
-    #[serde(rename = "g")]
-    pub age: Millis,
-    /// Counters that changed, and a few others.
-    #[serde(rename = "r")]
-    pub rows: Vec<Row>,
-    /// Accounts that wait.
-    #[serde(rename = "w")]
-    pub waiting: Vec<AccountId>,
-}
-
-/// Requests of one account that wait.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Want {
-    /// Client account.
-    #[serde(rename = "a")]
-    pub account: AccountId,
-    /// Requests.
-    #[serde(rename = "n")]
-    pub count: u32,
-}
-
-/// What waits in a zone without a slot: a level, not a change.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Demand {
-    /// Counts the dispatcher's demands; an older one is dropped.
-    #[serde(rename = "s")]
-    pub sequence: Sequence,
-    /// Latest loan received from the zone that is told.
-    #[serde(rename = "l")]
-    pub seen: Seen,
-    /// The accounts with the least service that wait, the lowest first, and how many requests.
-    #[serde(rename = "w")]
-    pub wants: Vec<Want>,
-    /// Suspect requests that wait, apart from the others.
-    #[serde(rename = "x", default, skip_serializing_if = "is_zero")]
-    pub suspects: u32,
-}
-
-fn is_zero(value: &u32) -> bool {
-    *value == 0
-}
-
-/// Id of a loan: the lender's epoch and sequence number.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct LoanId {
-    /// Life of the lending dispatcher.
-    #[serde(rename = "e")]
-    pub epoch: Epoch,
-    /// Counts the lender's grants and loans.
-    #[serde(rename = "s")]
-    pub sequence: Sequence,
-}
-
-/// One slot of a server, lent to another zone for one attempt.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Loan {
-    /// The loan.
-    #[serde(rename = "i")]
-    pub id: LoanId,
-    /// The server.
-    #[serde(rename = "v")]
-    pub server: ServerId,
-    /// The server is set apart: for one suspect, and for nothing else.
-    #[serde(rename = "x", default, skip_serializing_if = "is_false")]
-    pub suspect: bool,
-}
-
-/// A loan that is over.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoanReturn {
-    /// The loan.
-    #[serde(rename = "i")]
-    pub id: LoanId,
-    /// How the attempt ended; nothing if the slot was not used.
-    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
-    pub finished: Option<Finished>,
-}
-
-/// One loan that is in use.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Borrowed {
-    /// The loan.
-    #[serde(rename = "i")]
-    pub id: LoanId,
-    /// The server.
-    #[serde(rename = "v")]
-    pub server: ServerId,
-}
-
-/// The loans that are in use.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoanRenew {
-    /// Latest loan received.
-    #[serde(rename = "s")]
-    pub seen: Seen,
-    /// Loans in use.
-    #[serde(rename = "l")]
-    pub loans: Vec<Borrowed>,
-}
--- a/crates/dispatch/src/requester/mod.rs
+++ b/crates/dispatch/src/requester/mod.rs
@@ -17,7 +17,6 @@
 
 use primrose_core::clock::Mono;
 use primrose_core::cost::Service;
-use primrose_core::fingerprint::Fingerprint;
 use primrose_core::id::AccountId;
 use primrose_core::id::AttemptId;
 use primrose_core::id::Member;
@@ -55,8 +54,6 @@
     pub cost: Service,
     /// Size of the body that the router holds.
     pub bytes: usize,
-    /// Fingerprint.
-    pub fingerprint: Fingerprint,
     /// The request may crash its server.
     pub suspect: bool,
     /// Hashes of the prompt's beginning, shortest first.
@@ -65,6 +62,16 @@
     pub deadline: Mono,
 }
 
+impl Work {
+    /// Returns the attempt that the next grant is for.
+    pub fn attempt(&self) -> AttemptId {
+        AttemptId {
+            request: self.request,
+            number: self.number,
+        }
+    }
+}
+
 /// Something that a requester is told.
 #[derive(Debug, Clone)]
 pub enum Event {
@@ -90,6 +97,8 @@
     },
     /// A running attempt ended.
     Ended(Finished),
+    /// A waiting request has become suspect: it is to run alone on the server set apart.
+    Suspect(RequestId),
     /// A message for [`Duty::Requester`](crate::message::Duty::Requester) came.
     Message {
         /// Sender.
@@ -181,6 +190,7 @@
             Event::Cancel(request) => self.cancel(request, &mut out),
             Event::Progress { attempt, used } => self.progress(attempt, used),
             Event::Ended(finished) => self.ended(finished, &mut out),
+            Event::Suspect(request) => self.suspect(request, now, &mut out),
             Event::Message { from, message } => self.message(&from, message, now, &mut out),
             Event::Drain => self.draining = true,
             Event::Abandon => self.abandon(&mut out),
@@ -276,6 +286,12 @@
         }
     }
 
+    fn suspect(&mut self, request: RequestId, now: Mono, out: &mut Vec<Action>) {
+        if let Some(lane) = self.lane_of(request) {
+            lane.suspect(request, now, out);
+        }
+    }
+
     fn message(&mut self, from: &Member, message: Message, now: Mono, out: &mut Vec<Action>) {
         let lane = self.lane(&message.pool);
         match message.body {
