--- a/crates/link/src/shared.rs
+++ b/crates/link/src/shared.rs
@@ -69,8 +69,9 @@
     addr: SocketAddr,
     reason: RefusedReason,
 ) {
-    shared.refused.fetch_add(1, Ordering::Relaxed);
+    // Routers that dial each other at the same moment refuse one of the two; that is no fault.
     if reason != RefusedReason::Duplicate {
+        shared.refused.fetch_add(1, Ordering::Relaxed);
         if let Some(held) = shared.log_limit.pass(Instant::now()) {
             warn!(peer:% = addr, held_back = held; "refused a peer connection: {reason}");
         }
--- a/crates/link/src/stats.rs
+++ b/crates/link/src/stats.rs
@@ -43,7 +43,7 @@
     pub total: Traffic,
     /// Links that are up, by host.
     pub links: Vec<LinkStats>,
-    /// Connections refused since the start.
+    /// Connections refused since the start, those in favour of another link left out.
     pub refused: u64,
 }
 
