Tell peers that a leaving mark still holds

A router without a host list forgot a mark ten minutes after it had learned it, although others still saw the host in their lists, and got it back only with the next repair: seen as three announcements in place of one within 1400 s. Marks that were confirmed since are now sent on every two minutes.

--- a/crates/member/src/marks.rs
+++ b/crates/member/src/marks.rs
@@ -23,11 +23,17 @@
 /// Most marks that are kept; the one that was confirmed longest ago goes first.
 const MAX_MARKS: usize = 8192;
 
+/// How often peers are told that a mark still holds, in the time after which it expires.
+const CONFIRMATIONS: u32 = 5;
+
 /// What is known of one leaving host.
 #[derive(Debug, Clone, Copy)]
 struct Known {
     incarnation: Incarnation,
+    /// When a host list, here or elsewhere, last showed the host.
     confirmed: Mono,
+    /// What the peers were last told of the above.
+    told: Mono,
 }
 
 /// The leaving marks of one router.
@@ -66,6 +72,7 @@
         let known = Known {
             incarnation,
             confirmed,
+            told: confirmed,
         };
         if let Some(had) = self.known.get_mut(host) {
             if incarnation <= had.incarnation {
@@ -97,6 +104,20 @@
             .retain(|_, known| now.saturating_sub(known.confirmed) < forget);
     }
 
+    /// Returns the marks that have been confirmed since the peers were told of them.
+    ///
+    /// Routers without a host list keep a mark by these alone, so they come well before it expires.
+    pub(crate) fn confirmations(&mut self, forget: Duration) -> Vec<HostId> {
+        let mut hosts = Vec::new();
+        for (host, known) in &mut self.known {
+            if known.confirmed.saturating_sub(known.told) >= forget / CONFIRMATIONS {
+                known.told = known.confirmed;
+                hosts.push(host.clone());
+            }
+        }
+        hosts
+    }
+
     /// Whether an incarnation of a host is leaving.
     pub(crate) fn is_leaving(&self, host: &str, incarnation: Incarnation) -> bool {
         let known = self.known.get(host);
--- a/crates/member/src/news.rs
+++ b/crates/member/src/news.rs
@@ -142,15 +142,20 @@
         from: Option<&HostId>,
         actions: &mut Vec<Action>,
     ) {
+        self.pass_mark(host, from);
+        if let Some(incarnation) = self.marks.incarnation(host) {
+            let host = host.clone();
+            actions.push(Action::ServerLeaving { host, incarnation });
+        }
+    }
+
+    /// Queues a leaving mark for the peers.
+    fn pass_mark(&mut self, host: &HostId, from: Option<&HostId>) {
         for peer in self.peers.iter_mut() {
             if Some(&peer.member.host) != from {
                 peer.outbox.leaving.insert(host.clone());
             }
         }
-        if let Some(incarnation) = self.marks.incarnation(host) {
-            let host = host.clone();
-            actions.push(Action::ServerLeaving { host, incarnation });
-        }
     }
 
     /// Makes a beat due for every peer, and forgets what is old, when a period begins.
@@ -161,6 +166,9 @@
         let forget = self.settings.timing.forget;
         self.marks.expire(forget, now);
         self.zone.expire(forget, now);
+        for host in self.marks.confirmations(forget) {
+            self.pass_mark(&host, None);
+        }
         let period = self.settings.timing.period;
         self.next_period = (self.next_period + period).max(now);
         self.periods += 1;
--- a/crates/member/tests/testsuite/leaving.rs
+++ b/crates/member/tests/testsuite/leaving.rs
@@ -81,6 +81,24 @@
     assert!(net.nodes.values().all(|n| !n.view.is_leaving("s1", 7)));
 }
 
+#[test]
+fn a_mark_lasts_while_any_router_sees_the_host_in_its_list() {
+    let mut net = Net::fleet(1, &ZONES, 1);
+    net.run(START);
+    let event = list(&net, &[server_entry("s1", 7, HostState::Leaving)]);
+    for _ in 0..70 {
+        net.tell(&host_name("z0", 0), event.clone());
+        net.run(Duration::from_secs(20));
+    }
+    for (host, node) in &net.nodes {
+        assert!(node.view.is_leaving("s1", 7), "{host}");
+        // A mark that had been forgotten in between would have been told again.
+        let said =
+            |(_, action): &&(Duration, Action)| matches!(action, Action::ServerLeaving { .. });
+        assert_eq!(node.told.iter().filter(said).count(), 1, "{host}");
+    }
+}
+
 #[test]
 fn the_age_of_a_mark_travels_with_it() {
     let mut net = Net::fleet(1, &[("z0", "")], 2);
