Tell demand by doubling, to some zones at a time; shorter digest rows

Cause: demand and digests to 30 zones took 39.5 KB/s of one dispatcher. Change: digests every second for up to 8 zones, rows without field names, one change of demand goes to 8 zones in turn and a burst is told by doubling. A test with all work in one zone caught a first try that told growth one by one: idle slots for longer than 25 ms and a round trip.

--- a/crates/dispatch/src/dispatcher/zones.rs
+++ b/crates/dispatch/src/dispatcher/zones.rs
@@ -223,9 +223,7 @@
         let Some(sequence) = self.spill.tell(&level, now) else {
             return;
         };
-        let peers = self.spill.peers.values();
-        let told = peers.filter_map(|p| Some((p.holder.clone()?, p.seen)));
-        for (holder, seen) in told.collect::<Vec<_>>() {
+        for (holder, seen) in self.spill.told_zones(sequence) {
             let demand = Demand {
                 sequence,
                 seen,
--- a/crates/dispatch/src/spill.rs
+++ b/crates/dispatch/src/spill.rs
@@ -13,6 +13,7 @@
 //! stays counted until the server reports it free or the longest run is over.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use primrose_core::clock::Mono;
 use primrose_core::cost::Service;
@@ -33,6 +34,7 @@
 use crate::policy::Policy;
 use crate::timing::DEMAND_BURST;
 use crate::timing::DEMAND_GAP;
+use crate::timing::DEMAND_PEERS;
 use crate::timing::DEMAND_REFRESH;
 use crate::timing::DEMAND_STALE;
 use crate::timing::DIGEST_EVERY;
@@ -244,11 +246,12 @@
 
     /// Decides whether the level is to be told now; if so, returns its sequence number.
     pub(crate) fn tell(&mut self, level: &Level, now: Mono) -> Option<Sequence> {
-        let peers = u32::try_from(self.holders().count()).unwrap_or(u32::MAX);
-        if peers == 0 || !self.is_due(level, now) {
+        let peers = self.holders().count().min(DEMAND_PEERS);
+        let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+        let gap = DEMAND_GAP * peers;
+        if peers == 0 || !self.is_due(level, gap, now) {
             return None;
         }
-        let gap = DEMAND_GAP * peers;
         let earliest = now.saturating_sub(gap * DEMAND_BURST);
         let paid = self.telling.paid.max(earliest) + gap;
         if paid > now {
@@ -264,12 +267,28 @@
         Some(self.telling.sequence)
     }
 
+    /// Lists the zones to be told the level that has this number: all, or some in turn.
+    pub(crate) fn told_zones(&self, sequence: Sequence) -> Vec<(Member, Seen)> {
+        let peers = self.peers.values();
+        let reachable = peers.filter_map(|p| Some((p.holder.clone()?, p.seen)));
+        let mut reachable: Vec<_> = reachable.collect();
+        if reachable.len() > DEMAND_PEERS {
+            let turn = usize::try_from(sequence)
+                .unwrap_or(0)
+                .wrapping_mul(DEMAND_PEERS);
+            let first = turn % reachable.len();
+            reachable.rotate_left(first);
+            reachable.truncate(DEMAND_PEERS);
+        }
+        reachable
+    }
+
     /// Makes the next call of [`Spill::tell`] tell, because a zone has a new holder.
     pub(crate) fn tell_anew(&mut self) {
         self.telling.at = Mono::ZERO;
     }
 
-    fn is_due(&self, level: &Level, now: Mono) -> bool {
+    fn is_due(&self, level: &Level, gap: Duration, now: Mono) -> bool {
         let told = &self.telling.level;
         let since = now.saturating_sub(self.telling.at);
         if level.is_zero() && told.is_zero() {
@@ -282,8 +301,11 @@
         // What the others still believe to be wanted, after the loans that came since.
         let believed = told.total().saturating_sub(self.telling.received);
         let total = level.total();
-        let more = total > believed && believed < SMALL_DEMAND;
-        if more || total > believed.saturating_mul(2) || total < believed / 2 {
+        // Doubling is told at once, so that a burst of arrivals takes few messages; one more, after
+        // a pause.
+        let doubled = total > believed && total >= believed.saturating_mul(2);
+        let more = total > believed && believed < SMALL_DEMAND && since >= gap;
+        if doubled || more || total < believed / 2 {
             return true;
         }
         since >= DEMAND_REFRESH || (level != told && since >= DIGEST_EVERY)
--- a/crates/dispatch/src/timing.rs
+++ b/crates/dispatch/src/timing.rs
@@ -19,13 +19,15 @@
 /// How often a router is asked to register all anew, at most.
 pub const RESYNC_EVERY: Duration = Duration::from_secs(2);
 /// How often digests go to other zones, for each [`DIGEST_PEERS`] zones.
-pub const DIGEST_EVERY: Duration = Duration::from_millis(500);
+pub const DIGEST_EVERY: Duration = Duration::from_secs(1);
 /// Number of zones up to which digests go at full rate.
-pub const DIGEST_PEERS: usize = 4;
-/// Time between two changes of demand told to a zone, for each zone told.
-pub const DEMAND_GAP: Duration = Duration::from_millis(5);
+pub const DIGEST_PEERS: usize = 8;
+/// Time between two changes of demand, for each zone that is told.
+pub const DEMAND_GAP: Duration = Duration::from_millis(12);
+/// Number of zones that are told of one change, in turn if there are more.
+pub const DEMAND_PEERS: usize = 8;
 /// Changes of demand that may be told without a gap.
-pub const DEMAND_BURST: u32 = 4;
+pub const DEMAND_BURST: u32 = 8;
 /// How often demand is told even without a change.
 pub const DEMAND_REFRESH: Duration = Duration::from_secs(1);
 /// Demand that was not refreshed for this long is void.
--- a/crates/dispatch/tests/testsuite/fleet/load.rs
+++ b/crates/dispatch/tests/testsuite/fleet/load.rs
@@ -10,6 +10,7 @@
 
 use super::Fleet;
 use super::POOL;
+use super::STEP;
 
 /// Time after which a caller gives up.
 const DEADLINE: Duration = Duration::from_secs(600);
@@ -22,6 +23,8 @@
     pub(crate) routers: Vec<usize>,
     /// Requests that it keeps waiting at each of them.
     pub(crate) depth: usize,
+    /// Requests a second that it sends to each of them besides, at random times.
+    pub(crate) rate: f64,
     /// True cost of a request, in units.
     pub(crate) cost: Range<f64>,
     /// Time in which it calls.
@@ -34,6 +37,7 @@
             name: name.into(),
             routers: routers.to_vec(),
             depth,
+            rate: 0.0,
             cost,
             active: Duration::ZERO..Duration::MAX,
         }
@@ -54,6 +58,9 @@
                 let mine = queued.iter().find(|q| q.account == account.name);
                 let waiting = mine.map_or(0, |q| q.requests);
                 missing.extend((waiting..account.depth).map(|_| account));
+                if self.rng.random_bool(account.rate * STEP.as_secs_f64()) {
+                    missing.push(account);
+                }
             }
             for account in missing {
                 self.call(index, account);
--- a/crates/share/src/writer.rs
+++ b/crates/share/src/writer.rs
@@ -18,22 +18,42 @@
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 
 /// Grow-only counters of one writer for one client account, in units of service.
+///
+/// On the wire it is a list without field names, because digests are most of the traffic between
+/// zones.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Wire", into = "Wire")]
 pub struct Row {
     /// Client account.
-    #[serde(rename = "a")]
     pub account: AccountId,
     /// All that was ever charged.
-    #[serde(rename = "c")]
     pub charged: Service,
     /// All that was ever refunded.
-    #[serde(rename = "r")]
     pub refunded: Service,
     /// All that was delivered by requests that have ended.
-    #[serde(rename = "s")]
     pub settled: Service,
 }
 
+#[derive(Serialize, Deserialize)]
+struct Wire(AccountId, Service, Service, Service);
+
+impl From<Wire> for Row {
+    fn from(Wire(account, charged, refunded, settled): Wire) -> Self {
+        Self {
+            account,
+            charged,
+            refunded,
+            settled,
+        }
+    }
+}
+
+impl From<Row> for Wire {
+    fn from(row: Row) -> Self {
+        Self(row.account, row.charged, row.refunded, row.settled)
+    }
+}
+
 /// Totals that only grow.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct Counter {
