--- a/crates/primrosed/src/decide/fleet.rs
+++ b/crates/primrosed/src/decide/fleet.rs
@@ -68,6 +68,7 @@
         };
         self.links.insert(member.host.clone(), link);
         self.greet(&member.host);
+        self.tell_suspects(&member.host);
         self.view_event(Event::LinkUp { member, zone, addr }, now);
         self.update_holders(now);
     }
@@ -101,9 +102,9 @@
         self.next_view = now + VIEW_TICK;
         self.view_event(Event::Tick, now);
         self.update_holders(now);
-        let mine = |duty: &&str| self.view.holder(duty) == Some(&self.me);
+        let is_mine = |duty: &&str| self.view.holder(duty) == Some(&self.me);
         self.published
-            .set_watching(WATCH_DUTIES.iter().any(|duty| mine(duty)));
+            .set_watching(WATCH_DUTIES.iter().any(is_mine));
     }
 
     /// Sends a message to another router, over other routers if there is no link to it.
--- a/crates/primrosed/src/router.rs
+++ b/crates/primrosed/src/router.rs
@@ -55,6 +55,23 @@
 /// Gives the host list of one service.
 pub type HostLists = Arc<dyn Fn(&str) -> Arc<dyn HostList> + Send + Sync>;
 
+/// How routers share slots; anything but [`Sharing::Fleet`] is a baseline for measurements.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Sharing {
+    /// Fair over the whole fleet.
+    #[default]
+    Fleet,
+    /// First come first served at each zone's dispatcher.
+    FirstCome,
+    /// Fair in each router alone, over a fixed part of its zone's slots.
+    Alone {
+        /// Place of this router in its zone, from 0.
+        index: u32,
+        /// Routers of the zone.
+        count: u32,
+    },
+}
+
 /// What a router needs of the world outside.
 #[derive(Clone)]
 pub struct Parts {
@@ -66,6 +83,8 @@
     pub hosts: Option<HostLists>,
     /// Keys of the peer links.
     pub keys: Keys,
+    /// How slots are shared.
+    pub sharing: Sharing,
     /// Number of this run of the process.
     pub incarnation: Incarnation,
     /// Renders the metrics; nothing if they are not exported.
@@ -118,6 +137,8 @@
     operators: SocketAddr,
     ring: Sender<Input>,
     stop: Arc<Stop>,
+    /// Threads that end at once when told to. Those that wait at the platform end by themselves
+    /// when their call returns, and hold nothing that a shutdown would have to wait for.
     threads: Vec<JoinHandle<()>>,
     drained: Receiver<()>,
     clock: Arc<dyn Clock>,
@@ -172,6 +193,7 @@
             Arc::clone(&parts.clock),
             Box::new(Arc::clone(&endpoint)),
             Arc::clone(&published),
+            parts.sharing,
             rand::rng().random(),
         );
         let mut router = Self {
@@ -220,7 +242,7 @@
                 ring: self.ring.clone(),
                 stop: Arc::clone(&self.stop),
             };
-            self.spawn("watch", move || watch.run())?;
+            drop(spawn("watch", move || watch.run())?);
         }
         let loads = Loads {
             published: Arc::clone(published),
@@ -237,7 +259,7 @@
             ring: self.ring.clone(),
             stop: Arc::clone(&self.stop),
         };
-        self.spawn("hosts", move || hosts.run())?;
+        drop(spawn("hosts", move || hosts.run())?);
         Ok(())
     }
 
@@ -246,11 +268,7 @@
         name: &str,
         body: impl FnOnce() + Send + 'static,
     ) -> Result<(), RouterError> {
-        let thread = std::thread::Builder::new()
-            .name(name.to_owned())
-            .spawn(body)
-            .context(ThreadSnafu { name })?;
-        self.threads.push(thread);
+        self.threads.push(spawn(name, body)?);
         Ok(())
     }
 
@@ -328,6 +346,13 @@
     }
 }
 
+fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, RouterError> {
+    std::thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(body)
+        .context(ThreadSnafu { name })
+}
+
 fn front_limits(settings: &Settings) -> primrose_front::Limits {
     let limits = &settings.limits;
     primrose_front::Limits {
--- /dev/null
+++ b/crates/report/src/plot.rs
@@ -0,0 +1,185 @@
+//! Small plots over the day, as inline SVG.
+
+use plotters::coord::ranged1d::DefaultFormatting;
+use plotters::coord::ranged1d::KeyPointHint;
+use plotters::coord::ranged1d::Ranged;
+use plotters::coord::types::RangedCoordf64;
+use plotters::prelude::*;
+
+/// Width of a plot, in pixels of its own coordinates.
+const WIDTH: u32 = 480;
+/// Height of a plot, in pixels of its own coordinates.
+const HEIGHT: u32 = 180;
+/// Room around a plot.
+const MARGIN: u32 = 6;
+/// Room for labels on the left; half as much below, and on the right for the last one.
+const LABELS: u32 = 52;
+/// Labels along the upright axis.
+const TICKS: usize = 4;
+/// Hours between two labels along the day.
+const LABEL_HOURS: f64 = 6.0;
+/// Size of labels: still readable when the plot is as wide as a phone.
+const FONT: (&str, u32) = ("sans-serif", 18);
+/// Grey of a time that was not seen.
+const HIDDEN: RGBColor = RGBColor(222, 222, 222);
+/// Colours of lines, told apart on paper too by their order in the legend.
+const COLOURS: [RGBColor; 8] = [
+    RGBColor(0, 90, 160),
+    RGBColor(200, 80, 0),
+    RGBColor(0, 120, 70),
+    RGBColor(150, 30, 110),
+    RGBColor(110, 90, 0),
+    RGBColor(60, 60, 60),
+    RGBColor(20, 150, 170),
+    RGBColor(150, 150, 150),
+];
+
+/// One line of a plot; a value is absent where nothing was seen.
+pub(crate) struct Line<'a> {
+    pub(crate) values: &'a [Option<f64>],
+}
+
+/// A plot over the day.
+pub(crate) struct Plot<'a> {
+    /// Its lines.
+    pub(crate) lines: Vec<Line<'a>>,
+    /// Steps of the whole day.
+    pub(crate) steps: usize,
+    /// Steps in an hour.
+    pub(crate) per_hour: f64,
+    /// Highest value that the axis shows at least.
+    pub(crate) least: f64,
+    /// First step and number of steps of each time that was not wholly seen.
+    pub(crate) hidden: Vec<Hidden>,
+}
+
+/// A time that was not wholly seen.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Hidden {
+    pub(crate) first: f64,
+    pub(crate) steps: f64,
+}
+
+/// Returns the colour of a line, as CSS writes it.
+pub(crate) fn colour(line: usize) -> String {
+    let RGBColor(red, green, blue) = COLOURS[line % COLOURS.len()];
+    format!("rgb({red},{green},{blue})")
+}
+
+/// Draws a plot; nothing if the library cannot.
+pub(crate) fn draw(plot: &Plot<'_>) -> Option<String> {
+    let mut svg = String::new();
+    draw_into(plot, &mut svg).ok()?;
+    Some(svg)
+}
+
+type Drawn = Result<(), Box<dyn std::error::Error>>;
+
+fn draw_into(plot: &Plot<'_>, svg: &mut String) -> Drawn {
+    let root = SVGBackend::with_string(svg, (WIDTH, HEIGHT)).into_drawing_area();
+    let top = highest(plot);
+    let mut chart = ChartBuilder::on(&root)
+        .margin(MARGIN)
+        .margin_right(LABELS / 2)
+        .x_label_area_size(LABELS / 2)
+        .y_label_area_size(LABELS)
+        .build_cartesian_2d(DayAxis::new(plot), 0.0..top)?;
+    let hidden = plot.hidden.iter().map(|hidden| {
+        let end = hidden.first + hidden.steps;
+        Rectangle::new([(hidden.first, 0.0), (end, top)], HIDDEN.filled())
+    });
+    chart.draw_series(hidden)?;
+    chart
+        .configure_mesh()
+        .disable_x_mesh()
+        .light_line_style(TRANSPARENT)
+        .label_style(FONT)
+        .y_labels(TICKS)
+        .x_label_formatter(&|step| format!("{:.0}:00", step / plot.per_hour))
+        .y_label_formatter(&|value| short(*value))
+        .draw()?;
+    for (index, line) in plot.lines.iter().enumerate() {
+        let style = COLOURS[index % COLOURS.len()].stroke_width(2);
+        for run in runs(line.values) {
+            chart.draw_series(LineSeries::new(run, style))?;
+        }
+    }
+    root.present()?;
+    drop(chart);
+    drop(root);
+    Ok(())
+}
+
+/// The axis along the day, with a label every six hours.
+struct DayAxis {
+    steps: RangedCoordf64,
+    labels: Vec<f64>,
+}
+
+impl DayAxis {
+    fn new(plot: &Plot<'_>) -> Self {
+        let steps = plot.steps.max(1) as f64;
+        let apart = LABEL_HOURS * plot.per_hour;
+        let count = (steps / apart).floor() as usize;
+        Self {
+            steps: (0.0..steps).into(),
+            labels: (0..=count).map(|label| label as f64 * apart).collect(),
+        }
+    }
+}
+
+impl Ranged for DayAxis {
+    type FormatOption = DefaultFormatting;
+    type ValueType = f64;
+
+    fn map(&self, value: &f64, limit: (i32, i32)) -> i32 {
+        self.steps.map(value, limit)
+    }
+
+    fn key_points<Hint: KeyPointHint>(&self, _hint: Hint) -> Vec<f64> {
+        self.labels.clone()
+    }
+
+    fn range(&self) -> std::ops::Range<f64> {
+        self.steps.range()
+    }
+}
+
+fn highest(plot: &Plot<'_>) -> f64 {
+    let values = plot
+        .lines
+        .iter()
+        .flat_map(|line| line.values.iter().flatten());
+    let highest = values.fold(plot.least, |highest, value| value.max(highest));
+    // A little room above, so that the highest line is not cut.
+    highest * 1.05
+}
+
+/// Splits a line where values are absent, so that no line is drawn through a gap.
+fn runs(values: &[Option<f64>]) -> Vec<Vec<(f64, f64)>> {
+    let mut runs: Vec<Vec<(f64, f64)>> = vec![Vec::new()];
+    for (step, value) in values.iter().enumerate() {
+        match value {
+            // Each value is drawn over the whole of its step.
+            Some(value) => {
+                if let Some(run) = runs.last_mut() {
+                    run.extend([(step as f64, *value), (step as f64 + 1.0, *value)]);
+                }
+            }
+            None => runs.push(Vec::new()),
+        }
+    }
+    runs.retain(|run| !run.is_empty());
+    runs
+}
+
+/// Writes an axis label short.
+fn short(value: f64) -> String {
+    match value {
+        value if value >= 1e9 => format!("{}G", value / 1e9),
+        value if value >= 1e6 => format!("{}M", value / 1e6),
+        value if value >= 1e3 => format!("{}k", value / 1e3),
+        value if value >= 10.0 || value == 0.0 => format!("{value:.0}"),
+        value => format!("{value:.1}"),
+    }
+}
