Host suspects only where there is a server; let others in between

A zone without a server of the pool no longer claims to host suspects, and a pool's only server serves others for two seconds between two suspects, so that a flood of suspects starves nobody. Cases for both.

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -138,6 +138,8 @@
     attempts: BTreeMap<AttemptId, Attempt>,
     spill: Spill,
     settle_until: Mono,
+    /// No suspect is started before.
+    suspects_from: Mono,
     next_sweep: Mono,
     next_digest: Mono,
     digests: Sequence,
@@ -180,6 +182,7 @@
             attempts: BTreeMap::new(),
             spill: Spill::default(),
             settle_until: now + SETTLE,
+            suspects_from: now,
             next_sweep: now,
             next_digest: now,
             digests: 0,
--- a/crates/dispatch/src/dispatcher/release.rs
+++ b/crates/dispatch/src/dispatcher/release.rs
@@ -192,6 +192,9 @@
         }
         let slot = SlotId::Attempt(id);
         self.servers.release(&attempt.server, slot, now);
+        if attempt.suspect {
+            self.suspect_ended(now);
+        }
     }
 
     fn return_loan(
--- a/crates/dispatch/src/dispatcher/schedule.rs
+++ b/crates/dispatch/src/dispatcher/schedule.rs
@@ -1,5 +1,7 @@
 //! Who gets the next free slot.
 
+use std::time::Duration;
+
 use primrose_core::clock::Mono;
 use primrose_core::cost::Service;
 use primrose_core::id::RequestId;
@@ -20,6 +22,9 @@
 use crate::spill::Level;
 use crate::spill::Remote;
 
+/// How long the only server of a pool serves others between two suspects.
+const SUSPECT_PAUSE: Duration = Duration::from_secs(2);
+
 impl Dispatcher {
     /// Gives out free slots until there is none, or nobody to use one.
     pub(super) fn schedule(&mut self, now: Mono, out: &mut Vec<Action>) {
@@ -66,12 +71,22 @@
 
     /// Tells whether this zone is the one whose server is set apart for suspects.
     ///
-    /// It is the first by name of those that can be reached, so that the fleet risks one server of
-    /// the pool at a time, or one in each part of a partition.
+    /// It is the first by name of those that can be reached and have a server, so that the fleet
+    /// risks one server of the pool at a time, or one in each part of a partition.
     pub(super) fn hosts_suspects(&self) -> bool {
-        let peers = self.spill.peers.iter();
-        let mut reachable = peers.filter(|(_, p)| p.holder.is_some());
-        reachable.all(|(zone, _)| self.zone < *zone)
+        let mut peers = self.spill.peers.iter();
+        let first = peers.all(|(zone, peer)| {
+            let reachable = peer.holder.is_some();
+            !reachable || self.zone < *zone || peer.hosts == Some(false)
+        });
+        first && self.servers.has_live()
+    }
+
+    /// Notes that a suspect has ended: if there is one server only, the others get it for a while.
+    pub(super) fn suspect_ended(&mut self, now: Mono) {
+        if self.servers.live() <= 1 {
+            self.suspects_from = now + SUSPECT_PAUSE;
+        }
     }
 
     fn schedule_suspects(&mut self, now: Mono, out: &mut Vec<Action>) {
@@ -82,7 +97,7 @@
         }
         let remote = self.spill.suspect_zone(now).cloned();
         let local = self.next(true, now);
-        let waiting = local.is_some() || remote.is_some();
+        let waiting = (local.is_some() || remote.is_some()) && now >= self.suspects_from;
         self.servers.set_apart(waiting, running, now);
         let Some(server) = self.servers.apart_idle(now) else {
             return;
--- a/crates/dispatch/src/dispatcher/servers.rs
+++ b/crates/dispatch/src/dispatcher/servers.rs
@@ -90,6 +90,16 @@
         self.open().any(|(_, server)| server.free(now) > 0)
     }
 
+    pub(crate) fn has_live(&self) -> bool {
+        self.live() > 0
+    }
+
+    /// Counts the servers that may get work.
+    pub(crate) fn live(&self) -> usize {
+        let servers = self.by_id.values();
+        servers.filter(|s| s.state == HostState::Live).count()
+    }
+
     /// Picks a server with a free slot: deepest known prefix, then least loaded.
     pub(crate) fn pick(&self, prefixes: &[Prefix], now: Mono) -> Option<ServerId> {
         let free = self.open().filter(|(_, server)| server.free(now) > 0);
--- a/crates/dispatch/src/dispatcher/zones.rs
+++ b/crates/dispatch/src/dispatcher/zones.rs
@@ -79,7 +79,7 @@
         let Some(zone) = self.spill.zone_of(from).cloned() else {
             return;
         };
-        if self.spill.note_digest(&zone, digest.sequence) {
+        if self.spill.note_digest(&zone, digest) {
             let waiting: BTreeSet<AccountId> = digest.waiting.iter().cloned().collect();
             self.ledger.set_zone(&zone, &waiting);
             if let Some(loans) = &digest.loans {
@@ -166,6 +166,9 @@
     pub(super) fn end_loan(&mut self, id: LoanId, now: Mono) {
         if let Some(lent) = self.spill.lent.remove(&id) {
             self.servers.release(&lent.server, SlotId::Loan(id), now);
+            if lent.suspect {
+                self.suspect_ended(now);
+            }
         }
     }
 
@@ -204,6 +207,7 @@
             age: message::millis(self.ledger.age(now)),
             rows: self.ledger.digest(),
             waiting: self.waiting.accounts().map(|(a, _)| a.clone()).collect(),
+            hosts: self.servers.has_live(),
             loans: None,
         };
         for (zone, peer) in &self.spill.peers {
--- a/crates/dispatch/src/message/zone.rs
+++ b/crates/dispatch/src/message/zone.rs
@@ -37,6 +37,9 @@
     /// Accounts that wait.
     #[serde(rename = "w")]
     pub waiting: Vec<AccountId>,
+    /// The zone has a server on which suspects could run.
+    #[serde(rename = "h", default, skip_serializing_if = "is_false")]
+    pub hosts: bool,
     /// The receiver's loans that are in use; nothing while the dispatcher is new and may not know.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub loans: Option<Loans>,
--- a/crates/dispatch/src/spill.rs
+++ b/crates/dispatch/src/spill.rs
@@ -25,6 +25,7 @@
 use primrose_share::Ledger;
 
 use crate::message::Demand;
+use crate::message::Digest;
 use crate::message::Epoch;
 use crate::message::LoanId;
 use crate::message::Seen;
@@ -57,6 +58,8 @@
     pub(crate) holder: Option<Member>,
     demand: Option<Told>,
     digest: Sequence,
+    /// Whether suspects could run there; nothing if it has not said yet.
+    pub(crate) hosts: Option<bool>,
     /// Latest loan received from it.
     pub(crate) seen: Seen,
 }
@@ -156,13 +159,16 @@
     }
 
     /// Notes a digest; tells whether it is later than all before from the zone.
-    pub(crate) fn note_digest(&mut self, zone: &str, sequence: Sequence) -> bool {
+    pub(crate) fn note_digest(&mut self, zone: &str, digest: &Digest) -> bool {
         let Some(peer) = self.peers.get_mut(zone) else {
             return false;
         };
-        let later = sequence > peer.digest;
-        peer.digest = peer.digest.max(sequence);
-        later
+        if digest.sequence <= peer.digest {
+            return false;
+        }
+        peer.digest = digest.sequence;
+        peer.hosts = Some(digest.hosts);
+        true
     }
 
     pub(crate) fn note_demand(&mut self, zone: &str, demand: Demand, now: Mono) {
--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -7,4 +7,5 @@
 mod plan;
 mod requester;
 mod slots;
+mod suspects;
 mod ways;
--- a/crates/dispatch/tests/testsuite/slots.rs
+++ b/crates/dispatch/tests/testsuite/slots.rs
@@ -1,15 +1,10 @@
 //! The dispatcher alone: slots, limits, the choice of server, and suspects.
 
-use std::collections::BTreeMap;
-
 use primrose_core::host::HostState;
 use primrose_dispatch::dispatcher::Event;
 use primrose_dispatch::message::Body;
 use primrose_dispatch::message::Decline;
-use primrose_dispatch::message::Demand;
 use primrose_dispatch::message::Ending;
-use primrose_dispatch::message::Finished;
-use primrose_dispatch::message::LoanReturn;
 use primrose_dispatch::message::Running;
 use primrose_dispatch::message::Seen;
 use primrose_dispatch::message::Sync;
@@ -305,83 +300,3 @@
     }
     assert_eq!(bench.grants.len(), 4);
 }
-
-fn suspect(bench: &mut Bench, request: u64) {
-    let mut registration = registration(request, "a");
-    registration.suspect = true;
-    bench.register_with(registration);
-}
-
-#[test]
-fn suspects_run_alone_on_one_server() {
-    let mut bench = Bench::new((2, 2), &["s0", "s1"]);
-    for request in 1..=4 {
-        bench.register(request, "a");
-    }
-    suspect(&mut bench, 10);
-    suspect(&mut bench, 11);
-    let apart = bench.dispatcher.status(bench.now);
-    let apart = apart.servers.iter().find(|s| s.apart).unwrap();
-    let apart = apart.server.clone();
-    let on: Vec<_> = bench.grants.iter().filter(|g| g.server == apart).collect();
-    let on: Vec<_> = on.iter().map(|g| g.attempt.request).collect();
-    bench.register(5, "a");
-    bench.finish(on[0], Ending::Done);
-    assert_eq!(bench.grants.len(), 4, "the server is being emptied");
-    bench.finish(on[1], Ending::Done);
-    assert_eq!(bench.granted()[4..], [10]);
-    bench.finish(10, Ending::Done);
-    assert_eq!(bench.granted()[4..], [10, 11]);
-    bench.finish(11, Ending::Done);
-    assert_eq!(bench.granted()[4..], [10, 11, 5]);
-}
-
-/// The zone that comes first by name hosts all suspects; the others ask it.
-#[test]
-fn suspects_of_other_zones_go_to_the_first_zone() {
-    let mut bench = Bench::new((2, 2), &["s0"]);
-    let peers = BTreeMap::from([("z0".to_owned(), Some(member("p0")))]);
-    bench.tell(Event::Peers(peers));
-    suspect(&mut bench, 10);
-    assert_eq!(bench.granted(), []);
-    let mut demands = bench.sent.iter().filter_map(|(_, body)| match body {
-        Body::Demand(demand) => Some(demand.suspects),
-        _ => None,
-    });
-    assert_eq!(demands.next_back(), Some(1));
-
-    let peers = BTreeMap::from([("z2".to_owned(), Some(member("p2")))]);
-    let mut host = Bench::new((2, 2), &["s0"]);
-    host.tell(Event::Peers(peers));
-    let demand = Demand {
-        sequence: 1,
-        seen: Seen::default(),
-        wants: Vec::new(),
-        suspects: 2,
-    };
-    host.hear("p2", Body::Demand(demand));
-    let loans = |bench: &Bench| {
-        let loan = |(_, body): &(_, Body)| match body {
-            Body::Loan(loan) => Some(loan.clone()),
-            _ => None,
-        };
-        bench.sent.iter().filter_map(loan).collect::<Vec<_>>()
-    };
-    let lent = loans(&host);
-    assert_eq!(lent.len(), 1, "one at a time");
-    assert!(lent[0].suspect);
-    // Nothing else runs beside it.
-    host.register(1, "a");
-    assert_eq!(host.granted(), []);
-    let finished = Finished {
-        used: 1,
-        ..finished(10, Ending::Done)
-    };
-    let over = LoanReturn {
-        id: lent[0].id,
-        finished: Some(finished),
-        orphaned: false,
-    };
-    host.hear("p2", Body::LoanReturn(over));
-    assert_eq!(loans(&host).len(), 2);
-}
