--- a/crates/dispatch/src/dispatcher/server.rs
+++ b/crates/dispatch/src/dispatcher/server.rs
@@ -166,6 +166,16 @@
         self.limit.missed(now);
     }
 
+    /// Whether it gets nothing at this moment because it failed.
+    pub(crate) fn is_held(&self, now: Mono) -> bool {
+        now < self.hold_until
+    }
+
+    /// Failures in a row.
+    pub(crate) fn failures(&self) -> u32 {
+        self.failures
+    }
+
     fn excess(&self, now: Mono) -> u32 {
         let valid = |e: &Excess| now.saturating_sub(e.at) < LOAD_LAG * 2;
         self.excess.filter(valid).map_or(0, |e| e.slots)
--- a/crates/dispatch/src/dispatcher/servers.rs
+++ b/crates/dispatch/src/dispatcher/servers.rs
@@ -116,13 +116,14 @@
     pub(crate) fn set_apart(&mut self, waiting: bool, running: bool, now: Mono) {
         let live = |s: &Server| s.state == HostState::Live && s.limit(now) > 0;
         let current = self.apart.as_ref().and_then(|id| self.by_id.get(id));
-        if current.is_some_and(|s| running || (waiting && live(s))) {
+        if current.is_some_and(|s| running || (waiting && live(s) && !s.is_held(now))) {
             return;
         }
         self.apart = None;
         if waiting {
             let servers = self.by_id.iter().filter(|(_, s)| live(s));
-            let least = servers.min_by_key(|(_, s)| s.busy());
+            // A server that failed last may be gone, and suspects would wait for it in vain.
+            let least = servers.min_by_key(|(_, s)| (s.is_held(now), s.failures(), s.busy()));
             self.apart = least.map(|(id, _)| id.clone());
         }
     }
--- a/crates/local/src/deployment.rs
+++ b/crates/local/src/deployment.rs
@@ -388,6 +388,12 @@
         &placed.expect("the router is running").zone
     }
 
+    /// State of a running router, as its operator listener shows it.
+    pub fn status(&self, place: usize) -> Option<serde_json::Value> {
+        let placed = self.routers[place].as_ref()?;
+        crate::client::status(placed.router.operators())
+    }
+
     /// All engines, zone by zone.
     pub fn engines(&self) -> &[Engine] {
         &self.engines
--- a/crates/retry/src/budget.rs
+++ b/crates/retry/src/budget.rs
@@ -1,8 +1,9 @@
 //! The retry budget: retries as a share of first attempts.
 //!
 //! A token bucket that is filled by traffic in place of time, as in Finagle's retry budgets. It
-//! starts empty, so the share holds over every prefix of the traffic, and is capped, so a quiet
-//! hour does not pay for a burst of retries when the outage begins.
+//! starts with a small reserve, so that the few requests of a quiet router are retried too, and is
+//! capped, so a quiet hour does not pay for a burst of retries when the outage begins. Over every
+//! prefix of the traffic, retries stay within the share plus the reserve.
 
 /// Tokens that one retry costs; a first attempt earns the configured permille of it.
 const RETRY_TOKENS: u64 = 1000;
@@ -14,6 +15,8 @@
     pub permille: u32,
     /// Most retries that can be saved up.
     pub burst: u32,
+    /// Retries allowed before any traffic has earned one; at most `burst`.
+    pub reserve: u32,
 }
 
 impl Default for BudgetConfig {
@@ -21,6 +24,7 @@
         Self {
             permille: 100,
             burst: 20,
+            reserve: 10,
         }
     }
 }
@@ -33,9 +37,11 @@
 }
 
 impl Budget {
-    /// Makes an empty budget.
+    /// Makes a budget that holds its reserve.
     pub fn new(config: BudgetConfig) -> Self {
-        Self { config, tokens: 0 }
+        let reserve = config.reserve.min(config.burst);
+        let tokens = u64::from(reserve) * RETRY_TOKENS;
+        Self { config, tokens }
     }
 
     /// Records a first attempt, which earns a part of a retry.
--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -12,7 +12,7 @@
 //!
 //! ```
 //! use primrose_retry::{Budget, BudgetConfig};
-//! let mut budget = Budget::new(BudgetConfig { permille: 100, burst: 5 });
+//! let mut budget = Budget::new(BudgetConfig { permille: 100, burst: 5, reserve: 0 });
 //! for _ in 0..10 {
 //!     budget.record_attempt();
 //! }
