--- a/crates/claim/src/outage.rs
+++ b/crates/claim/src/outage.rs
@@ -27,6 +27,10 @@
 
     /// Notes a call that was not answered.
     pub(crate) fn failed(&mut self, now: Mono) {
+        // What failed long before says nothing of the service now.
+        if now > self.until + LONGEST_WAIT {
+            self.failures = 0;
+        }
         let doublings = self.failures.min(16);
         let wait = FIRST_WAIT.saturating_mul(1 << doublings).min(LONGEST_WAIT);
         self.failures = self.failures.saturating_add(1);
--- a/crates/claim/tests/testsuite/desk.rs
+++ b/crates/claim/tests/testsuite/desk.rs
@@ -241,3 +241,20 @@
         Some(State::Done { status: 201, .. })
     ));
 }
+
+#[test]
+fn one_failure_long_after_an_outage_is_tried_again_at_once() {
+    let bench = Bench::new();
+    let mut holder = desk();
+    bench.store.set_down(true);
+    bench.submit(&mut holder, order(1, Wish::Claim));
+    for _ in 0..60 {
+        bench.clock.advance(Duration::from_millis(50));
+        holder.step(&bench.store, &*bench.clock);
+    }
+    bench.store.set_down(false);
+    bench.clock.advance(Duration::from_secs(20));
+    bench.store.fault_in(1, Fault::LostBefore);
+    let replies = bench.ask(&mut holder, order(2, Wish::Claim));
+    assert_eq!(replies[0].result, ClaimResult::Made);
+}
--- a/crates/primrosed/src/decide/suspects.rs
+++ b/crates/primrosed/src/decide/suspects.rs
@@ -49,7 +49,8 @@
                 fingerprint = format!("{:016x}", report.fingerprint).as_str();
                 "a backend server died under a request"
             );
-            self.suspects.server_died(&death_of(report), now)
+            self.suspects
+                .server_died(&death_of(report, began.unwrap_or(now)), now)
         } else if report.result == AttemptResult::Done {
             let began = began.unwrap_or(now);
             self.suspects.completed(report.fingerprint, began, now)
@@ -133,7 +134,7 @@
     }
 }
 
-fn death_of(report: &Report) -> Death {
+fn death_of(report: &Report, since: UnixMillis) -> Death {
     Death {
         server: report.server.clone(),
         run: 0,
@@ -143,6 +144,7 @@
             fingerprint: report.fingerprint,
             account: report.account.clone(),
             route: report.route.clone(),
+            since,
         }],
     }
 }
--- a/crates/suspect/src/entry.rs
+++ b/crates/suspect/src/entry.rs
@@ -10,9 +10,6 @@
 use crate::record::Strike;
 use crate::record::UnixMillis;
 
-/// Two reports on one server whose run is not known are of one death within this time, in ms.
-const SAME_DEATH_MS: UnixMillis = 10_000;
-
 /// One death at which a fingerprint was present.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Crash {
@@ -117,13 +114,14 @@
 }
 
 /// Order of the copies of one strike.
-fn rank(strike: &Strike) -> (UnixMillis, &ServerId, ServerRun) {
-    (strike.at, &strike.server, strike.run)
+fn rank(strike: &Strike) -> (UnixMillis, &ServerId, ServerRun, UnixMillis) {
+    (strike.at, &strike.server, strike.run, strike.since)
 }
 
 fn same_death(crash: &Crash, strike: &Strike) -> bool {
     if crash.server != strike.server || crash.run != strike.run {
         return false;
     }
-    strike.run != 0 || strike.at.saturating_sub(crash.at) < SAME_DEATH_MS
+    // Without the server's run: what was sent after the death was noticed met another one.
+    strike.run != 0 || strike.since <= crash.at
 }
--- a/crates/suspect/src/lib.rs
+++ b/crates/suspect/src/lib.rs
@@ -27,6 +27,7 @@
 //!         fingerprint: 70,
 //!         account: "parish-3".to_owned(),
 //!         route: "drafts".to_owned(),
+//!         since: 900,
 //!     }],
 //! };
 //! let news = register.server_died(&death("d1", 1), 1_000);
--- a/crates/suspect/src/record.rs
+++ b/crates/suspect/src/record.rs
@@ -44,6 +44,8 @@
     pub account: AccountId,
     /// Route, for the operator's list.
     pub route: RouteId,
+    /// When the attempt was sent, by the wall clock.
+    pub since: UnixMillis,
 }
 
 /// One fingerprint's presence at one death.
@@ -70,6 +72,9 @@
     /// Route of the request.
     #[serde(rename = "o")]
     pub route: RouteId,
+    /// When the attempt was sent, by the wall clock of its router.
+    #[serde(rename = "b")]
+    pub since: UnixMillis,
     /// When the death was noticed, by the wall clock of the router that noticed it.
     #[serde(rename = "t")]
     pub at: UnixMillis,
--- a/crates/suspect/src/register.rs
+++ b/crates/suspect/src/register.rs
@@ -182,6 +182,7 @@
             pool: death.pool.clone(),
             account: aboard.account.clone(),
             route: aboard.route.clone(),
+            since: aboard.since,
             at: now,
         });
         let message = Message {
--- a/crates/suspect/tests/testsuite/main.rs
+++ b/crates/suspect/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
         fingerprint,
         account: "parish-3".to_owned(),
         route: "drafts".to_owned(),
+        since: 0,
     }
 }
 
