Add the fault matrix: every fault at every step, single, in pairs, at random

Each crate had its own failure tests, but nothing showed what two parts do to one another under a fault. A tests-only crate now joins the real deciding parts (lifecycle, claims desk, register of suspects, requester, dispatcher, document in force, the operator's apply) as three routers in two zones with fake servers and a clock set by hand. The judge reads the servers' own record. It writes docs/FAULTS.md and fails if the file differs.

--- /dev/null
+++ b/crates/matrix/tests/testsuite/main.rs
@@ -0,0 +1,12 @@
+//! The fault matrix: single faults, pairs, random sequences, and rules broken on purpose.
+
+mod broken;
+mod matrix;
+mod operator;
+mod pairs;
+mod render;
+mod scenario;
+mod sequences;
+mod sim;
+mod steps;
+mod tables;
