claim: remove claims that have been kept long enough, without a wall clock

Claims were kept for ever. A sweeper now removes closed ones after 6 h and open ones after 48 h. Age is judged by the service's versions, noted by the sweeper's own monotonic clock, because a wall clock that jumped ahead would remove fresh claims and let a resend run again. Removals are conditional and rate-limited.

--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod order;
 mod outage;
 pub mod record;
+pub mod sweep;
 mod task;
 
 pub use call::Call;
@@ -59,3 +60,4 @@
 pub use order::Wish;
 pub use record::Answer;
 pub use record::Record;
+pub use sweep::Sweeper;
--- a/crates/claim/tests/testsuite/main.rs
+++ b/crates/claim/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod desk;
 mod fleet;
 mod keys;
+mod sweep;
 
 use std::sync::Arc;
 use std::time::Duration;
