Pace orders, and wait out the holder of a permit whose lease ended early

A new version for 940 servers made 2859 calls to the key-value service in one second, more than it takes from the whole fleet: every server that differed took its key at once and looked for a permit by itself. A writer now begins one server a second and looks for one permit at a time; the lease is 45 s instead of 15 s, because renewals were 22000 of the 24441 writes.

--- a/crates/order/src/config.rs
+++ b/crates/order/src/config.rs
@@ -15,6 +15,8 @@
     pub ttl: Duration,
     /// No order is sent in this last part of the lease.
     pub margin: Duration,
+    /// Time between two servers that a writer begins to order; bounds its calls to the service.
+    pub pace: Duration,
     /// Time between two looks at a server that is as it should be.
     pub look: Duration,
     /// Time between two looks at a server that carries out an order.
@@ -41,8 +43,9 @@
         Self {
             prefix: prefix.into(),
             holder: holder.into(),
-            ttl: Duration::from_secs(15),
+            ttl: Duration::from_secs(45),
             margin: Duration::from_secs(5),
+            pace: Duration::from_secs(1),
             look: Duration::from_secs(10),
             settle_look: Duration::from_secs(1),
             accept_time: Duration::from_secs(5),
--- a/crates/order/src/permit.rs
+++ b/crates/order/src/permit.rs
@@ -165,18 +165,22 @@
         if free.is_empty() {
             return false;
         }
-        // One that was taken without our hearing of it is used first.
-        let ours = entries
-            .iter()
-            .filter(|entry| entry.lease.as_deref() == Some(lease))
-            .filter_map(|entry| self.keys.permit_number(&entry.key))
-            .find(|number| free.contains(number));
-        self.number = ours.unwrap_or_else(|| free[rng.random_range(0..free.len())]);
-        let key = self.keys.permit(self.number);
-        let found = entries.iter().find(|entry| entry.key == key);
+        let find = |number: u32| {
+            let key = self.keys.permit(number);
+            entries.iter().find(|entry| entry.key == key)
+        };
+        // One that was taken without our hearing of it is used first, then one that names no load.
+        let is_ours =
+            |number: &u32| find(*number).is_some_and(|entry| entry.lease.as_deref() == Some(lease));
+        let is_empty = |number: &u32| find(*number).and_then(named_load).is_none();
+        let empty: Vec<u32> = free.iter().copied().filter(is_empty).collect();
+        let pool = if empty.is_empty() { &free } else { &empty };
+        let ours = free.iter().copied().find(is_ours);
+        let number = ours.unwrap_or_else(|| pool[rng.random_range(0..pool.len())]);
+        let found = find(number);
+        self.number = number;
         self.version = found.map_or(0, |entry| entry.version);
-        let named: Option<PermitMark> = found.and_then(|entry| mark::decode(&entry.value));
-        let load = named.and_then(|mark| mark.load);
+        let load = found.and_then(named_load);
         self.other = load.filter(|load| *load != self.own);
         self.phase = Phase::Taking;
         true
@@ -239,8 +243,8 @@
         self.held = true;
         self.phase = match (&self.phase, &self.other) {
             (Phase::Taking, Some(_)) => Phase::Asking {
-                // An order of the lapsed holder may still be on its way.
-                next: now + config.margin,
+                // The lapsed holder may not know yet that its lease has ended, and send its order.
+                next: now + config.quiet_time(),
                 heard: now,
                 end: now + config.settle_time,
             },
@@ -248,3 +252,9 @@
         };
     }
 }
+
+/// Returns the load that a permit names; a damaged one names none.
+fn named_load(entry: &Entry) -> Option<PermitLoad> {
+    let mark: PermitMark = mark::decode(&entry.value)?;
+    mark.load
+}
--- a/crates/order/src/slot/mod.rs
+++ b/crates/order/src/slot/mod.rs
@@ -31,6 +31,17 @@
     pub(crate) lease: Option<&'a str>,
     /// Time from which on no order may be sent.
     pub(crate) until: Mono,
+    /// What the writer leaves room for.
+    pub(crate) room: Room,
+}
+
+/// Which servers a writer may begin to order now.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Room {
+    /// Earliest time of the next begin.
+    pub(crate) next: Mono,
+    /// Whether another server of the writer looks for a load permit.
+    pub(crate) seeking: bool,
 }
 
 /// How the key was found before it was taken.
@@ -91,6 +102,8 @@
     unsettled: bool,
     /// Whether a load that was ordered may be under way.
     loading: bool,
+    /// Whether the difference that was seen asks for a load.
+    wants_load: bool,
     sends: u32,
     backoff: Backoff,
 }
@@ -108,6 +121,7 @@
             permit: None,
             unsettled: false,
             loading: false,
+            wants_load: false,
             sends: 0,
             backoff: Backoff::new(config.retry),
         }
@@ -145,6 +159,16 @@
         self.ticket
     }
 
+    /// Tells whether the server looks for a load permit.
+    pub(crate) fn is_seeking(&self) -> bool {
+        matches!(self.phase, Phase::Permit)
+    }
+
+    /// Tells whether the writer has to wait before it begins to order this server.
+    fn is_held_up(&self, room: Room) -> bool {
+        self.wants_load && room.seeking
+    }
+
     /// Tells whether a ticket is that of the action in flight.
     pub(crate) fn expects(&self, ticket: &Ticket) -> bool {
         self.in_flight && self.ticket == ticket.number
@@ -160,14 +184,16 @@
     }
 
     /// Returns when there is something to do next; `None` while an action is in flight.
-    pub(crate) fn wake(&self, now: Mono, until: Mono) -> Option<Mono> {
+    pub(crate) fn wake(&self, now: Mono, until: Mono, room: Room) -> Option<Mono> {
         if self.in_flight {
             return None;
         }
         Some(match &self.phase {
             _ if self.must_release() => Mono::ZERO,
             Phase::Idle { look } => *look,
-            Phase::Wanting { retry } | Phase::Releasing { retry, .. } => *retry,
+            Phase::Wanting { .. } if self.is_held_up(room) => return None,
+            Phase::Wanting { retry } => (*retry).max(room.next),
+            Phase::Releasing { retry, .. } => *retry,
             Phase::Quiet { until } => *until,
             Phase::Checking { at } => *at,
             Phase::Permit => self.permit.as_ref().map_or(Mono::ZERO, Permit::wake),
@@ -199,8 +225,9 @@
     fn action(&mut self, context: &mut Context<'_>) -> Option<Action> {
         let now = context.now;
         let due = match &self.phase {
+            Phase::Wanting { .. } if self.is_held_up(context.room) => return None,
+            Phase::Wanting { retry } => (*retry).max(context.room.next),
             Phase::Idle { look: at }
-            | Phase::Wanting { retry: at }
             | Phase::Quiet { until: at }
             | Phase::Checking { at }
             | Phase::Settling { look: at, .. }
--- a/crates/order/src/slot/server.rs
+++ b/crates/order/src/slot/server.rs
@@ -45,7 +45,10 @@
                 let look = context.now + context.config.look;
                 self.phase = Phase::Idle { look };
             }
-            Phase::Idle { .. } => self.phase = Phase::Wanting { retry: context.now },
+            Phase::Idle { .. } => {
+                self.wants_load = matches!(difference, Difference::Load(_));
+                self.phase = Phase::Wanting { retry: context.now };
+            }
             Phase::Settling { resend, end, .. } => {
                 self.settle(&difference, resend, end, context);
             }
--- a/crates/order/src/writer.rs
+++ b/crates/order/src/writer.rs
@@ -18,6 +18,7 @@
 use crate::message::Event;
 use crate::message::Ticket;
 use crate::slot::Context;
+use crate::slot::Room;
 use crate::slot::Slot;
 
 /// One server and what it should be.
@@ -45,6 +46,8 @@
     /// Server that was served last; the next turn begins after it.
     last: ServerId,
     tickets: u64,
+    /// Earliest time at which the next server is begun.
+    next_begin: Mono,
 }
 
 impl Writer {
@@ -56,6 +59,7 @@
             slots: BTreeMap::new(),
             last: ServerId::new(),
             tickets: 0,
+            next_begin: Mono::ZERO,
             config,
         }
     }
@@ -89,12 +93,14 @@
         if let Some(action) = self.lease.poll(now, &self.config, needed) {
             return Some(action);
         }
+        let room = self.room();
         let mut context = Context {
             now,
             config: &self.config,
             rng: &mut self.rng,
             lease: self.lease.id().map(String::as_str),
             until: self.lease.send_until(&self.config).unwrap_or_default(),
+            room,
         };
         // Begins after the server that was served last, so that none waits for ever.
         let later = (Bound::Excluded(self.last.clone()), Bound::Unbounded);
@@ -106,16 +112,20 @@
         });
         let (server, action) = action?;
         self.last = server;
+        if matches!(action, Action::Read { .. }) {
+            self.next_begin = now + self.config.pace;
+        }
         Some(action)
     }
 
     /// Returns when [`Writer::poll`] has something to do next, if no event comes before.
     pub fn wake(&self, now: Mono) -> Option<Mono> {
         let until = self.lease.send_until(&self.config).unwrap_or_default();
+        let room = self.room();
         let has_lease = self.lease.id().is_some();
         let ready = |slot: &&Slot| has_lease || !slot.needs_lease();
         let slots = self.slots.values().filter(ready);
-        let slots = slots.filter_map(|slot| slot.wake(now, until));
+        let slots = slots.filter_map(|slot| slot.wake(now, until, room));
         let lease = self.lease.wake(&self.config, self.is_needed());
         slots.chain(lease).min()
     }
@@ -164,6 +174,13 @@
         self.forget_gone();
     }
 
+    fn room(&self) -> Room {
+        Room {
+            next: self.next_begin,
+            seeking: self.slots.values().any(Slot::is_seeking),
+        }
+    }
+
     fn is_needed(&self) -> bool {
         self.slots.values().any(Slot::needs_lease)
     }
@@ -196,6 +213,7 @@
         now: Mono,
         take: impl FnOnce(&mut Slot, &mut Context<'_>),
     ) {
+        let room = self.room();
         let Some(slot) = self.slots.get_mut(&ticket.server) else {
             return;
         };
@@ -208,6 +226,7 @@
             rng: &mut self.rng,
             lease: self.lease.id().map(String::as_str),
             until: self.lease.send_until(&self.config).unwrap_or_default(),
+            room,
         };
         take(slot, &mut context);
     }
