--- a/crates/primrosectl/src/commands/mod.rs
+++ b/crates/primrosectl/src/commands/mod.rs
@@ -10,6 +10,9 @@
 pub mod status;
 pub mod suspects;
 pub mod target;
+pub mod today;
+
+use std::net::SocketAddr;
 
 use bpaf::construct;
 use bpaf::OptionParser;
@@ -18,6 +21,7 @@
 use crate::context::Context;
 use crate::context::Target;
 use crate::exit::Failure;
+use crate::ops::fleet::FleetError;
 
 /// Shown below the list of commands.
 const FOOTER: &str = "\
@@ -43,6 +47,8 @@
     Status(status::Args),
     /// Shuts a router down gracefully.
     Drain(drain::Args),
+    /// Prints the page of a day.
+    Today(today::Args),
     /// Changes the client accounts.
     Account(account::Args),
     /// Lists or lifts refused requests.
@@ -63,6 +69,7 @@
             Self::Restore(args) => args.target.clone(),
             Self::Status(args) => args.target.clone(),
             Self::Drain(args) => args.target.clone(),
+            Self::Today(args) => args.target.clone(),
             Self::Account(args) => args.target().clone(),
             Self::Suspects(args) => args.target().clone(),
         }
@@ -78,15 +85,27 @@
     let restore = restore::cli().map(Command::Restore);
     let status = status::cli().map(Command::Status);
     let drain = drain::cli().map(Command::Drain);
+    let today = today::cli().map(Command::Today);
     let account = account::cli().map(Command::Account);
     let suspects = suspects::cli().map(Command::Suspects);
-    construct!([check, show, diff, apply, restore, status, drain, account, suspects])
+    construct!([check, show, diff, apply, restore, status, drain, today, account, suspects])
         .to_options()
         .descr("Drives a primrosehall router fleet: its tables, its accounts, its state.")
         .footer(FOOTER)
         .version(env!("CARGO_PKG_VERSION"))
 }
 
+/// Makes a failure that names the router which caused it.
+fn router_failure(router: SocketAddr, error: &FleetError) -> Failure {
+    let failure = Failure::failed(format!("router {router}: {error}"));
+    match error {
+        FleetError::Refused { status: 404, .. } => {
+            failure.hint("the router does not know what was asked for; is it of an older version?")
+        }
+        _ => failure,
+    }
+}
+
 /// Runs a command.
 pub fn exec(context: &mut Context, command: &Command) -> Result<(), Failure> {
     match command {
@@ -97,6 +116,7 @@
         Command::Restore(args) => restore::exec(context, args),
         Command::Status(args) => status::exec(context, args),
         Command::Drain(args) => drain::exec(context, args),
+        Command::Today(args) => today::exec(context, args),
         Command::Account(args) => account::exec(context, args),
         Command::Suspects(args) => suspects::exec(context, args),
     }
