--- a/crates/order/src/execute.rs
+++ b/crates/order/src/execute.rs
@@ -25,6 +25,9 @@
 }
 
 /// Carries out actions one by one on the calling thread.
+///
+/// A process gives it a thread, which calls [`Executor::turn`] and then waits for a change of the
+/// targets or until the returned time. Calls block for as long as the store and the port let them.
 pub struct Executor {
     store: Arc<dyn Store>,
     servers: Arc<dyn Servers>,
