Mend links in the documentation

Cause: the documentation build with warnings denied failed on two heads. Change: plain words in place of links to private items. Before and after: cargo doc failed; it passes. Conclusion: none for behaviour.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One connection of an attempt at a backend server.
 //!
-//! [`run`] is the body of a task. It connects, waits for the word to send, and reports [`Note`]s
+//! `run` is the body of a task. It connects, waits for the word to send, and reports `Note`s
 //! in the order in which things happened. It decides nothing; whether to resume, retry or give up
 //! is the work of [`primrose_request`]. Dropping the task closes the connection, which engines
 //! take as a cancel.
--- a/crates/primrosed/src/decide/mod.rs
+++ b/crates/primrosed/src/decide/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A [`Decider`] holds the membership view, the requester, the dispatchers of which this router is
 //! the holder, the documents in force, the retry budgets and the register of suspects. It takes an
-//! [`Input`](crate::input::Input) or an event of a link, hands it to the machine in charge, and
+//! [`Input`] or an event of a link, hands it to the machine in charge, and
 //! carries what comes out to the next machine or to the wires. It blocks on nothing.
 
 mod directory;
