suspect: count a request given up on a silent server beside a seen death

An attempt that is given up when its server has been silent for 1 s is now reported as abandoned and recorded as a doubt. A doubt alone holds nothing against a request; beside a server that was seen to die it is the second strike.

--- a/crates/claim/tests/testsuite/keys.rs
+++ b/crates/claim/tests/testsuite/keys.rs
@@ -1,9 +1,11 @@
 //! Names of claims, and records at the border.
 
 use primrose_claim::key::claim_key;
+use primrose_claim::record::State;
 use primrose_claim::record::MAX_ANSWER_BYTES;
 use primrose_claim::Answer;
 use primrose_claim::Record;
+use primrose_core::id::Member;
 use primrose_platform::store::check_key;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -77,3 +79,49 @@
     let long = vec![0; MAX_ANSWER_BYTES + 1];
     assert_eq!(Answer::new("", &long).body(), None);
 }
+
+#[test]
+fn records_stay_small() {
+    struct Case {
+        state: State,
+        most: usize,
+    }
+    let answer = |bytes: usize| Answer::new("application/json", &vec![b'x'; bytes]);
+    let done = |bytes| State::Done {
+        status: 200,
+        answer: answer(bytes),
+    };
+    let cases = [
+        Case {
+            state: State::Claimed,
+            most: 256,
+        },
+        Case {
+            state: done(200),
+            most: 640,
+        },
+        Case {
+            state: done(4_000),
+            most: 6_144,
+        },
+        Case {
+            state: done(100_000),
+            most: 512,
+        },
+    ];
+    for case in cases {
+        let record = Record {
+            request: u64::MAX,
+            member: Member {
+                host: "entry-barasat-1".to_owned(),
+                incarnation: 1_764_800_000_000,
+            },
+            body: "f".repeat(64),
+            at: 1_764_800_000_000,
+            state: case.state,
+        };
+        let bytes = record.encode().len();
+        println!("{bytes} bytes of at most {}", case.most);
+        assert!(bytes <= case.most, "{bytes}");
+    }
+}
--- a/crates/matrix/tests/testsuite/sequences.rs
+++ b/crates/matrix/tests/testsuite/sequences.rs
@@ -180,6 +180,19 @@
     play(&sequence, flaw)
 }
 
+#[test]
+fn a_poison_request_that_a_hung_server_has_not_yet_read_counts() {
+    let sequence = Sequence {
+        hits: vec![Hit {
+            fault: Fault::ServerHang,
+            message: 2,
+        }],
+        asks: Vec::new(),
+        poison: true,
+    };
+    assert_eq!(play(&sequence, None).violations, Vec::<String>::new());
+}
+
 #[test]
 fn a_poison_request_costs_two_servers_when_nothing_else_fails() {
     assert_eq!(poison(None).violations, Vec::<String>::new());
--- a/crates/matrix/tests/testsuite/sim/act.rs
+++ b/crates/matrix/tests/testsuite/sim/act.rs
@@ -244,10 +244,11 @@
             AttemptResult::Refused => Ending::Refused,
             AttemptResult::Unreachable | AttemptResult::ServerLost => Ending::Lost,
             AttemptResult::Broken => Ending::Failed,
-            AttemptResult::Cancelled => Ending::Cancelled,
+            AttemptResult::Cancelled | AttemptResult::Abandoned => Ending::Cancelled,
         };
         match result {
-            AttemptResult::ServerLost => self.strike(no, attempt, server),
+            AttemptResult::ServerLost => self.strike(no, attempt, server, false),
+            AttemptResult::Abandoned => self.strike(no, attempt, server, true),
             AttemptResult::Done => self.clear(no, attempt),
             _ => {}
         }
@@ -267,7 +268,7 @@
         self.requester(no, requester::Event::Ended(finished));
     }
 
-    fn strike(&mut self, no: RouterNo, attempt: AttemptId, server: &ServerId) {
+    fn strike(&mut self, no: RouterNo, attempt: AttemptId, server: &ServerId, weak: bool) {
         if self.flaw_forgets_strikes() {
             return;
         }
@@ -287,7 +288,10 @@
                 since: live.sent_at,
             }],
         };
-        let news = router.register.server_died(&death, wall);
+        let news = match weak {
+            true => router.register.given_up(&death, wall),
+            false => router.register.server_died(&death, wall),
+        };
         self.tell_all(no, &news);
     }
 
--- a/crates/primrosed/src/decide/requests.rs
+++ b/crates/primrosed/src/decide/requests.rs
@@ -285,7 +285,7 @@
         AttemptResult::Refused => Ending::Refused,
         AttemptResult::Unreachable | AttemptResult::ServerLost => Ending::Lost,
         AttemptResult::Broken => Ending::Failed,
-        AttemptResult::Cancelled => Ending::Cancelled,
+        AttemptResult::Cancelled | AttemptResult::Abandoned => Ending::Cancelled,
     }
 }
 
--- a/crates/primrosed/src/decide/suspects.rs
+++ b/crates/primrosed/src/decide/suspects.rs
@@ -51,6 +51,9 @@
             );
             self.suspects
                 .server_died(&death_of(report, began.unwrap_or(now)), now)
+        } else if report.result == AttemptResult::Abandoned {
+            self.suspects
+                .given_up(&death_of(report, began.unwrap_or(now)), now)
         } else if report.result == AttemptResult::Done {
             let began = began.unwrap_or(now);
             self.suspects.completed(report.fingerprint, began, now)
--- a/crates/request/src/action.rs
+++ b/crates/request/src/action.rs
@@ -43,6 +43,9 @@
     Stored,
 }
 
+/// Time without a word after which a server that runs an attempt counts as silent.
+pub const SILENCE: Duration = Duration::from_secs(1);
+
 /// How an attempt ended, for the dispatcher.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum AttemptResult {
@@ -60,6 +63,9 @@
     ServerLost,
     /// The router gave the attempt up.
     Cancelled,
+    /// The router gave the attempt up when the server had not spoken for [`SILENCE`]; it may
+    /// yet run the request.
+    Abandoned,
 }
 
 /// How the request ends for the caller.
--- a/crates/request/src/answer.rs
+++ b/crates/request/src/answer.rs
@@ -2,6 +2,7 @@
 
 use std::mem::replace;
 
+use primrose_core::clock::Mono;
 use primrose_core::outcome::ErrorCode;
 use primrose_core::outcome::Outcome;
 
@@ -24,14 +25,21 @@
 
 impl Lifecycle {
     /// Takes an event of a connection; drops it if the connection is not the one in use.
-    pub(crate) fn conn_event(&mut self, conn: ConnId, event: ConnEvent, out: &mut Vec<Action>) {
+    pub(crate) fn conn_event(
+        &mut self,
+        conn: ConnId,
+        event: ConnEvent,
+        now: Mono,
+        out: &mut Vec<Action>,
+    ) {
         let current = matches!(&self.phase, Phase::Running(run) if run.conn == conn);
         if !current {
             return;
         }
-        let Phase::Running(run) = replace(&mut self.phase, Phase::Over) else {
+        let Phase::Running(mut run) = replace(&mut self.phase, Phase::Over) else {
             return;
         };
+        run.heard = now;
         if run.probing {
             self.probed(run, event, out);
             return;
--- a/crates/request/src/ending.rs
+++ b/crates/request/src/ending.rs
@@ -2,16 +2,16 @@
 
 use std::mem::replace;
 
+use primrose_core::clock::Mono;
 use primrose_core::outcome::ErrorCode;
 use primrose_core::outcome::Outcome;
 
 use crate::action::Action;
-use crate::action::AttemptResult;
 use crate::lifecycle::Lifecycle;
 use crate::lifecycle::Phase;
 
 impl Lifecycle {
-    pub(crate) fn caller_gone(&mut self, out: &mut Vec<Action>) {
+    pub(crate) fn caller_gone(&mut self, now: Mono, out: &mut Vec<Action>) {
         self.listening = false;
         if self.must_settle() {
             return;
@@ -19,11 +19,11 @@
         if self.in_doubt() {
             self.end_in_doubt(None, out);
         } else {
-            self.stop(None, out);
+            self.stop(None, now, out);
         }
     }
 
-    pub(crate) fn deadline(&mut self, out: &mut Vec<Action>) {
+    pub(crate) fn deadline(&mut self, now: Mono, out: &mut Vec<Action>) {
         let code = match &self.phase {
             Phase::Running(run) if run.sent => ErrorCode::Timeout,
             _ => ErrorCode::Deadline,
@@ -34,13 +34,13 @@
         } else if self.in_doubt() {
             self.end_in_doubt(Some(code), out);
         } else {
-            self.stop(Some(code), out);
+            self.stop(Some(code), now, out);
         }
     }
 
-    pub(crate) fn run_limit(&mut self, out: &mut Vec<Action>) {
+    pub(crate) fn run_limit(&mut self, now: Mono, out: &mut Vec<Action>) {
         if self.running().is_some() {
-            self.stop(Some(ErrorCode::Timeout), out);
+            self.stop(Some(ErrorCode::Timeout), now, out);
         }
     }
 
@@ -74,12 +74,12 @@
     }
 
     /// Gives up whatever is under way and ends the request.
-    pub(crate) fn stop(&mut self, code: Option<ErrorCode>, out: &mut Vec<Action>) {
+    pub(crate) fn stop(&mut self, code: Option<ErrorCode>, now: Mono, out: &mut Vec<Action>) {
         match replace(&mut self.phase, Phase::Over) {
             Phase::Queued(attempt) => out.push(Action::Withdraw { attempt }),
             Phase::Running(run) => {
                 out.push(Action::Cancel { conn: run.conn });
-                self.report(&run.grant, AttemptResult::Cancelled, out);
+                self.report(&run.grant, run.given_up(now), out);
                 self.drop_held(out);
             }
             Phase::New | Phase::Claiming | Phase::Deciding(_) => {}
--- a/crates/request/src/lifecycle.rs
+++ b/crates/request/src/lifecycle.rs
@@ -158,12 +158,12 @@
                 code,
                 retry_after,
             } => self.refused(attempt, code, retry_after, &mut out),
-            Event::Conn { conn, event } => self.conn_event(conn, event, &mut out),
+            Event::Conn { conn, event } => self.conn_event(conn, event, now, &mut out),
             Event::Retry(verdict) => self.retry(verdict, &mut out),
-            Event::CallerGone => self.caller_gone(&mut out),
-            Event::Deadline => self.deadline(&mut out),
-            Event::RunLimit => self.run_limit(&mut out),
-            Event::Shutdown => self.stop(Some(ErrorCode::ShuttingDown), &mut out),
+            Event::CallerGone => self.caller_gone(now, &mut out),
+            Event::Deadline => self.deadline(now, &mut out),
+            Event::RunLimit => self.run_limit(now, &mut out),
+            Event::Shutdown => self.stop(Some(ErrorCode::ShuttingDown), now, &mut out),
         }
         out
     }
--- a/crates/request/src/run.rs
+++ b/crates/request/src/run.rs
@@ -4,6 +4,10 @@
 //! use and whether an item continues the answer, so that nothing is passed on twice, late or with
 //! a hole.
 
+use primrose_core::clock::Mono;
+
+use crate::action::AttemptResult;
+use crate::action::SILENCE;
 use crate::event::ConnId;
 use crate::event::Grant;
 use crate::event::Seq;
@@ -34,6 +38,8 @@
     pub(crate) last: Seq,
     /// Connections lost since the last item.
     pub(crate) breaks: u32,
+    /// When the server was last heard, or the request sent.
+    pub(crate) heard: Mono,
     /// Whether a resumed connection has not yet been accepted.
     pub(crate) resuming: bool,
     /// Whether the connection only finds out if the server still listens.
@@ -54,6 +60,7 @@
             status: None,
             last: 0,
             breaks: 0,
+            heard: Mono::ZERO,
             resuming: false,
             probing: false,
         }
@@ -86,6 +93,16 @@
         self.probing = true;
     }
 
+    /// What giving the attempt up now means.
+    pub(crate) fn given_up(&self, now: Mono) -> AttemptResult {
+        let silent = now.saturating_sub(self.heard) >= SILENCE;
+        if self.sent && silent {
+            AttemptResult::Abandoned
+        } else {
+            AttemptResult::Cancelled
+        }
+    }
+
     /// Whether the answer has broken off and it is not yet known why.
     pub(crate) fn in_doubt(&self) -> bool {
         self.sent && (self.resuming || self.probing)
--- a/crates/request/tests/testsuite/cases.rs
+++ b/crates/request/tests/testsuite/cases.rs
@@ -248,6 +248,26 @@
     }
 }
 
+#[test]
+fn giving_up_tells_whether_the_server_was_silent() {
+    let second = Duration::from_secs(1);
+    let table = [
+        (NOW + second, AttemptResult::Abandoned),
+        (NOW + second / 2, AttemptResult::Cancelled),
+    ];
+    for (at, wanted) in table {
+        let mut life = Lifecycle::new(draft());
+        life.handle(Event::Start, NOW);
+        life.handle(grant(1, "s1", NOW), NOW);
+        life.handle(on(1, 1, ConnEvent::Connected), NOW);
+        let actions = life.handle(Event::CallerGone, at);
+        let report = actions
+            .iter()
+            .any(|action| matches!(action, Action::Report { result, .. } if *result == wanted));
+        assert!(report, "{at:?}: {actions:?}");
+    }
+}
+
 #[test]
 fn a_stream_in_doubt_is_probed_when_its_caller_leaves() {
     run(&Case {
--- a/crates/suspect/src/entry.rs
+++ b/crates/suspect/src/entry.rs
@@ -30,7 +30,7 @@
 impl Entry {
     /// Adds a strike; true if it changed anything.
     ///
-    /// Of two copies that differ, every register keeps the same one: the earlier.
+    /// Of two copies that differ, every register keeps the same one.
     pub(crate) fn strike(&mut self, strike: &Strike) -> bool {
         let known = self.strikes.get(&strike.attempt);
         if known.is_some_and(|known| rank(known) <= rank(strike)) {
@@ -84,9 +84,15 @@
         self.cleared.iter().map(|(attempt, at)| (*attempt, *at))
     }
 
+    /// Whether the request was given up on a silent server other than those that died with it.
+    pub(crate) fn in_doubt(&self, crashes: &[Crash], oldest: UnixMillis) -> bool {
+        let mut weak = self.live().filter(|s| s.weak && s.at >= oldest);
+        weak.any(|strike| !crashes.iter().any(|crash| crash.server == strike.server))
+    }
+
     /// Deaths that count, oldest first; several strikes of one death are one.
     pub(crate) fn crashes(&self) -> Vec<Crash> {
-        let mut strikes: Vec<&Strike> = self.live().collect();
+        let mut strikes: Vec<&Strike> = self.live().filter(|s| !s.weak).collect();
         strikes.sort_by_key(|s| s.at);
         let mut crashes: Vec<Crash> = Vec::new();
         for strike in strikes {
@@ -113,9 +119,17 @@
     }
 }
 
-/// Order of the copies of one strike.
-fn rank(strike: &Strike) -> (UnixMillis, &ServerId, ServerRun, UnixMillis) {
-    (strike.at, &strike.server, strike.run, strike.since)
+/// Order of the copies of one strike: a death that was seen goes before a doubt.
+fn rank(strike: &Strike) -> (bool, UnixMillis, &ServerId, ServerRun, UnixMillis) {
+    let Strike {
+        weak,
+        at,
+        server,
+        run,
+        since,
+        ..
+    } = strike;
+    (*weak, *at, server, *run, *since)
 }
 
 fn same_death(crash: &Crash, strike: &Strike) -> bool {
--- a/crates/suspect/src/record.rs
+++ b/crates/suspect/src/record.rs
@@ -75,11 +75,18 @@
     /// When the attempt was sent, by the wall clock of its router.
     #[serde(rename = "b")]
     pub since: UnixMillis,
+    /// The server was not seen to die; it was silent when the attempt was given up.
+    #[serde(rename = "w", default, skip_serializing_if = "is_false")]
+    pub weak: bool,
     /// When the death was noticed, by the wall clock of the router that noticed it.
     #[serde(rename = "t")]
     pub at: UnixMillis,
 }
 
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
 /// A strike that was taken back, because the request has run to its end since.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Clearing {
--- a/crates/suspect/src/register.rs
+++ b/crates/suspect/src/register.rs
@@ -103,7 +103,11 @@
         let oldest = self.oldest(now);
         let crashes: Vec<Crash> = entry.crashes();
         let crashes: Vec<Crash> = crashes.into_iter().filter(|c| c.at >= oldest).collect();
-        let (strikes, apart) = self.weigh(fingerprint, &crashes);
+        let (mut strikes, apart) = self.weigh(fingerprint, &crashes);
+        // A doubt counts only beside a death that was seen.
+        if strikes == 1 && entry.in_doubt(&crashes, oldest) {
+            strikes += 1;
+        }
         let last = crashes.last().map_or(0, |crash| crash.at);
         match self.refused(strikes, last, now) {
             Some(retry_after) => Standing::Refused { retry_after },
@@ -139,7 +143,7 @@
     /// Counts the servers that died at the same time without the fingerprint.
     fn others_died(&self, fingerprint: Fingerprint, crash: &Crash) -> usize {
         let window = millis(self.limits.mass_window);
-        let near = |strike: &&Strike| strike.at.abs_diff(crash.at) <= window;
+        let near = |strike: &&Strike| !strike.weak && strike.at.abs_diff(crash.at) <= window;
         let own = self.entries.get(&fingerprint);
         let own: Vec<&ServerId> = own
             .iter()
@@ -174,6 +178,18 @@
 
     /// Notes that a server died; returns what the other routers have to know.
     pub fn server_died(&mut self, death: &Death, now: UnixMillis) -> Message {
+        self.note_death(death, false, now)
+    }
+
+    /// Notes that requests were given up on a server that had fallen silent.
+    ///
+    /// It may yet run them and die, unseen. That counts as a strike only for a fingerprint that
+    /// another server has died with.
+    pub fn given_up(&mut self, death: &Death, now: UnixMillis) -> Message {
+        self.note_death(death, true, now)
+    }
+
+    fn note_death(&mut self, death: &Death, weak: bool, now: UnixMillis) -> Message {
         let strikes = death.aboard.iter().map(|aboard| Strike {
             fingerprint: aboard.fingerprint,
             attempt: aboard.attempt,
@@ -183,6 +199,7 @@
             account: aboard.account.clone(),
             route: aboard.route.clone(),
             since: aboard.since,
+            weak,
             at: now,
         });
         let message = Message {
--- a/crates/suspect/tests/testsuite/cases.rs
+++ b/crates/suspect/tests/testsuite/cases.rs
@@ -24,6 +24,8 @@
     Died(&'static str, u64),
     /// A server dies with it, which had been sent this long ago, in ms; the run is not known.
     DiedUnknown(&'static str, u64),
+    /// It is given up on a silent server.
+    GivenUp(&'static str),
     /// Servers die without it, all at the same time.
     OthersDied(usize),
     /// A run that began this long ago, in ms, comes to its end.
@@ -65,6 +67,9 @@
                 };
                 register.server_died(&death, now);
             }
+            Step::GivenUp(server) => {
+                register.given_up(&death(server, vec![aboard(70, request)]), now);
+            }
             Step::OthersDied(servers) => {
                 for n in 0..*servers {
                     let print = 1000 + n as u64;
@@ -89,6 +94,7 @@
     use Step::Completed;
     use Step::Died;
     use Step::DiedUnknown;
+    use Step::GivenUp;
     use Step::Lifted;
     use Step::OthersDied;
     use Step::Wait;
@@ -128,6 +134,21 @@
             steps: vec![DiedUnknown("a", 50), Wait(400), DiedUnknown("a", 100)],
             standing: REFUSED,
         },
+        Case {
+            name: "given up on silent servers alone",
+            steps: vec![GivenUp("a"), GivenUp("b")],
+            standing: Standing::Clear,
+        },
+        Case {
+            name: "given up on one server, another died",
+            steps: vec![GivenUp("a"), Died("b", 1)],
+            standing: REFUSED,
+        },
+        Case {
+            name: "given up on the server that died",
+            steps: vec![GivenUp("b"), Died("b", 1)],
+            standing: Standing::Suspect,
+        },
         Case {
             name: "a run to the end clears",
             steps: vec![Died("a", 1), Wait(10), Completed(5)],
