--- a/crates/dispatch/src/requester/lane.rs
+++ b/crates/dispatch/src/requester/lane.rs
@@ -37,6 +37,9 @@
 /// Renewals whose time of sending is remembered.
 const BEATS_KEPT: usize = 16;
 
+/// Waiting requests in one [`Sync`]; further ones follow one by one.
+const SYNC_REQUESTS: usize = 256;
+
 #[derive(Debug, Clone, Copy)]
 struct Sent {
     beat: Beat,
@@ -243,13 +246,19 @@
         if self.holder.is_none() {
             return;
         }
+        let mut waiting: Vec<_> = self.queue.iter().map(|w| registration(w, now)).collect();
+        // A message has to fit in one frame of a link.
+        let rest = waiting.split_off(waiting.len().min(SYNC_REQUESTS));
         let sync = Sync {
             beat: self.next_beat(now),
             seen: self.seen,
-            waiting: self.queue.iter().map(|w| registration(w, now)).collect(),
+            waiting,
             running: self.running.values().cloned().collect(),
         };
         self.send(Body::Sync(sync), out);
+        for registration in rest {
+            self.send(Body::Register(registration), out);
+        }
     }
 
     fn renew(&mut self, now: Mono, out: &mut Vec<Action>) {
--- a/crates/dispatch/tests/testsuite/requester.rs
+++ b/crates/dispatch/tests/testsuite/requester.rs
@@ -241,6 +241,31 @@
     assert_eq!(requester.handle(holder("h1"), seconds(1.3)), []);
 }
 
+#[test]
+fn long_queue_is_registered_in_messages_of_bounded_size() {
+    let mut requester = Requester::new(table(engine_pool(POOL)));
+    for request in 0..700 {
+        let account = format!("account{}", request / 100);
+        requester.handle(Event::Enqueue(work(request, &account)), seconds(1.0));
+    }
+    let actions = requester.handle(holder("h0"), seconds(1.0));
+    let mut registered = Vec::new();
+    for action in actions {
+        let Action::Send { message, .. } = action else {
+            panic!("{action:?}");
+        };
+        match message.body {
+            Body::Sync(sync) => {
+                assert!(sync.waiting.len() <= 256);
+                registered.extend(sync.waiting.iter().map(|r| r.request));
+            }
+            Body::Register(registration) => registered.push(registration.request),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!(registered, (0..700).collect::<Vec<_>>());
+}
+
 #[test]
 fn shutdown_serves_what_waits_and_then_says_not_run() {
     let mut requester = with_holder();
