--- a/crates/local/tests/testsuite/main.rs
+++ b/crates/local/tests/testsuite/main.rs
@@ -1,3 +1,12 @@
-//! Behaviour of whole deployments: real routers, stand-ins for everything else.
+//! Tests of whole routers over real loopback links, against stand-ins' own records.
 
+mod documents;
+mod fixture;
+mod leaving;
+mod orders;
+mod partition;
+mod poison;
+mod replaced;
+mod shutdown;
+mod streams;
 mod today;
--- a/crates/local/tests/testsuite/today.rs
+++ b/crates/local/tests/testsuite/today.rs
@@ -10,8 +10,6 @@
 use primrose_core::id::Member;
 use primrose_core::outcome::Outcome;
 use primrose_link::Scope;
-use primrose_local::chat_body;
-use primrose_local::Client;
 use primrose_local::Deployment;
 use primrose_local::Shape;
 use primrose_local::PREFIX;
@@ -28,6 +26,9 @@
 use primrose_util::clock::SystemClock;
 use primrosed::message::PeerMessage;
 
+use crate::fixture::client;
+use crate::fixture::stream;
+
 /// The day on which every test takes place.
 const DAY: &str = "2026-12-04";
 /// Its beginning, in seconds since the Unix epoch.
@@ -56,16 +57,8 @@
     Deployment::start_with(shape, clock).unwrap()
 }
 
-fn client(deployment: &Deployment) -> Client {
-    Client::new(&deployment.bearer("parish-01"))
-}
-
 fn send_chat(deployment: &Deployment, place: usize) {
-    let router = deployment.router(place).callers();
-    let body = chat_body("draft a rota notice", 5, None, true);
-    let clock = &**deployment.clock();
-    let answer = client(deployment).stream(router, &body, "draft-1", clock, |_| {});
-    let answer = answer.unwrap();
+    let answer = stream(deployment, place, "notice-1", 5);
     assert!(answer.whole, "{answer:?}");
 }
 
--- a/crates/member/src/news.rs
+++ b/crates/member/src/news.rs
@@ -114,20 +114,22 @@
         peer.outbox.leaving.extend(leaving);
     }
 
-    /// Queues a record for the peers of the zone.
+    /// Queues a record for the peers of the zone that do not hear of it by themselves.
     pub(crate) fn announce_record(&mut self, host: &HostId, from: Option<&HostId>) {
-        let home = self.settings.zone.clone();
         for peer in self.peers.iter_mut() {
-            if peer.zone == home && Some(&peer.member.host) != from {
+            let hears = |other| self.zone.hears(&peer.member.host, other);
+            let informed = from.is_some_and(|from| hears(host) || hears(from));
+            if peer.zone == self.settings.zone && !informed {
                 peer.outbox.records.insert(host.clone());
             }
         }
     }
 
-    /// Queues a report for the peers.
+    /// Queues a report for the peers that do not hear of it by themselves.
     pub(crate) fn announce_report(&mut self, zone: &ZoneId, from: Option<&HostId>) {
         for peer in self.peers.iter_mut() {
-            if Some(&peer.member.host) != from {
+            let informed = from.is_some_and(|from| self.zone.hears(&peer.member.host, from));
+            if !informed {
                 peer.outbox.reports.insert(zone.clone());
             }
         }
@@ -140,15 +142,20 @@
         from: Option<&HostId>,
         actions: &mut Vec<Action>,
     ) {
+        self.pass_mark(host, from);
+        if let Some(incarnation) = self.marks.incarnation(host) {
+            let host = host.clone();
+            actions.push(Action::ServerLeaving { host, incarnation });
+        }
+    }
+
+    /// Queues a leaving mark for the peers.
+    fn pass_mark(&mut self, host: &HostId, from: Option<&HostId>) {
         for peer in self.peers.iter_mut() {
             if Some(&peer.member.host) != from {
                 peer.outbox.leaving.insert(host.clone());
             }
         }
-        if let Some(incarnation) = self.marks.incarnation(host) {
-            let host = host.clone();
-            actions.push(Action::ServerLeaving { host, incarnation });
-        }
     }
 
     /// Makes a beat due for every peer, and forgets what is old, when a period begins.
@@ -159,6 +166,9 @@
         let forget = self.settings.timing.forget;
         self.marks.expire(forget, now);
         self.zone.expire(forget, now);
+        for host in self.marks.confirmations(forget) {
+            self.pass_mark(&host, None);
+        }
         let period = self.settings.timing.period;
         self.next_period = (self.next_period + period).max(now);
         self.periods += 1;
--- a/crates/primrosed/src/decide/suspects.rs
+++ b/crates/primrosed/src/decide/suspects.rs
@@ -50,9 +50,13 @@
                 "a backend server died under a request"
             );
             let before = self.suspect_standing(report.fingerprint);
-            let news = self.suspects.server_died(&death_of(report), now);
+            let death = death_of(report, began.unwrap_or(now));
+            let news = self.suspects.server_died(&death, now);
             self.observe_death(report, before);
             news
+        } else if report.result == AttemptResult::Abandoned {
+            self.suspects
+                .given_up(&death_of(report, began.unwrap_or(now)), now)
         } else if report.result == AttemptResult::Done {
             let began = began.unwrap_or(now);
             self.suspects.completed(report.fingerprint, began, now)
@@ -136,7 +140,7 @@
     }
 }
 
-fn death_of(report: &Report) -> Death {
+fn death_of(report: &Report, since: UnixMillis) -> Death {
     Death {
         server: report.server.clone(),
         run: 0,
@@ -146,6 +150,7 @@
             fingerprint: report.fingerprint,
             account: report.account.clone(),
             route: report.route.clone(),
+            since,
         }],
     }
 }
--- a/crates/suspect/src/entry.rs
+++ b/crates/suspect/src/entry.rs
@@ -10,9 +10,6 @@
 use crate::record::Strike;
 use crate::record::UnixMillis;
 
-/// Two reports on one server whose run is not known are of one death within this time, in ms.
-const SAME_DEATH_MS: UnixMillis = 10_000;
-
 /// One death at which a fingerprint was present.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Crash {
@@ -33,7 +30,7 @@
 impl Entry {
     /// Adds a strike; true if it changed anything.
     ///
-    /// Of two copies that differ, every register keeps the same one: the earlier.
+    /// Of two copies that differ, every register keeps the same one.
     pub(crate) fn strike(&mut self, strike: &Strike) -> bool {
         let known = self.strikes.get(&strike.attempt);
         if known.is_some_and(|known| rank(known) <= rank(strike)) {
@@ -87,9 +84,15 @@
         self.cleared.iter().map(|(attempt, at)| (*attempt, *at))
     }
 
+    /// Whether the request was given up on a silent server other than those that died with it.
+    pub(crate) fn in_doubt(&self, crashes: &[Crash], oldest: UnixMillis) -> bool {
+        let mut weak = self.live().filter(|s| s.weak && s.at >= oldest);
+        weak.any(|strike| !crashes.iter().any(|crash| crash.server == strike.server))
+    }
+
     /// Deaths that count, oldest first; several strikes of one death are one.
     pub(crate) fn crashes(&self) -> Vec<Crash> {
-        let mut strikes: Vec<&Strike> = self.live().collect();
+        let mut strikes: Vec<&Strike> = self.live().filter(|s| !s.weak).collect();
         strikes.sort_by_key(|s| s.at);
         let mut crashes: Vec<Crash> = Vec::new();
         for strike in strikes {
@@ -116,14 +119,23 @@
     }
 }
 
-/// Order of the copies of one strike.
-fn rank(strike: &Strike) -> (UnixMillis, &ServerId, ServerRun) {
-    (strike.at, &strike.server, strike.run)
+/// Order of the copies of one strike: a death that was seen goes before a doubt.
+fn rank(strike: &Strike) -> (bool, UnixMillis, &ServerId, ServerRun, UnixMillis) {
+    let Strike {
+        weak,
+        at,
+        server,
+        run,
+        since,
+        ..
+    } = strike;
+    (*weak, *at, server, *run, *since)
 }
 
 fn same_death(crash: &Crash, strike: &Strike) -> bool {
     if crash.server != strike.server || crash.run != strike.run {
         return false;
     }
-    strike.run != 0 || strike.at.saturating_sub(crash.at) < SAME_DEATH_MS
+    // Without the server's run: what was sent after the death was noticed met another one.
+    strike.run != 0 || strike.since <= crash.at
 }
