--- a/crates/front/src/broker.rs
+++ b/crates/front/src/broker.rs
@@ -257,6 +257,9 @@
     /// What is known of a fingerprint.
     fn standing(&self, fingerprint: Fingerprint) -> Standing;
 
+    /// Hears that a request was refused before its life began, for the sums of the day.
+    fn refused(&self, _code: ErrorCode) {}
+
     /// Hands an ask to the thread whose duty it is.
     fn ask(&self, ask: Ask) -> Result<(), Overloaded>;
 }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -85,7 +85,12 @@
         let id = rand::rng().random();
         Ok(match self.start(id, request).await {
             Ok(response) => response,
-            Err(failure) => reply::error(id, &failure),
+            Err(failure) => {
+                if failure.outcome == Outcome::NotRun {
+                    self.shared.broker.refused(failure.code);
+                }
+                reply::error(id, &failure)
+            }
         })
     }
 
--- a/crates/local/tests/testsuite/today.rs
+++ b/crates/local/tests/testsuite/today.rs
@@ -172,6 +172,28 @@
     assert_eq!(orders(&kept(&deployment)), 3);
 }
 
+#[test]
+fn sums_reach_the_gatherer_while_the_platform_is_down() {
+    let mut shape = Shape::three_zones();
+    shape.zones[0].routers = 2;
+    let mut deployment = start(shape);
+    // Whichever of both gathers, the other has to take over what it knows.
+    for place in [0, 1] {
+        send_chat(&deployment, place);
+    }
+    for place in [0, 1] {
+        deployment.cut_platform(place, true);
+    }
+    deployment.shut_down(1).unwrap();
+    let expected = "0; 2 whole, 0 left by their callers";
+    wait(&deployment, "the record has arrived", |deployment| {
+        found(&page(deployment, 0), "drafting", "broken answers") == expected
+    });
+    deployment.cut_platform(0, false);
+    deployment.shut_down(0).unwrap();
+    assert_eq!(answers(&kept(&deployment)), 2);
+}
+
 #[test]
 fn doubled_and_late_records_count_once() {
     let mut shape = Shape::three_zones();
@@ -217,6 +239,30 @@
     assert_eq!(orders(&kept(&deployment)), 2 + 5 + 1);
 }
 
+#[test]
+fn poison_requests_and_the_servers_they_cost_are_counted() {
+    let mut shape = Shape::three_zones();
+    shape.zones.iter_mut().for_each(|zone| zone.engines = 2);
+    let mut deployment = start(shape);
+    for _ in 0..3 {
+        for place in 0..deployment.places() {
+            let answer = stream(&deployment, place, "crash-the-engine", 5);
+            assert!(!answer.whole, "{answer:?}");
+        }
+    }
+    let engines = deployment.engines().iter();
+    let crashes: usize = engines.map(|engine| engine.crashes()).sum();
+    assert!(crashes > 0);
+    for place in 0..deployment.places() {
+        deployment.shut_down(place).unwrap();
+    }
+    let total = kept(&deployment);
+    let pool = &total.sums.pools["drafting"];
+    assert_eq!((pool.poison, pool.lost), (1, crashes as u64));
+    assert!(total.sums.fleet.refused["poison"] > 0);
+    assert_eq!(pool.answers.whole, 0);
+}
+
 /// Puts a morning into the service, covered up to an interval.
 fn put_morning(deployment: &Deployment, zone: &str, end: usize) {
     let mut morning = record(&format!("{zone}-morning"), 1, zone, 0);
--- a/crates/primrosed/src/broker.rs
+++ b/crates/primrosed/src/broker.rs
@@ -7,11 +7,13 @@
 use primrose_core::clock::Clock;
 use primrose_core::fingerprint::Fingerprint;
 use primrose_core::id::AccountId;
+use primrose_core::outcome::ErrorCode;
 use primrose_core::table::Table;
 use primrose_front::broker::Ask;
 use primrose_front::broker::Overloaded;
 use primrose_front::broker::Standing;
 use primrose_front::Broker;
+use primrose_report::observation::Observation;
 
 use crate::input::Input;
 use crate::published::Published;
@@ -45,6 +47,10 @@
         self.published.standing(fingerprint, self.clock.now())
     }
 
+    fn refused(&self, code: ErrorCode) {
+        self.reporter.see(Observation::Refused { code });
+    }
+
     fn ask(&self, ask: Ask) -> Result<(), Overloaded> {
         match &ask {
             Ask::Ended(ended) => self.reporter.see_all(seen::request(ended, &self.table())),
--- a/crates/primrosed/src/decide/mod.rs
+++ b/crates/primrosed/src/decide/mod.rs
@@ -160,10 +160,7 @@
             Input::Lift(fingerprint, reply) => {
                 let _ = reply.try_send(self.lift(fingerprint));
             }
-            Input::Finish(reply) => {
-                // Without room the router ends without the last seconds of its day.
-                self.observer.reporter.tell(ReportInput::Finish(reply));
-            }
+            Input::Finish(reply) => self.finish_day(reply),
             Input::Stop => {}
         }
     }
@@ -192,9 +189,10 @@
             PeerMessage::Fetch(kind) => self.send_document(from, kind),
             PeerMessage::Document(text) => self.fetched(from, text),
             PeerMessage::Suspects(message) => self.peer_suspects(from, &message),
-            PeerMessage::Record(record) => {
-                // One that finds no room is followed by the next.
-                self.observer.reporter.tell(ReportInput::Record(record));
+            PeerMessage::Record(record) => self.peer_record(from, record),
+            PeerMessage::Held(name) => {
+                // Without room the record counts as not held.
+                self.observer.reporter.tell(ReportInput::Held(name));
             }
         }
     }
--- a/crates/primrosed/src/decide/observe.rs
+++ b/crates/primrosed/src/decide/observe.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crossbeam_channel::Sender;
 use primrose_core::clock::Mono;
 use primrose_core::host::HostState;
 use primrose_core::id::Generation;
@@ -14,10 +15,13 @@
 use primrose_dispatch::status::Status;
 use primrose_front::broker::Report;
 use primrose_report::observation::Observation;
+use primrose_report::record::Record;
 use primrose_share::weighted;
 use primrose_suspect::Standing;
 
 use crate::decide::Decider;
+use crate::message::PeerMessage;
+use crate::message::RecordName;
 use crate::reporter::FleetSight;
 use crate::reporter::PoolSize;
 use crate::reporter::ReportInput;
@@ -113,6 +117,23 @@
         self.observer.reporter.tell(fleet);
     }
 
+    /// Takes a record of another router, and says that it is held here.
+    pub(super) fn peer_record(&mut self, from: &Member, record: Box<Record>) {
+        let name = RecordName::new(&record);
+        // One that finds no room is followed by the next.
+        if self.observer.reporter.tell(ReportInput::Record(record)) {
+            self.wires.send(&from.host, &PeerMessage::Held(name));
+        }
+    }
+
+    /// Has the day handed on for the last time, to whoever gathers now.
+    pub(super) fn finish_day(&mut self, reply: Sender<()>) {
+        let reporter = &self.observer.reporter;
+        // Without room the router ends without the last seconds of its day.
+        reporter.tell(ReportInput::Fleet(self.fleet_sight()));
+        reporter.tell(ReportInput::Finish(reply));
+    }
+
     fn sample_pools(&self, span: Duration, now: Mono) {
         let mut seen = Vec::new();
         for (pool, dispatcher) in &self.dispatchers {
--- a/crates/primrosed/src/duty/gather.rs
+++ b/crates/primrosed/src/duty/gather.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use crossbeam_channel::Receiver;
-use crossbeam_channel::Sender;
 use primrose_core::clock::Clock;
 use primrose_core::id::ZoneId;
 use primrose_platform::store::CommitResult;
@@ -29,11 +28,8 @@
 pub(crate) enum Job {
     /// What the gatherer wants.
     Do(Action),
-    /// Write these records, then answer.
-    Finish {
-        records: Vec<Record>,
-        reply: Sender<()>,
-    },
+    /// Write these records at once.
+    Finish(Vec<Record>),
 }
 
 /// The gather duty of one router.
@@ -55,10 +51,9 @@
                         self.reporter.deliver(ReportInput::Gathered(event));
                     }
                 }
-                Job::Finish { records, reply } => {
-                    self.finish(records);
-                    // A router that has stopped waiting has ended.
-                    let _ = reply.try_send(());
+                Job::Finish(records) => {
+                    let written = self.finish(records);
+                    self.reporter.deliver(ReportInput::Written(written));
                 }
             }
         }
@@ -134,7 +129,7 @@
 
     /// Folds records into the zone's value at once, whoever has the duty: a router that ends cannot
     /// wait until the gatherer writes.
-    fn finish(&self, records: Vec<Record>) {
+    fn finish(&self, records: Vec<Record>) -> bool {
         let mut gatherer = Gatherer::new(&self.prefix, &self.zone);
         let now = self.clock.now();
         gatherer.decide(Event::Duty(true), now);
@@ -144,12 +139,17 @@
         let mut actions = gatherer.decide(Event::Tick, now);
         for _ in 0..FINISH_CALLS {
             let Some(action) = actions.pop() else {
-                return;
+                return true;
             };
-            if let Some(event) = self.perform(action) {
-                actions.extend(gatherer.decide(event, now));
+            let unreadable = matches!(action, Action::Warn { .. });
+            match self.perform(action) {
+                None if unreadable => return false,
+                Some(Event::Failed { .. }) => return false,
+                Some(event) => actions.extend(gatherer.decide(event, now)),
+                None => {}
             }
         }
         log::warn!("failed to write the day's records at the end: others kept writing");
+        false
     }
 }
--- a/crates/primrosed/src/duty/report.rs
+++ b/crates/primrosed/src/duty/report.rs
@@ -5,6 +5,7 @@
 //! that a slow service does not hold up the counting.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -29,6 +30,7 @@
 
 use crate::duty::gather::Job;
 use crate::message::PeerMessage;
+use crate::message::RecordName;
 use crate::reporter::DaySight;
 use crate::reporter::FleetSight;
 use crate::reporter::ReportInput;
@@ -71,6 +73,12 @@
     last_round: Mono,
     /// Seen, but less than a whole second.
     rest: Duration,
+    /// Who waits for the end.
+    finishing: Option<Sender<()>>,
+    /// Records that the gatherer does not surely hold at the end.
+    unheld: BTreeSet<RecordName>,
+    /// Whether writing at the end has been tried.
+    tried: bool,
 }
 
 impl Report {
@@ -86,6 +94,9 @@
             next_send: now,
             last_round: now,
             rest: Duration::ZERO,
+            finishing: None,
+            unheld: BTreeSet::new(),
+            tried: false,
         };
         let rounds = tick(ROUND);
         loop {
@@ -117,7 +128,15 @@
                 // An operator that has given up needs no answer.
                 let _ = reply.try_send(self.day(&day));
             }
+            ReportInput::Held(name) => {
+                self.unheld.remove(&name);
+                self.answer_if_done(false);
+            }
             ReportInput::Finish(reply) => self.finish(reply),
+            ReportInput::Written(written) => {
+                self.tried = true;
+                self.answer_if_done(written);
+            }
             ReportInput::Stop => {}
         }
     }
@@ -282,16 +301,28 @@
     fn finish(&mut self, reply: Sender<()>) {
         self.round();
         let own = self.duty.recorder.records().to_vec();
-        for record in own.iter().chain(&self.gathered()) {
-            let elsewhere = self.fleet.gatherer.as_ref() != Some(&self.duty.me);
-            if elsewhere {
-                self.send(record.clone());
-            }
-        }
         let mut records = own;
         records.extend(self.gathered());
-        if let Err(error) = self.duty.jobs.try_send(Job::Finish { records, reply }) {
+        let gatherer = self.fleet.gatherer.as_ref();
+        if gatherer.is_some_and(|gatherer| *gatherer != self.duty.me) {
+            self.unheld = records.iter().map(RecordName::new).collect();
+            records.iter().for_each(|record| self.send(record.clone()));
+        }
+        self.finishing = Some(reply);
+        if let Err(error) = self.duty.jobs.try_send(Job::Finish(records)) {
             log::warn!("failed to write the day's records at the end: {error}");
+            self.tried = true;
+            self.answer_if_done(false);
+        }
+    }
+
+    /// Answers once the records are written, or held by the gatherer if they cannot be.
+    fn answer_if_done(&mut self, written: bool) {
+        if written || (self.tried && self.unheld.is_empty()) {
+            if let Some(reply) = self.finishing.take() {
+                // A router that has stopped waiting has ended.
+                let _ = reply.try_send(());
+            }
         }
     }
 }
--- a/crates/primrosed/src/message.rs
+++ b/crates/primrosed/src/message.rs
@@ -1,9 +1,12 @@
 //! What routers say to each other.
 
 use primrose_core::id::Generation;
+use primrose_core::id::Member;
 use primrose_member::Beat;
 use primrose_member::Routed;
+use primrose_report::calendar::DayId;
 use primrose_report::record::Record;
+use primrose_report::record::Seq;
 use primrose_table::header::ChangeId;
 use primrose_table::header::Header;
 use serde::Deserialize;
@@ -36,6 +39,34 @@
     /// What a router of the zone counted on a day, for the zone's gatherer.
     #[serde(rename = "y")]
     Record(Box<Record>),
+    /// The sender holds this record.
+    #[serde(rename = "z")]
+    Held(RecordName),
+}
+
+/// Names one state of a record.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RecordName {
+    /// The process that counted.
+    #[serde(rename = "m")]
+    pub member: Member,
+    /// The day.
+    #[serde(rename = "d")]
+    pub day: DayId,
+    /// Number of the state.
+    #[serde(rename = "n")]
+    pub seq: Seq,
+}
+
+impl RecordName {
+    /// Names the state of a record.
+    pub fn new(record: &Record) -> Self {
+        Self {
+            member: record.member.clone(),
+            day: record.day.clone(),
+            seq: record.seq,
+        }
+    }
 }
 
 /// The two documents that operators change.
--- a/crates/primrosed/src/reporter.rs
+++ b/crates/primrosed/src/reporter.rs
@@ -19,6 +19,8 @@
 use primrose_report::observation::Observation;
 use primrose_report::record::Record;
 
+use crate::message::RecordName;
+
 /// Inputs that may wait for the report thread.
 const RING: usize = 16 << 10;
 
@@ -39,8 +41,12 @@
     Gathered(gather::Event),
     /// An operator wants what is known of a day.
     Day(DayId, Sender<DaySight>),
-    /// Hand on all that was counted; answers when it has been written, or could not be.
+    /// The gatherer holds this record.
+    Held(RecordName),
+    /// Hand on all that was counted; answers when that is done, or nobody takes it.
     Finish(Sender<()>),
+    /// Whether all that was counted has been written.
+    Written(bool),
     /// End the thread.
     Stop,
 }
