Do not idle a slot over one report that shows a request too many

A trace showed the slot withheld by the load report: the engine counted a request whose answer had just ended beside the one that had the slot by then (5 running, 4 granted), and the report held for up to four seconds or until the next one. Ruled out: failures and holds (none logged), demand not told (no try to lend while the slot was idle), lost messages. Change: only what two reports in a row show lowers the free slots. The test of the excess reports twice now; a new one holds that one report lowers nothing.

--- a/crates/dispatch/src/dispatcher/server.rs
+++ b/crates/dispatch/src/dispatcher/server.rs
@@ -51,6 +51,8 @@
     pub(crate) limit: Limit,
     pub(crate) affinity: Affinity,
     failures: u32,
+    /// Requests beyond the own count in the report before.
+    shown_before: u32,
     hold_until: Mono,
     /// Own count after each change within the time that a load report may lag.
     counts: VecDeque<Count>,
@@ -69,6 +71,7 @@
             limit: Limit::new(bounds),
             affinity: Affinity::default(),
             failures: 0,
+            shown_before: 0,
             hold_until: Mono::ZERO,
             counts: VecDeque::new(),
             excess: None,
@@ -148,7 +151,11 @@
         self.count_others(now);
         self.note_count(now);
         let most = self.counts.iter().map(|c| c.slots).max().unwrap_or(0);
-        let slots = running.saturating_sub(most);
+        let shown = running.saturating_sub(most);
+        // A server counts a request for a moment after its answer has ended, and by then the slot
+        // has been granted again; only what two reports in a row show is really there.
+        let slots = shown.min(self.shown_before);
+        self.shown_before = shown;
         self.excess = Some(Excess { at: now, slots });
         self.orphans.report(running, now)
     }
--- a/crates/dispatch/tests/testsuite/slots.rs
+++ b/crates/dispatch/tests/testsuite/slots.rs
@@ -225,6 +225,7 @@
     for (reported, granted) in [(0, 4), (1, 3), (3, 1), (9, 0)] {
         let mut bench = Bench::new((4, 4), &["s0"]);
         bench.load("s0", reported);
+        bench.load("s0", reported);
         for request in 1..=5 {
             bench.register(request, "a");
         }
@@ -232,6 +233,27 @@
     }
 }
 
+/// A server counts a request for a moment after its answer has ended; if its report falls into that
+/// moment, no slot may stay idle until the next one.
+#[test]
+fn excess_in_one_report_alone_lowers_nothing() {
+    for (first, second) in [(5, 4), (0, 5), (9, 0)] {
+        let mut bench = Bench::new((4, 4), &["s0"]);
+        for request in 1..=4 {
+            bench.register(request, "a");
+        }
+        bench.load("s0", first);
+        bench.load("s0", second);
+        bench.finish(1, Ending::Done);
+        bench.register(5, "a");
+        assert_eq!(
+            bench.granted(),
+            [1, 2, 3, 4, 5],
+            "reported {first}, {second}"
+        );
+    }
+}
+
 #[test]
 fn report_that_lags_does_not_idle_a_slot() {
     let mut bench = Bench::new((2, 2), &["s0"]);
--- a/crates/local/examples/measure.rs
+++ b/crates/local/examples/measure.rs
@@ -39,13 +39,29 @@
     bpaf::construct!([fairness, utilisation, first_token])
 }
 
+/// What to measure, and where.
+#[derive(Debug, Clone)]
+struct Options {
+    deployment: Option<String>,
+    what: What,
+}
+
+fn options() -> impl Parser<Options> {
+    let deployment = bpaf::long("deployment")
+        .help("Measure only this deployment: utility or co-op")
+        .argument::<String>("NAME")
+        .optional();
+    let what = what();
+    bpaf::construct!(Options { deployment, what })
+}
+
 fn main() -> ExitCode {
     primrose_util::logger::init(log::LevelFilter::Error);
-    let what = what()
+    let options = options()
         .to_options()
         .descr("Measures a deployment in this process against its targets")
         .run();
-    match run(what) {
+    match run(&options) {
         Ok(figures) => {
             let short = figures.iter().filter(|figure| !figure.is_ok()).count();
             for figure in &figures {
@@ -61,10 +77,13 @@
     }
 }
 
-fn run(what: What) -> measure::Result<Vec<Figure>> {
-    let deployments = [("utility", Shape::utility()), ("co-op", Shape::co_op())];
+fn run(options: &Options) -> measure::Result<Vec<Figure>> {
+    let mut deployments = vec![("utility", Shape::utility()), ("co-op", Shape::co_op())];
+    if let Some(wanted) = &options.deployment {
+        deployments.retain(|(name, _)| name == wanted);
+    }
     let mut figures = Vec::new();
-    match what {
+    match options.what {
         What::FirstToken => figures = measure::first_token()?,
         What::Fairness => {
             for (name, shape) in &deployments {
