--- a/crates/dispatch/tests/testsuite/plan.rs
+++ b/crates/dispatch/tests/testsuite/plan.rs
@@ -45,9 +45,19 @@
     Cut { zone: usize, millis: u64 },
 }
 
+/// How the accounts call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Load {
+    /// Each has work waiting at all times.
+    Backlogged,
+    /// At random times, at six tenths of what the fleet can serve, most of it in one zone.
+    Flapping,
+}
+
 #[derive(Debug, Clone)]
 struct Plan {
     seed: u64,
+    load: Load,
     faults: Faults,
     failures: Vec<(u64, Failure)>,
 }
@@ -86,6 +96,11 @@
         let part = below(g, 2) as f64;
         Self {
             seed: u64::arbitrary(g),
+            load: if bool::arbitrary(g) {
+                Load::Backlogged
+            } else {
+                Load::Flapping
+            },
             faults: Faults {
                 loss: part * below(g, 10) as f64 / 100.0,
                 double: part * below(g, 20) as f64 / 100.0,
@@ -111,14 +126,23 @@
     }
 }
 
-fn accounts() -> Vec<Account> {
+fn accounts(load: Load) -> Vec<Account> {
     let cost = 20.0..MOST;
-    vec![
+    let mut accounts = vec![
         Account::new("ward", &[0, 1, 2], 6, cost.clone()),
         Account::new("parish", &[4, 5], 3, cost.clone()),
         Account::new("temple", &[6, 7], 3, cost.clone()),
         Account::new("shrine", &[3, 8], 2, cost),
-    ]
+    ];
+    if load == Load::Flapping {
+        let served = f64::from(SHAPE.total_slots()) * SLOT_RATE / ((20.0 + MOST) / 2.0);
+        for account in &mut accounts {
+            let part = account.depth as f64 / 34.0;
+            account.depth = 0;
+            account.rate = served * 0.6 * part;
+        }
+    }
+    accounts
 }
 
 /// Runs the troubled part; returns how many dispatchers each zone had.
@@ -177,7 +201,7 @@
 fn holds(plan: &Plan) -> Result<(), String> {
     let mut fleet = Fleet::new(SHAPE, Order::FleetFair, plan.seed);
     fleet.run(Duration::from_secs(1));
-    fleet.accounts = accounts();
+    fleet.accounts = accounts(plan.load);
     let holders = trouble(&mut fleet, plan);
     for backend in fleet.backends.values() {
         // Each dispatcher of a zone admits up to the limit.
