--- a/crates/dispatch/tests/testsuite/main.rs
+++ b/crates/dispatch/tests/testsuite/main.rs
@@ -9,3 +9,4 @@
 mod slots;
 mod suspects;
 mod ways;
+mod wire;
--- a/crates/share/src/estimate.rs
+++ b/crates/share/src/estimate.rs
@@ -13,6 +13,8 @@
 const GAIN: f64 = 0.2;
 /// A hint counts at most this many times the average, and at least the average divided by it.
 const HINT_FACTOR: f64 = 4.0;
+/// Largest estimate, in units: a hint is whatever a caller wrote.
+const LARGEST: Service = 1_000_000;
 /// Highest number of averages kept; above it, the least recently settled goes.
 const MAX_ENTRIES: usize = 8192;
 
@@ -41,18 +43,18 @@
     /// Estimates a cost in units; never zero.
     ///
     /// An account that is new on a route has the average of all accounts; without any, the hint
-    /// stands. A hint outside the allowed factor of the average is
+    /// stands, up to a million units. A hint outside the allowed factor of the average is
     /// moved to the nearest allowed value.
     pub fn estimate(&self, account: &str, route: &str, hint: Service) -> Service {
         let own = self.average(account, route).map(|a| a.mean);
         let Some(mean) = own.or_else(|| self.routes.get(route).copied()) else {
-            return hint.max(1);
+            return hint.clamp(1, LARGEST);
         };
         let low = mean / HINT_FACTOR;
         let high = mean * HINT_FACTOR;
         // Half the weight goes to the hint, because it may know this one request.
         let blend = ((hint as f64).clamp(low, high) + mean) / 2.0;
-        (blend.round() as Service).max(1)
+        (blend.round() as Service).clamp(1, LARGEST)
     }
 
     /// Learns the settled cost of a request, in units.
--- a/crates/share/src/ledger.rs
+++ b/crates/share/src/ledger.rs
@@ -143,7 +143,7 @@
         let entry = self.entry(account);
         entry.service = entry.service.saturating_add(cost);
         entry.unsettled = entry.unsettled.saturating_add(cost);
-        entry.own.charged += units;
+        entry.own.charged = entry.own.charged.saturating_add(units);
         self.changed.insert(account.to_owned());
     }
 
@@ -153,7 +153,7 @@
         let entry = self.entry(account);
         entry.service = entry.service.saturating_sub(cost);
         entry.unsettled = entry.unsettled.saturating_sub(cost);
-        entry.own.refunded += units;
+        entry.own.refunded = entry.own.refunded.saturating_add(units);
         self.changed.insert(account.to_owned());
     }
 
@@ -162,7 +162,7 @@
         let cost = weighted(units, self.weight(account));
         let entry = self.entry(account);
         entry.unsettled = entry.unsettled.saturating_sub(cost);
-        entry.own.settled += units;
+        entry.own.settled = entry.own.settled.saturating_add(units);
         self.changed.insert(account.to_owned());
     }
 
--- a/crates/share/tests/testsuite/estimate.rs
+++ b/crates/share/tests/testsuite/estimate.rs
@@ -26,6 +26,12 @@
             low: 1,
             high: 1,
         },
+        Case {
+            settled: &[],
+            hint: Service::MAX,
+            low: 1_000_000,
+            high: 1_000_000,
+        },
         // An honest hint is met half way.
         Case {
             settled: &[100; 20],
--- a/crates/share/tests/testsuite/ledger.rs
+++ b/crates/share/tests/testsuite/ledger.rs
@@ -234,3 +234,22 @@
     let ahead = new.service("ward") - new.service("temple");
     assert_eq!(ahead, weighted(1000 - 300 - 50, 1));
 }
+
+#[test]
+fn absurd_amounts_do_not_overflow() {
+    let mut ledger = Ledger::new(member("h", 1), T0);
+    let other = member("other", 1);
+    for _ in 0..3 {
+        ledger.charge("ward", u64::MAX);
+        ledger.settle("ward", u64::MAX);
+        ledger.refund("temple", u64::MAX);
+    }
+    let rows = [row("ward", u64::MAX, 0), row("temple", 0, u64::MAX)];
+    ledger.merge(&other, Duration::ZERO, &rows, T0);
+    ledger.set_waiting("ward", "z0", true);
+    ledger.set_waiting("temple", "z0", true);
+    assert!(ledger.service("temple") < ledger.service("ward"));
+    let mut fresh = Ledger::new(member("fresh", 1), T0);
+    fresh.adopt(&ledger.snapshot());
+    assert!(fresh.service("temple") < fresh.service("ward"));
+}
