Serve an account's requests by age over all zones

Cause: a new check of waits (queue and bound over the account's share) failed: in the run of gap_stays_within_the_bound a request of an account that calls in three zones waited 64.5 s, while later ones of the same account were served in the other zones; counters say which account is next, not which request. Change: digests tell how long each account's oldest request has waited; a slot that is an account's turn goes to the zone where one has waited 3 s longer; a loan names the account. Registrations made anew keep their age.

--- a/crates/dispatch/src/dispatcher/intake.rs
+++ b/crates/dispatch/src/dispatcher/intake.rs
@@ -1,7 +1,6 @@
 //! Messages from requesters.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use primrose_core::clock::Mono;
 use primrose_core::cost::Service;
@@ -199,8 +198,7 @@
 
     fn wait(&mut self, from: &Member, registration: Registration, now: Mono) {
         let account = registration.account.clone();
-        let left = Duration::from_millis(registration.left.into());
-        self.waiting.push(from.clone(), registration, now + left);
+        self.waiting.push(from.clone(), registration, now);
         self.note_waiting(&account);
     }
 }
--- a/crates/dispatch/src/dispatcher/schedule.rs
+++ b/crates/dispatch/src/dispatcher/schedule.rs
@@ -41,7 +41,11 @@
                 (Some(local), Some(remote)) if self.remote_first(&local, &remote) => {
                     self.lend(remote, now, out);
                 }
-                (Some(local), _) => self.grant_own(local.request, now, out),
+                (Some(local), _) => {
+                    if !self.lend_to_older(&local, now, out) {
+                        self.grant_own(local.request, now, out);
+                    }
+                }
                 (None, Some(remote)) => self.lend(remote, now, out),
                 (None, None) => break,
             }
@@ -56,6 +60,32 @@
         self.waiting.next(suspect, policy, &self.ledger, &may)
     }
 
+    /// Finds the request that a loan is used for.
+    pub(super) fn borrowing_request(&self, loan: &Loan, now: Mono) -> Option<RequestId> {
+        let may = |entry: &Entry| self.may_run(entry, now);
+        let account = loan.account.as_ref();
+        let named = account.and_then(|account| self.waiting.oldest(account, &may));
+        named.or_else(|| self.next(loan.suspect, now).map(|next| next.request))
+    }
+
+    /// Lends a slot that is an account's turn to the zone where a request of it has waited much
+    /// longer than any here; tells whether it did.
+    ///
+    /// Counters say which account is next, not which of its requests. Without this, an account that
+    /// is served in one zone could leave its requests in another waiting for good.
+    fn lend_to_older(&mut self, local: &Next, now: Mono, out: &mut Vec<Action>) -> bool {
+        let older = self.spill.older(&local.account, local.since, now);
+        let Some(zone) = older.cloned() else {
+            return false;
+        };
+        let Some(server) = self.servers.pick(&[], now) else {
+            return false;
+        };
+        let account = local.account.clone();
+        self.lend_server(zone, account, server, false, now, out);
+        true
+    }
+
     /// Grants a waiting request a slot of another zone.
     pub(super) fn grant_borrowed(
         &mut self,
@@ -221,6 +251,7 @@
         let loan = Loan {
             id,
             server: server.clone(),
+            account: (!suspect).then(|| account.clone()),
             suspect,
         };
         self.send(&holder, Body::Loan(loan), out);
--- a/crates/dispatch/src/dispatcher/waiting.rs
+++ b/crates/dispatch/src/dispatcher/waiting.rs
@@ -1,6 +1,7 @@
 //! Registrations that wait at a dispatcher.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use primrose_core::clock::Mono;
 use primrose_core::id::AccountId;
@@ -8,8 +9,10 @@
 use primrose_core::id::RequestId;
 use primrose_share::Ledger;
 
+use crate::message;
 use crate::message::Checksum;
 use crate::message::Registration;
+use crate::message::Wait;
 use crate::message::Want;
 use crate::policy::Candidate;
 use crate::policy::Policy;
@@ -25,6 +28,8 @@
     pub(crate) registration: Registration,
     pub(crate) router: Member,
     pub(crate) deadline: Mono,
+    /// When it began to wait.
+    since: Mono,
     arrival: u64,
 }
 
@@ -32,7 +37,10 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Next {
     pub(crate) request: RequestId,
+    pub(crate) account: AccountId,
     pub(crate) rank: i64,
+    /// When it began to wait.
+    pub(crate) since: Mono,
 }
 
 type Arrivals = BTreeMap<u64, RequestId>;
@@ -49,13 +57,16 @@
 }
 
 impl Waiting {
-    pub(crate) fn push(&mut self, router: Member, registration: Registration, deadline: Mono) {
+    pub(crate) fn push(&mut self, router: Member, registration: Registration, now: Mono) {
+        let left = Duration::from_millis(registration.left.into());
+        let waited = Duration::from_millis(registration.waited.into());
         self.remove(registration.request);
         self.arrived += 1;
         self.insert(Entry {
             registration,
             router,
-            deadline,
+            deadline: now + left,
+            since: now.saturating_sub(waited),
             arrival: self.arrived,
         });
     }
@@ -121,6 +132,25 @@
         self.normal.iter().map(|(a, arrivals)| (a, arrivals.len()))
     }
 
+    /// Lists how long the oldest request of each account has waited.
+    pub(crate) fn waits(&self, now: Mono) -> Vec<Wait> {
+        let heads = self.normal.iter().filter_map(|(account, arrivals)| {
+            let head = arrivals.values().next()?;
+            let since = self.entries.get(head)?.since;
+            Some(Wait {
+                account: account.clone(),
+                waited: message::millis(now.saturating_sub(since)),
+            })
+        });
+        heads.collect()
+    }
+
+    /// Finds the oldest request of an account among those that `may` run.
+    pub(crate) fn oldest(&self, account: &str, may: &dyn Fn(&Entry) -> bool) -> Option<RequestId> {
+        let entry = self.head(self.normal.get(account)?, may)?;
+        Some(entry.registration.request)
+    }
+
     pub(crate) fn suspects(&self) -> usize {
         self.suspects.values().map(BTreeMap::len).sum()
     }
@@ -147,7 +177,13 @@
             };
             let request = entry.registration.request;
             let rank = policy.rank(&candidate);
-            Some((entry.arrival, Next { request, rank }))
+            let next = Next {
+                request,
+                account: account.clone(),
+                rank,
+                since: entry.since,
+            };
+            Some((entry.arrival, next))
         });
         let best = heads.min_by_key(|(arrival, next)| (next.rank, *arrival));
         best.map(|(_, next)| next)
--- a/crates/dispatch/src/dispatcher/zones.rs
+++ b/crates/dispatch/src/dispatcher/zones.rs
@@ -79,8 +79,9 @@
         let Some(zone) = self.spill.zone_of(from).cloned() else {
             return;
         };
-        if self.spill.note_digest(&zone, digest) {
-            let waiting: BTreeSet<AccountId> = digest.waiting.iter().cloned().collect();
+        if self.spill.note_digest(&zone, digest, now) {
+            let waiting: BTreeSet<AccountId> =
+                digest.waiting.iter().map(|w| w.account.clone()).collect();
             self.ledger.set_zone(&zone, &waiting);
             if let Some(loans) = &digest.loans {
                 self.keep_loans(&zone, loans, now);
@@ -107,8 +108,8 @@
         if self.attempts.values().any(|a| used(&a.loan)) {
             return;
         }
-        let next = self.next(loan.suspect, now).filter(|_| fresh);
-        let Some(next) = next else {
+        let request = self.borrowing_request(&loan, now).filter(|_| fresh);
+        let Some(request) = request else {
             let unused = LoanReturn {
                 id,
                 finished: None,
@@ -118,7 +119,7 @@
             return;
         };
         let borrowing = Borrowing { id, zone };
-        self.grant_borrowed(next.request, loan.server, borrowing, now, out);
+        self.grant_borrowed(request, loan.server, borrowing, now, out);
     }
 
     pub(super) fn loan_return(&mut self, over: &LoanReturn, now: Mono) {
@@ -206,7 +207,7 @@
             sequence: self.digests,
             age: message::millis(self.ledger.age(now)),
             rows: self.ledger.digest(),
-            waiting: self.waiting.accounts().map(|(a, _)| a.clone()).collect(),
+            waiting: self.waiting.waits(now),
             hosts: self.servers.has_live(),
             loans: None,
         };
--- a/crates/dispatch/src/message/mod.rs
+++ b/crates/dispatch/src/message/mod.rs
@@ -28,6 +28,7 @@
 pub use zone::LoanReturn;
 pub use zone::Loans;
 pub use zone::Snapshot;
+pub use zone::Wait;
 pub use zone::Want;
 
 /// Number that a requester's renewals count up.
@@ -147,6 +148,9 @@
     /// Hashes of the prompt's beginning, shortest first.
     #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
     pub prefixes: Vec<Prefix>,
+    /// Time that the request has waited, if it is registered anew.
+    #[serde(rename = "t", default, skip_serializing_if = "is_zero")]
+    pub waited: Millis,
     /// Time left until the deadline.
     #[serde(rename = "d")]
     pub left: Millis,
@@ -166,6 +170,10 @@
     !value
 }
 
+fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
+
 /// The latest grant or loan that was received from a dispatcher.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Seen {
--- a/crates/dispatch/src/message/zone.rs
+++ b/crates/dispatch/src/message/zone.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use super::is_false;
+use super::is_zero;
 use super::Epoch;
 use super::Finished;
 use super::Millis;
@@ -36,7 +37,7 @@
     pub rows: Vec<Row>,
     /// Accounts that wait.
     #[serde(rename = "w")]
-    pub waiting: Vec<AccountId>,
+    pub waiting: Vec<Wait>,
     /// The zone has a server on which suspects could run.
     #[serde(rename = "h", default, skip_serializing_if = "is_false")]
     pub hosts: bool,
@@ -56,6 +57,17 @@
     pub count: u32,
 }
 
+/// How long the oldest request of an account has waited in a zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wait {
+    /// Client account.
+    #[serde(rename = "a")]
+    pub account: AccountId,
+    /// Time that it has waited.
+    #[serde(rename = "t")]
+    pub waited: Millis,
+}
+
 /// What waits in a zone without a slot: a level, not a change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Demand {
@@ -73,10 +85,6 @@
     pub suspects: u32,
 }
 
-fn is_zero(value: &u32) -> bool {
-    *value == 0
-}
-
 /// Id of a loan: the lender's epoch and sequence number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct LoanId {
@@ -97,6 +105,9 @@
     /// The server.
     #[serde(rename = "v")]
     pub server: ServerId,
+    /// Account whose oldest request is to run, if one waits; nothing for the best of all.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<AccountId>,
     /// The server is set apart: for one suspect, and for nothing else.
     #[serde(rename = "x", default, skip_serializing_if = "is_false")]
     pub suspect: bool,
--- a/crates/dispatch/src/requester/lane.rs
+++ b/crates/dispatch/src/requester/lane.rs
@@ -93,8 +93,8 @@
     }
 
     pub(crate) fn enqueue(&mut self, work: Work, now: Mono, out: &mut Vec<Action>) {
-        let registration = registration(&work, now);
-        self.queue.push(work);
+        let registration = registration(&work, now, now);
+        self.queue.push(work, now);
         self.send(Body::Register(registration), out);
     }
 
@@ -246,7 +246,12 @@
         if self.holder.is_none() {
             return;
         }
-        let mut waiting: Vec<_> = self.queue.iter().map(|w| registration(w, now)).collect();
+        let mut waiting: Vec<_> = {
+            let entries = self.queue.iter_since();
+            entries
+                .map(|(w, since)| registration(w, since, now))
+                .collect()
+        };
         // A message has to fit in one frame of a link.
         let rest = waiting.split_off(waiting.len().min(SYNC_REQUESTS));
         let sync = Sync {
@@ -312,7 +317,7 @@
     }
 }
 
-fn registration(work: &Work, now: Mono) -> Registration {
+fn registration(work: &Work, since: Mono, now: Mono) -> Registration {
     Registration {
         request: work.request,
         number: work.number,
@@ -321,6 +326,7 @@
         cost: work.cost,
         suspect: work.suspect,
         prefixes: work.prefixes.clone(),
+        waited: message::millis(now.saturating_sub(since)),
         left: message::millis(work.deadline.saturating_sub(now)),
     }
 }
--- a/crates/dispatch/src/requester/queue.rs
+++ b/crates/dispatch/src/requester/queue.rs
@@ -33,6 +33,7 @@
 struct Entry {
     work: Work,
     arrival: u64,
+    since: Mono,
 }
 
 /// Requests that wait, with bounds per account and in all.
@@ -58,7 +59,7 @@
             && self.total.bytes.saturating_add(work.bytes) <= bounds.total_bytes
     }
 
-    pub(crate) fn push(&mut self, work: Work) {
+    pub(crate) fn push(&mut self, work: Work, now: Mono) {
         self.remove(work.request);
         let request = work.request;
         self.arrived += 1;
@@ -69,7 +70,12 @@
         usage.add(work.bytes);
         self.sum.add(work.attempt());
         let arrival = self.arrived;
-        self.entries.insert(request, Entry { work, arrival });
+        let entry = Entry {
+            work,
+            arrival,
+            since: now,
+        };
+        self.entries.insert(request, entry);
     }
 
     pub(crate) fn get(&self, request: RequestId) -> Option<&Work> {
@@ -77,7 +83,7 @@
     }
 
     pub(crate) fn remove(&mut self, request: RequestId) -> Option<Work> {
-        let Entry { work, arrival } = self.entries.remove(&request)?;
+        let Entry { work, arrival, .. } = self.entries.remove(&request)?;
         self.arrivals.remove(&arrival);
         self.deadlines.remove(&(work.deadline, request));
         self.total.remove(work.bytes);
@@ -105,6 +111,12 @@
         self.arrivals.values().filter_map(|r| self.get(*r))
     }
 
+    /// Lists what waits and since when, oldest first.
+    pub(crate) fn iter_since(&self) -> impl Iterator<Item = (&Work, Mono)> {
+        let entries = self.arrivals.values().filter_map(|r| self.entries.get(r));
+        entries.map(|e| (&e.work, e.since))
+    }
+
     /// Lists the accounts and how many requests of each wait.
     pub(crate) fn accounts(&self) -> impl Iterator<Item = (&AccountId, usize)> {
         self.accounts.iter().map(|(a, usage)| (a, usage.requests))
--- a/crates/dispatch/src/spill.rs
+++ b/crates/dispatch/src/spill.rs
@@ -30,6 +30,7 @@
 use crate::message::LoanId;
 use crate::message::Seen;
 use crate::message::Sequence;
+use crate::message::Wait;
 use crate::message::Want;
 use crate::policy::Candidate;
 use crate::policy::Policy;
@@ -45,6 +46,8 @@
 
 /// Demand up to which each request more is told at once.
 const SMALL_DEMAND: u32 = 8;
+/// How much longer a request of the same account must have waited in another zone to go first.
+const AGE_MARGIN: Duration = Duration::from_secs(3);
 
 #[derive(Debug)]
 struct Told {
@@ -58,6 +61,8 @@
     pub(crate) holder: Option<Member>,
     demand: Option<Told>,
     digest: Sequence,
+    /// When the oldest request of each account that waits there began to wait.
+    oldest: BTreeMap<AccountId, Mono>,
     /// Whether suspects could run there; nothing if it has not said yet.
     pub(crate) hosts: Option<bool>,
     /// Latest loan received from it.
@@ -159,7 +164,7 @@
     }
 
     /// Notes a digest; tells whether it is later than all before from the zone.
-    pub(crate) fn note_digest(&mut self, zone: &str, digest: &Digest) -> bool {
+    pub(crate) fn note_digest(&mut self, zone: &str, digest: &Digest, now: Mono) -> bool {
         let Some(peer) = self.peers.get_mut(zone) else {
             return false;
         };
@@ -168,6 +173,9 @@
         }
         peer.digest = digest.sequence;
         peer.hosts = Some(digest.hosts);
+        let since = |wait: &Wait| now.saturating_sub(Duration::from_millis(wait.waited.into()));
+        let waiting = digest.waiting.iter();
+        peer.oldest = waiting.map(|w| (w.account.clone(), since(w))).collect();
         true
     }
 
@@ -243,6 +251,19 @@
         best
     }
 
+    /// Finds the zone in which an account's oldest request has waited much longer than since
+    /// `since`, and that has not been lent a slot for it lately.
+    pub(crate) fn older(&self, account: &str, since: Mono, now: Mono) -> Option<&ZoneId> {
+        let recent = |zone: &str| {
+            let mut lent = self.lent.values();
+            lent.any(|l| l.zone == zone && l.account == account && l.is_recent(now))
+        };
+        let peers = self.peers.iter().filter(|(_, p)| p.holder.is_some());
+        let heads = peers.filter_map(|(zone, p)| Some((p.oldest.get(account)?, zone)));
+        let older = heads.filter(|(at, zone)| **at + AGE_MARGIN < since && !recent(zone));
+        older.min().map(|(_, zone)| zone)
+    }
+
     /// Finds a zone in which suspect requests wait.
     pub(crate) fn suspect_zone(&self, now: Mono) -> Option<&ZoneId> {
         let waits = |p: &Peer| p.current(now).is_some_and(|d| d.suspects > 0);
@@ -332,13 +353,19 @@
 
     /// Counts the loans for an account that no digest can show yet.
     fn pending(&self, account: &str, now: Mono) -> Service {
-        let recent = |lent: &Lent| now.saturating_sub(lent.at) < DIGEST_EVERY * 2;
         let loans = self.lent.values();
-        let loans = loans.filter(|lent| lent.account == account && recent(lent));
+        let loans = loans.filter(|lent| lent.account == account && lent.is_recent(now));
         loans.count() as Service
     }
 }
 
+impl Lent {
+    /// Tells whether digests may not show yet what the loan changed.
+    fn is_recent(&self, now: Mono) -> bool {
+        now.saturating_sub(self.at) < DIGEST_EVERY * 2
+    }
+}
+
 impl Peer {
     fn current(&self, now: Mono) -> Option<&Demand> {
         self.holder.as_ref()?;
--- a/crates/dispatch/tests/testsuite/build.rs
+++ b/crates/dispatch/tests/testsuite/build.rs
@@ -74,6 +74,7 @@
         cost: 100,
         suspect: false,
         prefixes: Vec::new(),
+        waited: 0,
         left: 60_000,
     }
 }
--- a/crates/dispatch/tests/testsuite/fairness.rs
+++ b/crates/dispatch/tests/testsuite/fairness.rs
@@ -67,6 +67,19 @@
         let gap = fleet.record.gap;
         assert!(gap <= bound.gap() as f64, "seed {seed}: {gap} {bound:?}");
         assert!(fleet.record.longest_idle <= IDLE + FAR * 2);
+        check_waits(&fleet, &bound);
+    }
+}
+
+/// No request waits longer than its account's share takes for what was queued before it and for
+/// what the account may lie ahead.
+fn check_waits(fleet: &Fleet, bound: &Bound) {
+    let share = bound.rate / fleet.accounts.len() as f64;
+    for account in &fleet.accounts {
+        let queued = (account.depth * account.routers.len()) as f64 * MOST;
+        let longest = (queued + bound.standing() as f64) / share;
+        let waited = fleet.record.longest_wait_of(&account.name);
+        assert!(waited.as_secs_f64() <= longest, "{account:?}: {waited:?}");
     }
 }
 
--- a/crates/dispatch/tests/testsuite/wire.rs
+++ b/crates/dispatch/tests/testsuite/wire.rs
@@ -14,6 +14,7 @@
 use primrose_dispatch::message::Registration;
 use primrose_dispatch::message::Renew;
 use primrose_dispatch::message::Seen;
+use primrose_dispatch::message::Wait;
 use primrose_dispatch::message::Want;
 use primrose_dispatch::message::Withdraw;
 use primrose_share::Row;
@@ -90,7 +91,10 @@
                 refunded: 2,
                 settled: 1,
             }],
-            waiting: vec!["a".into()],
+            waiting: vec![Wait {
+                account: "a".into(),
+                waited: 1500,
+            }],
             hosts: true,
             loans: Some(Loans {
                 seen: SEEN,
@@ -109,6 +113,7 @@
         Body::Loan(Loan {
             id: LOAN,
             server: "s0".into(),
+            account: Some("a".into()),
             suspect: true,
         }),
         Body::LoanReturn(LoanReturn {
