--- a/crates/matrix/tests/testsuite/sim/host.rs
+++ b/crates/matrix/tests/testsuite/sim/host.rs
@@ -17,6 +17,7 @@
 use super::item::ServerNo;
 use super::ms;
 use super::router::Router;
+use super::server::Server;
 use super::world::World;
 use super::world::ZONES;
 
@@ -163,8 +164,13 @@
         entry.collect()
     }
 
-    /// The platform marks a server's host as leaving.
+    /// The platform marks a server's host as leaving; the last one of a pool stays.
     pub(crate) fn mark_leaving(&mut self, no: ServerNo) {
+        let pool = self.servers[no].pool();
+        let stays = |server: &Server| server.leaving_since.is_none() && server.pool() == pool;
+        if self.servers.iter().filter(|server| stays(server)).count() <= 1 {
+            return;
+        }
         let now = self.now();
         self.servers[no].leaving_since.get_or_insert(now);
         self.later(LIST_LAG, Item::LeaveSeen { server: no });
