--- a/crates/matrix/tests/testsuite/sequences.rs
+++ b/crates/matrix/tests/testsuite/sequences.rs
@@ -193,6 +193,35 @@
     assert_eq!(play(&sequence, None).violations, Vec::<String>::new());
 }
 
+/// A hung server with requests that their router has given up: they are no longer anybody's slot.
+#[test]
+fn requests_given_up_on_a_hung_server_take_no_slot() {
+    let hit = |fault, message| Hit { fault, message };
+    let ask = |kind, router, at, again| Ask {
+        kind,
+        router,
+        at,
+        again,
+    };
+    let sequence = Sequence {
+        hits: vec![
+            hit(Fault::ServerHang, 33),
+            hit(Fault::CutZone, 50),
+            hit(Fault::RouterPause, 1),
+            hit(Fault::CutRouters, 93),
+        ],
+        asks: vec![
+            ask(WorkKind::Draft, 2, 1127, false),
+            ask(WorkKind::KeylessOrder, 1, 463, false),
+            ask(WorkKind::Summary, 1, 1114, true),
+            ask(WorkKind::Draft, 0, 822, true),
+            ask(WorkKind::Order, 1, 1714, true),
+        ],
+        poison: true,
+    };
+    assert_eq!(play(&sequence, None).violations, Vec::<String>::new());
+}
+
 #[test]
 fn a_poison_request_costs_two_servers_when_nothing_else_fails() {
     assert_eq!(poison(None).violations, Vec::<String>::new());
