--- a/crates/local/tests/testsuite/main.rs
+++ b/crates/local/tests/testsuite/main.rs
@@ -9,3 +9,4 @@
 mod replaced;
 mod shutdown;
 mod streams;
+mod today;
