Measure control and the time until an edit is in force

measure -- control changes one quantity of a zone at a time, fits a line through the points of each, and runs a zone of the planned size, quiet and under edits. measure -- config times edits with everything up, with one router cut off from the platform, and with the platform down right after the write.

A deployment can have several pools of engines, and one router can be cut off from the platform.

--- a/crates/local/examples/measure.rs
+++ b/crates/local/examples/measure.rs
@@ -15,6 +15,8 @@
     Fairness,
     Utilisation,
     FirstToken,
+    Control,
+    Config,
 }
 
 fn what() -> impl Parser<What> {
@@ -36,7 +38,17 @@
         "Time that a router adds to the first token",
         What::FirstToken,
     );
-    bpaf::construct!([fairness, utilisation, first_token])
+    let control = command(
+        "control",
+        "Control traffic, processor time and memory, by the size of a zone",
+        What::Control,
+    );
+    let config = command(
+        "config",
+        "Time until an edit of the tables is in force everywhere",
+        What::Config,
+    );
+    bpaf::construct!([fairness, utilisation, first_token, control, config])
 }
 
 fn main() -> ExitCode {
@@ -66,6 +78,12 @@
     let mut figures = Vec::new();
     match what {
         What::FirstToken => figures = measure::first_token()?,
+        What::Control => figures = measure::control()?,
+        What::Config => {
+            for (name, shape) in &deployments {
+                figures.extend(measure::config(name, shape)?);
+            }
+        }
         What::Fairness => {
             for (name, shape) in &deployments {
                 figures.extend(measure::fairness(name, shape)?);
--- a/crates/local/src/deployment.rs
+++ b/crates/local/src/deployment.rs
@@ -17,7 +17,6 @@
 use primrose_platform::consul::ConsulConfig;
 use primrose_platform::consul::ConsulHosts;
 use primrose_platform::consul::ConsulStore;
-use primrose_platform::hosts::HostList;
 use primrose_platform::store::Op;
 use primrose_platform::store::Store;
 use primrose_platform::store::StoreError;
@@ -30,6 +29,7 @@
 use primrose_settings::Security;
 use primrose_settings::Settings;
 use primrose_standin::engine::Engine;
+use primrose_standin::engine::EngineConfig;
 use primrose_standin::hosts::HostBoard;
 use primrose_standin::hosts::Hosts;
 use primrose_standin::kv::Kv;
@@ -45,11 +45,13 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 
+use crate::cut::Cut;
 use crate::documents;
 use crate::documents::TablesText;
 use crate::documents::ACCOUNTS_KEY;
 use crate::documents::PREFIX;
 use crate::documents::TABLES_KEY;
+use crate::shape;
 use crate::shape::Policy;
 use crate::shape::Shape;
 
@@ -57,8 +59,6 @@
 const PEER_KEY: &[u8] = b"the peer key of a local deployment, 32 bytes and more";
 /// Service name of the routers in the host list.
 const ROUTERS: &str = "primrosed";
-/// Service name of the engines.
-const ENGINES: &str = "drafting";
 /// Service name of the engine for single requests.
 const PROBES: &str = "probing";
 /// Service name of the plain services.
@@ -116,6 +116,7 @@
     zone: ZoneId,
     host: String,
     router: Router,
+    cut: Cut,
 }
 
 /// A running deployment; everything ends when it is dropped.
@@ -185,9 +186,13 @@
         for zone in self.shape.zones.clone() {
             for number in 1..=zone.engines {
                 let id = format!("{}-engine-{number}", zone.name);
-                let config = self.shape.engine.clone();
+                let pool = (number - 1) % self.shape.pools;
+                let config = EngineConfig {
+                    model: shape::model_name(pool),
+                    ..self.shape.engine.clone()
+                };
                 let engine = Engine::start(&self.runtime, config).context(StandinSnafu)?;
-                self.list(&id, &zone.name, ENGINES, engine.addr());
+                self.list(&id, &zone.name, &shape::pool_name(pool), engine.addr());
                 self.engines.push(engine);
             }
             for number in 1..=zone.plains {
@@ -226,12 +231,15 @@
     fn start_router(&mut self, zone: &str, host: &str, sharing: Sharing) -> Result<Placed> {
         self.incarnation += 1;
         let settings = self.settings(zone, host);
-        let router = Router::start(&settings, self.parts(sharing)).context(RouterSnafu)?;
+        let cut = Cut::default();
+        let parts = self.parts(sharing, &cut);
+        let router = Router::start(&settings, parts).context(RouterSnafu)?;
         self.list(host, zone, ROUTERS, router.peers());
         Ok(Placed {
             zone: zone.to_owned(),
             host: host.to_owned(),
             router,
+            cut,
         })
     }
 
@@ -282,15 +290,16 @@
         }
     }
 
-    fn parts(&self, sharing: Sharing) -> Parts {
+    fn parts(&self, sharing: Sharing, cut: &Cut) -> Parts {
         let config = ConsulConfig::new(vec![self.kv.addr()]);
         let hosts = ConsulConfig::new(vec![self.hosts.addr()]);
         let key = Key::from_bytes(PEER_KEY).expect("the key is long enough");
+        let from_hosts = cut.clone();
         Parts {
             clock: Arc::clone(&self.clock),
-            store: Arc::new(ConsulStore::new(config)),
+            store: cut.store(ConsulStore::new(config)),
             hosts: Some(Arc::new(move |service: &str| {
-                Arc::new(ConsulHosts::new(hosts.clone(), service)) as Arc<dyn HostList>
+                from_hosts.hosts(ConsulHosts::new(hosts.clone(), service))
             })),
             keys: Keys::new(vec![key]).expect("there is a key"),
             sharing,
@@ -388,6 +397,15 @@
         &placed.expect("the router is running").zone
     }
 
+    /// Cuts a running router off from the platform, or ends that.
+    ///
+    /// # Panics
+    /// If the router was stopped.
+    pub fn cut_off(&self, place: usize, cut: bool) {
+        let placed = self.routers[place].as_ref();
+        placed.expect("the router is running").cut.set(cut);
+    }
+
     /// State of a running router, as its operator listener shows it.
     pub fn status(&self, place: usize) -> Option<serde_json::Value> {
         let placed = self.routers[place].as_ref()?;
--- a/crates/local/src/documents.rs
+++ b/crates/local/src/documents.rs
@@ -5,8 +5,10 @@
 use primrose_core::id::Generation;
 use primrose_table::accounts::KeyHash;
 
+use crate::shape::model_name;
+use crate::shape::pool_name;
+use crate::shape::route_name;
 use crate::shape::Shape;
-use crate::shape::MODEL;
 use crate::shape::ORDER_PATH;
 use crate::shape::PROBE_MODEL;
 
@@ -34,21 +36,14 @@
     /// Renders the document of a generation.
     pub fn render(&self, generation: Generation) -> String {
         let shape = &self.shape;
-        let (min, max) = shape.slots;
         let deadline = shape.deadline.as_millis();
-        let queue = shape.queue;
         let mut text = format!(
             "[document]\ngeneration = {generation}\nchange = {generation:016x}\n\n\
-             [route drafts]\nmodel = {MODEL}\npool = drafting\ndeadline = {deadline}ms\n\
-             idempotent = yes\ncost = 100\n\n\
              [route orders]\npath = {ORDER_PATH}\npool = dispatch\ndeadline = {deadline}ms\n\
-             idempotent = no\ncost = 1\n\n\
-             [pool drafting]\nkind = engine\nservice = drafting\nmin-slots = {min}\n\
-             max-slots = {max}\nlongest-run = 60s\nqueue-account-requests = {queue}\n"
+             idempotent = no\ncost = 1\n"
         );
-        for account in &shape.accounts {
-            // Writing to a string cannot fail.
-            let _ = writeln!(text, "weight.{} = {}", account.name, account.weight);
+        for number in 0..shape.pools {
+            text.push_str(&engines_text(shape, number));
         }
         text.push_str(
             "\n[pool dispatch]\nkind = plain\nservice = dispatch\nmin-slots = 4\nmax-slots = 4\n\
@@ -61,6 +56,26 @@
     }
 }
 
+/// Renders the route and the row of one pool of engines.
+fn engines_text(shape: &Shape, number: usize) -> String {
+    let (min, max) = shape.slots;
+    let (pool, model) = (pool_name(number), model_name(number));
+    let route = route_name(number);
+    let deadline = shape.deadline.as_millis();
+    let queue = shape.queue;
+    let mut text = format!(
+        "\n[route {route}]\nmodel = {model}\npool = {pool}\ndeadline = {deadline}ms\n\
+         idempotent = yes\ncost = 100\n\n\
+         [pool {pool}]\nkind = engine\nservice = {pool}\nmin-slots = {min}\n\
+         max-slots = {max}\nlongest-run = 60s\nqueue-account-requests = {queue}\n"
+    );
+    for account in &shape.accounts {
+        // Writing to a string cannot fail.
+        let _ = writeln!(text, "weight.{} = {}", account.name, account.weight);
+    }
+    text
+}
+
 /// Renders the route and the pool of the engine for single requests.
 fn probe_text(deadline: u128) -> String {
     format!(
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 mod client;
+mod cut;
 mod deployment;
 mod documents;
 pub mod measure;
--- a/crates/local/src/measure/mod.rs
+++ b/crates/local/src/measure/mod.rs
@@ -3,6 +3,8 @@
 //! Every measurement runs real routers over real loopback links, reads what happened from the
 //! stand-ins' own record, never from a router, and gives [`Figure`]s.
 
+mod config;
+mod control;
 mod fairness;
 mod figure;
 mod first_token;
@@ -14,6 +16,8 @@
 
 use crate::deployment::DeploymentError;
 
+pub use config::config;
+pub use control::control;
 pub use fairness::fairness;
 pub use figure::Figure;
 pub use figure::Target;
--- a/crates/local/src/shape.rs
+++ b/crates/local/src/shape.rs
@@ -49,6 +49,8 @@
     pub zones: Vec<ZoneShape>,
     /// Client accounts.
     pub accounts: Vec<AccountShape>,
+    /// Pools of engines; the engines of each zone are spread over them.
+    pub pools: usize,
     /// Lowest and highest slot limit of an engine.
     pub slots: (u32, u32),
     /// How engines behave; the address is set for each.
@@ -74,6 +76,30 @@
 /// Path of the plain services.
 pub(crate) const ORDER_PATH: &str = "/orders";
 
+/// Name of a pool of engines, and of their service; the first is 0.
+pub(crate) fn pool_name(number: usize) -> String {
+    match number {
+        0 => "drafting".to_owned(),
+        _ => format!("drafting-{number}"),
+    }
+}
+
+/// Name of the route to a pool of engines.
+pub(crate) fn route_name(number: usize) -> String {
+    match number {
+        0 => "drafts".to_owned(),
+        _ => format!("drafts-{number}"),
+    }
+}
+
+/// Model that the engines of a pool serve.
+pub(crate) fn model_name(number: usize) -> String {
+    match number {
+        0 => MODEL.to_owned(),
+        _ => format!("{MODEL}-{number}"),
+    }
+}
+
 fn zones(names: [&str; 3], routers: [usize; 3], engines: [usize; 3]) -> Vec<ZoneShape> {
     let mut zones = Vec::new();
     for (place, name) in names.into_iter().enumerate() {
@@ -101,6 +127,7 @@
         Self {
             zones: zones(["barasat", "madhyamgram", "habra"], [1, 1, 1], [1, 1, 1]),
             accounts: accounts("parish", 3),
+            pools: 1,
             slots: (1, 8),
             engine: EngineConfig {
                 model: MODEL.to_owned(),
--- a/crates/local/tests/testsuite/main.rs
+++ b/crates/local/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of whole routers over real loopback links, against stand-ins' own records.
 
+mod cut_off;
 mod documents;
 mod fixture;
 mod leaving;
