--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -11,9 +11,9 @@
 //! ```
 
 mod client;
+mod cut;
 mod deployment;
 mod documents;
-mod gate;
 pub mod measure;
 mod shape;
 
--- a/crates/local/tests/testsuite/today.rs
+++ b/crates/local/tests/testsuite/today.rs
@@ -245,7 +245,7 @@
         let scope = Scope::Zone(other.name.clone());
         deployment.router(place).endpoint().block(scope, cut);
     }
-    deployment.cut_platform(place, cut);
+    deployment.cut_off(place, cut);
 }
 
 fn names_outage(page: &Page, what: &str) -> bool {
