--- a/crates/report/src/shape.rs
+++ b/crates/report/src/shape.rs
@@ -9,6 +9,8 @@
 
 /// Seconds of an interval that may be unseen before it is a gap: a restart takes as long.
 const UNSEEN_SECS: u64 = 150;
+/// How the end of a day is written.
+const DAY_END: &str = "24:00";
 /// Intervals at the end that are too fresh to call a gap.
 const FRESH: usize = 1;
 
@@ -74,6 +76,7 @@
 }
 
 fn gap(total: &Total, view: &View<'_>, zone: &str, first: usize, intervals: usize) -> Gap {
+    let length = view.calendar.intervals(&total.day).unwrap_or(usize::MAX);
     let time = |interval| {
         let begin = view.calendar.begin(&total.day, interval);
         begin.map_or_else(|_| String::new(), |begin| view.calendar.time(begin))
@@ -81,7 +84,11 @@
     Gap {
         zone: zone.to_owned(),
         from: time(first),
-        to: time(first + intervals),
+        to: match first + intervals >= length {
+            // The next day's 00:00 would read as this day's beginning.
+            true => DAY_END.to_owned(),
+            false => time(first + intervals),
+        },
         first,
         intervals,
     }
