--- a/crates/local/examples/quickstart.rs
+++ b/crates/local/examples/quickstart.rs
@@ -5,12 +5,15 @@
 
 use std::io::Write;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use primrose_local::chat_body;
 use primrose_local::Client;
 use primrose_local::Deployment;
 use primrose_local::Shape;
 
+/// Longest wait for one router's operator before the next one is looked at.
+const LOOK: Duration = Duration::from_millis(100);
 /// Output tokens of the request that is shown.
 const TOKENS: u64 = 24;
 
@@ -43,13 +46,38 @@
     show_commands(&deployment, &bearer);
     if !once {
         println!("\nRunning until Ctrl-C.");
-        loop {
-            std::thread::park();
-        }
+        serve(deployment);
     }
     Ok(())
 }
 
+/// Runs until all routers have been drained by operators.
+fn serve(mut deployment: Deployment) {
+    let running = |deployment: &Deployment| {
+        let places = 0..deployment.places();
+        places
+            .filter(|place| deployment.is_running(*place))
+            .collect::<Vec<_>>()
+    };
+    loop {
+        let places = running(&deployment);
+        if places.is_empty() {
+            return;
+        }
+        for place in places {
+            if deployment
+                .router(place)
+                .drained()
+                .recv_timeout(LOOK)
+                .is_ok()
+            {
+                deployment.shut_down(place);
+                println!("Shut down router {place}, as an operator asked");
+            }
+        }
+    }
+}
+
 fn show_stream(deployment: &Deployment, bearer: &str) -> std::io::Result<()> {
     println!("\nAsked for a rota notice; the answer as it streams:");
     let client = Client::new(bearer);
