--- /dev/null
+++ b/crates/primrosed/tests/testsuite/world.rs
@@ -0,0 +1,209 @@
+//! Stand-ins in the test's process, and settings files for router processes.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrose_core::clock::Clock;
+use primrose_core::host::Host;
+use primrose_core::host::HostState;
+use primrose_platform::store::Op;
+use primrose_platform::store::Store;
+use primrose_standin::engine::Engine;
+use primrose_standin::engine::EngineConfig;
+use primrose_standin::hosts::HostBoard;
+use primrose_standin::kv::Kv;
+use primrose_standin::kv::KvConfig;
+use primrose_standin::runtime::Runtime;
+use primrose_table::accounts::KeyHash;
+use primrose_util::clock::SystemClock;
+
+/// Bearer key of the one client account.
+pub(crate) const KEY: &str = "the-key-of-parish-1";
+/// Longest wait for something that must happen.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
+
+const TABLES: &str = "\
+[document]
+generation = 1
+change = 0000000000000001
+[route drafts]
+model = linen-7b
+pool = drafting
+deadline = 30s
+idempotent = yes
+cost = 100
+[pool drafting]
+kind = engine
+service = drafting
+min-slots = 4
+max-slots = 4
+longest-run = 60s
+";
+
+/// The platform and one engine.
+pub(crate) struct World {
+    pub(crate) kv: Kv,
+    pub(crate) engine: Engine,
+    pub(crate) clock: Arc<dyn Clock>,
+    dir: PathBuf,
+    board: HostBoard,
+    _runtime: Runtime,
+}
+
+impl World {
+    /// Starts the stand-ins; `name` keeps the files of tests apart.
+    pub(crate) fn start(name: &str) -> Self {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+        let runtime = Runtime::new().unwrap();
+        let board = HostBoard::new(Arc::clone(&clock), Duration::ZERO);
+        let config = KvConfig {
+            listen: "127.0.0.1:0".parse().unwrap(),
+            clock: Arc::clone(&clock),
+            min_ttl: Duration::from_secs(1),
+            hosts: Some(board.clone()),
+        };
+        let kv = Kv::start(&runtime, config).unwrap();
+        let hash = KeyHash::of(KEY.as_bytes());
+        let accounts = format!(
+            "[document]\ngeneration = 1\nchange = 0000000000000001\n\
+             [account parish-1]\nkey-sha256.first = {hash}\n"
+        );
+        let ops = [
+            Op::create("primrosehall/tables", TABLES.as_bytes().to_vec()),
+            Op::create("primrosehall/accounts", accounts.into_bytes()),
+        ];
+        kv.store().commit(&ops).unwrap();
+        let engine = Engine::start(&runtime, EngineConfig::default()).unwrap();
+        let dir = std::env::temp_dir().join(format!("primrosed-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        std::fs::write(
+            dir.join("peer-key"),
+            "a peer key of thirty-two bytes or more\n",
+        )
+        .unwrap();
+        let world = Self {
+            kv,
+            engine,
+            clock,
+            dir,
+            board,
+            _runtime: runtime,
+        };
+        world.list("engine-1", "north", "drafting", world.engine.addr());
+        world
+    }
+
+    fn list(&self, id: &str, zone: &str, service: &str, addr: SocketAddr) {
+        self.board.put(Host {
+            id: id.to_owned(),
+            zone: zone.to_owned(),
+            service: service.to_owned(),
+            addr,
+            state: HostState::Live,
+            incarnation: 1,
+        });
+    }
+
+    /// Starts a router process with a settings file of its own.
+    pub(crate) fn router(&self, number: u8, zone: &str) -> Process {
+        let addrs = Addrs::new(number);
+        let host = format!("entry-{number}");
+        let file = self.dir.join(format!("{host}.ini"));
+        std::fs::write(&file, self.settings(&host, zone, &addrs)).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_primrosed"))
+            .arg(&file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        self.list(&host, zone, "primrosed", addrs.peers);
+        Process::new(child, addrs)
+    }
+
+    fn settings(&self, host: &str, zone: &str, addrs: &Addrs) -> String {
+        let platform = self.kv.addr();
+        let key = self.dir.join("peer-key").display().to_string();
+        format!(
+            "[router]\nhost = {host}\nzone = {zone}\nregion = one\n\
+             [listen]\ncallers = {}\npeers = {}\noperators = {}\n\
+             [platform]\naddresses = {platform}\nhosts = {platform}\n\
+             [security]\npeer-key-file = {key}\n",
+            addrs.callers, addrs.peers, addrs.operators
+        )
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        // Left-over files of a test harm nobody.
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// Where one router process listens: a loopback address of its own, so that no port is taken.
+pub(crate) struct Addrs {
+    pub(crate) callers: SocketAddr,
+    pub(crate) peers: SocketAddr,
+    pub(crate) operators: SocketAddr,
+}
+
+impl Addrs {
+    fn new(number: u8) -> Self {
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        let addr = |port| SocketAddr::from(([127, high.max(1), low, number], port));
+        Self {
+            callers: addr(8080),
+            peers: addr(8081),
+            operators: addr(8082),
+        }
+    }
+}
+
+/// A router process; killed when dropped.
+pub(crate) struct Process {
+    child: Child,
+    pub(crate) addrs: Addrs,
+}
+
+impl Process {
+    /// Waits for the line that tells that the router listens.
+    fn new(mut child: Child, addrs: Addrs) -> Self {
+        let log = child.stderr.take().unwrap();
+        let mut lines = BufReader::new(log).lines();
+        let started = |line: &String| line.contains("router started");
+        let found = lines
+            .by_ref()
+            .map(Result::unwrap)
+            .any(|line| started(&line));
+        assert!(found, "the router ended before it started");
+        // The log must go on flowing, or the process would wait for room.
+        std::thread::spawn(move || lines.for_each(drop));
+        Self { child, addrs }
+    }
+
+    /// Sends a termination signal.
+    pub(crate) fn terminate(&self) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status();
+        assert!(sent.unwrap().success());
+    }
+
+    /// Waits for the end and returns the exit code.
+    pub(crate) fn end(mut self) -> Option<i32> {
+        self.child.wait().unwrap().code()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
