--- a/crates/primrosed/src/decide/suspects.rs
+++ b/crates/primrosed/src/decide/suspects.rs
@@ -49,8 +49,11 @@
                 fingerprint = format!("{:016x}", report.fingerprint).as_str();
                 "a backend server died under a request"
             );
-            self.suspects
-                .server_died(&death_of(report, began.unwrap_or(now)), now)
+            let before = self.suspect_standing(report.fingerprint);
+            let death = death_of(report, began.unwrap_or(now));
+            let news = self.suspects.server_died(&death, now);
+            self.observe_death(report, before);
+            news
         } else if report.result == AttemptResult::Abandoned {
             self.suspects
                 .given_up(&death_of(report, began.unwrap_or(now)), now)
--- a/crates/primrosed/src/input.rs
+++ b/crates/primrosed/src/input.rs
@@ -39,6 +39,8 @@
     Suspects(Sender<Vec<SuspectStatus>>),
     /// An operator lifts a refused fingerprint; answers whether it was known.
     Lift(Fingerprint, Sender<bool>),
+    /// Pass on, after all that came before, that the day's record is to be handed on.
+    Finish(Sender<()>),
     /// End the thread.
     Stop,
 }
--- a/crates/primrosed/src/router.rs
+++ b/crates/primrosed/src/router.rs
@@ -25,6 +25,9 @@
 use primrose_link::LinkConfig;
 use primrose_platform::hosts::HostList;
 use primrose_platform::store::Store;
+use primrose_report::calendar::Calendar;
+use primrose_report::calendar::CalendarError;
+use primrose_report::observation::Observation;
 use primrose_settings::Settings;
 use rand::Rng;
 use snafu::ResultExt;
@@ -39,6 +42,7 @@
 use crate::duty::loads::Loads;
 use crate::duty::operator::Operator;
 use crate::duty::operator::OperatorError;
+use crate::duty::page::Pages;
 use crate::duty::watch::Watch;
 use crate::duty::Stop;
 use crate::input;
@@ -46,9 +50,13 @@
 use crate::message::PeerMessage;
 use crate::message::DOCUMENT_KINDS;
 use crate::published::Published;
+use crate::reporter::ReportInput;
+use crate::reporter::Reporter;
 
 pub use primrose_front::CutRequest;
 
+mod counting;
+
 /// Link events that may wait for the deciding thread.
 const LINK_RING: usize = 1024;
 
@@ -112,6 +120,12 @@
         /// The cause.
         source: OperatorError,
     },
+    /// The settings name no time zone for the day.
+    #[snafu(display("failed to read the settings of the day"))]
+    Day {
+        /// The cause.
+        source: CalendarError,
+    },
     /// A thread could not be made.
     #[snafu(display("failed to start the {name} thread"))]
     Thread {
@@ -136,6 +150,7 @@
     endpoint: Arc<Endpoint<PeerMessage>>,
     operators: SocketAddr,
     ring: Sender<Input>,
+    reporter: Reporter,
     stop: Arc<Stop>,
     /// Threads that end at once when told to. Those that wait at the platform end by themselves
     /// when their call returns, and hold nothing that a shutdown would have to wait for.
@@ -165,8 +180,18 @@
         let zone = settings.router.zone.clone();
         let config = LinkConfig::new(me.clone(), zone, settings.listen.peers, parts.keys.clone());
         let endpoint = Arc::new(Endpoint::start(config, link_ring).context(LinkSnafu)?);
+        let (reporter, seen) = Reporter::new(Arc::clone(&parts.clock));
+        let calendar = Calendar::new(&settings.day.time_zone).context(DaySnafu)?;
         let operator = Operator {
             ring: ring.clone(),
+            pages: Pages {
+                prefix: settings.platform.prefix.clone(),
+                calendar: calendar.clone(),
+                clock: Arc::clone(&parts.clock),
+                store: Arc::clone(&parts.store),
+                published: Arc::clone(&published),
+                reporter: reporter.clone(),
+            },
             metrics: parts.metrics.clone(),
             drain,
         };
@@ -178,6 +203,7 @@
             clock: Arc::clone(&parts.clock),
             decide: ring.clone(),
             claims: claim_ring,
+            reporter: reporter.clone(),
         });
         let front = Front::start(
             settings.listen.callers,
@@ -195,6 +221,7 @@
             Arc::clone(&published),
             parts.sharing,
             rand::rng().random(),
+            reporter.clone(),
         );
         let mut router = Self {
             me: me.clone(),
@@ -202,6 +229,7 @@
             endpoint,
             operators: listener.addr,
             ring: ring.clone(),
+            reporter,
             stop: Arc::clone(&stop),
             threads: vec![listener.thread],
             drained,
@@ -218,6 +246,7 @@
             inboxes: HashMap::new(),
         };
         router.spawn("claims", move || desk.run(&claim_asks))?;
+        router.start_report(settings, &parts, calendar, seen)?;
         router.start_duties(settings, &parts, &published)?;
         log::info!(
             callers:% = router.callers(), peers:% = router.peers(), operators:% = router.operators();
@@ -240,6 +269,7 @@
                 store: Arc::clone(&parts.store),
                 published: Arc::clone(published),
                 ring: self.ring.clone(),
+                reporter: self.reporter.clone(),
                 stop: Arc::clone(&self.stop),
             };
             drop(spawn("watch", move || watch.run())?);
@@ -324,6 +354,11 @@
                 );
             }
         }
+        let requests = cut.len() as u64;
+        if requests > 0 {
+            self.reporter.see(Observation::Cut { requests });
+        }
+        self.hand_on();
         self.end();
         Shutdown { cut }
     }
@@ -337,6 +372,7 @@
         self.stop.stop();
         self.front.stop();
         let _ = self.ring.send(Input::Stop);
+        self.reporter.deliver(ReportInput::Stop);
         self.endpoint.stop();
         for thread in self.threads.drain(..) {
             if thread.join().is_err() {
