Let a caller go on with a stream through another router

Cause: when a router dies in the middle of a stream, the engine still holds it, but a caller could not reach it. Change: the head of a token stream carries a pass, bound to the account by an HMAC under the peer key; GET /v1/streams/PASS goes on after the last event. Ruled out: a record of streams in the key-value service (a write for each request), tokens without a tag (another account could read the stream). Conclusion: a dead router costs its callers a reconnect, not the answer.

--- a/crates/front/src/act.rs
+++ b/crates/front/src/act.rs
@@ -32,6 +32,7 @@
 use crate::drive::NOTES;
 use crate::finish;
 use crate::hold;
+use crate::pass::Pass;
 use crate::reply;
 use crate::reply::Failure;
 
@@ -263,7 +264,8 @@
             return;
         }
         if let Some(head) = self.answer.head.take() {
-            self.caller.begin(self.job.spec.id, &head);
+            let pass = self.pass();
+            self.caller.begin(self.job.spec.id, &head, pass.as_deref());
         }
         for part in parts {
             if !self.caller.part(part, self.shared.limits.write_time).await {
@@ -303,6 +305,14 @@
         }
     }
 
+    /// Pass by which the caller can go on with the stream through another router.
+    fn pass(&self) -> Option<String> {
+        let (attempt, _) = self.life.running()?;
+        let addr = self.addr.filter(|_| self.answer.streams())?;
+        let pass = Pass { attempt, addr };
+        Some(self.shared.passes.seal(pass, &self.job.spec.account))
+    }
+
     async fn finish(&mut self, verdict: Verdict) {
         self.record(&verdict);
         match verdict.code {
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -87,13 +87,16 @@
         self.answer(response);
     }
 
-    /// Sends the head of an answer whose parts follow.
-    pub(crate) fn begin(&mut self, id: RequestId, head: &Head) {
+    /// Sends the head of an answer whose parts follow; `pass` lets the caller go on elsewhere.
+    pub(crate) fn begin(&mut self, id: RequestId, head: &Head, pass: Option<&str>) {
         let (sender, receiver) = mpsc::channel(PARTS);
         let parts = frames(receiver);
         let mut response = with_head(head, StreamBody::new(parts).boxed_unsync());
         let headers = response.headers_mut();
         headers.insert(reply::REQUEST_ID, reply::ascii(&reply::id_text(id)));
+        if let Some(pass) = pass {
+            headers.insert(reply::STREAM_PASS, reply::ascii(pass));
+        }
         headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
         self.answer(response);
         *self = Self::Streaming(sender);
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -17,6 +17,7 @@
 use crate::connections::Connections;
 use crate::limits::Limits;
 use crate::listen;
+use crate::pass::PassKey;
 use crate::serve::Service;
 use crate::shared::Active;
 use crate::shared::Shared;
@@ -70,6 +71,7 @@
     pub fn start(
         addr: SocketAddr,
         limits: Limits,
+        passes: PassKey,
         broker: Arc<dyn Broker>,
         clock: Arc<dyn Clock>,
     ) -> Result<Self, StartError> {
@@ -91,6 +93,7 @@
             connections: Arc::new(Connections::new(limits.connect_time)),
             limits: Arc::clone(&limits),
             active: Arc::clone(&active),
+            passes,
             drain: drained.clone(),
             cut: cut_seen,
         });
--- a/crates/front/src/hold.rs
+++ b/crates/front/src/hold.rs
@@ -124,7 +124,7 @@
 }
 
 /// Renders one event of a token stream with its number, by which a caller can ask for the rest.
-fn render_event(event: ConnEvent, data: &str) -> Bytes {
+pub(crate) fn render_event(event: ConnEvent, data: &str) -> Bytes {
     let seq: Seq = match event {
         ConnEvent::Item { seq } => seq,
         _ => 0,
--- a/crates/front/src/job.rs
+++ b/crates/front/src/job.rs
@@ -20,7 +20,7 @@
 use crate::trace::TRACEPARENT;
 
 /// Path under which engines hand out the rest of a stream.
-const STREAMS_PATH: &str = "/v1/streams";
+pub(crate) const STREAMS_PATH: &str = "/v1/streams";
 /// Headers that belong to one connection, or that the router writes itself.
 const OWN_HEADERS: [&str; 10] = [
     "authorization",
@@ -114,7 +114,7 @@
     ) -> Call {
         Call {
             method: Method::GET,
-            path: format!("{STREAMS_PATH}/{}?after={after}", conn.attempt),
+            path: stream_path(conn, after),
             headers: self.trace_headers(),
             body: Bytes::new(),
             resume: true,
@@ -140,6 +140,11 @@
     }
 }
 
+/// Path of the rest of a stream at an engine.
+pub(crate) fn stream_path(conn: ConnId, after: Seq) -> String {
+    format!("{STREAMS_PATH}/{}?after={after}", conn.attempt)
+}
+
 /// Copies the headers that go on to the backend server.
 pub(crate) fn forwarded(headers: &HeaderMap, trace: &Trace) -> HeaderMap {
     let mut out = headers.clone();
--- /dev/null
+++ b/crates/front/src/pass.rs
@@ -0,0 +1,99 @@
+//! Passes by which a caller goes on with a stream through another router.
+//!
+//! When a router dies in the middle of a stream, the engine still holds the stream for a while.
+//! The head of every token stream therefore carries a pass that names attempt and server. It holds
+//! no secret and needs no store: an HMAC under a key that all routers have binds it to the client
+//! account, so that nobody can read another account's stream with it.
+
+use std::net::SocketAddr;
+
+use hmac::Hmac;
+use hmac::Mac;
+use primrose_core::id::AttemptId;
+use sha2::Sha256;
+use snafu::Snafu;
+
+/// Length of the tag in a pass, in bytes.
+const TAG_BYTES: usize = 16;
+/// What the tag covers first, so that it is good for nothing else under the same key.
+const PURPOSE: &[u8] = b"primrosehall stream pass 1";
+
+/// A pass that cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum PassError {
+    /// The text is not a pass.
+    #[snafu(display("the stream pass is malformed"))]
+    Malformed,
+    /// The pass was made for another account or with another key.
+    #[snafu(display("the stream pass is not valid for this account"))]
+    Invalid,
+}
+
+/// Names a stream at a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pass {
+    /// The attempt that began the stream.
+    pub attempt: AttemptId,
+    /// Where the server listens.
+    pub addr: SocketAddr,
+}
+
+/// Makes and checks passes; every router of a deployment has the same key.
+#[derive(Clone)]
+pub struct PassKey(Vec<u8>);
+
+impl PassKey {
+    /// Takes the key.
+    pub fn new(key: &[u8]) -> Self {
+        Self(key.to_vec())
+    }
+
+    /// Makes the text of a pass for an account.
+    pub fn seal(&self, pass: Pass, account: &str) -> String {
+        let tag = self.tag(pass, account).finalize().into_bytes();
+        let tag: String = tag[..TAG_BYTES]
+            .iter()
+            .map(|byte| format!("{byte:02x}"))
+            .collect();
+        format!("{}~{}~{tag}", pass.attempt, pass.addr)
+    }
+
+    /// Reads a pass that was made for the account.
+    pub fn open(&self, text: &str, account: &str) -> Result<Pass, PassError> {
+        let (pass, tag) = parse(text).ok_or(PassError::Malformed)?;
+        let checked = self.tag(pass, account).verify_truncated_left(&tag);
+        checked.map_err(|_| PassError::Invalid)?;
+        Ok(pass)
+    }
+
+    fn tag(&self, pass: Pass, account: &str) -> Hmac<Sha256> {
+        let mut mac = Hmac::new_from_slice(&self.0).expect("an HMAC takes keys of any length");
+        mac.update(PURPOSE);
+        // The account comes last, since it alone has no fixed form.
+        mac.update(format!("~{}~{}~{account}", pass.attempt, pass.addr).as_bytes());
+        mac
+    }
+}
+
+fn parse(text: &str) -> Option<(Pass, Vec<u8>)> {
+    let mut parts = text.split('~');
+    let (request, number) = parts.next()?.split_once('.')?;
+    let attempt = AttemptId {
+        request: u64::from_str_radix(request, 16).ok()?,
+        number: number.parse().ok()?,
+    };
+    let addr = parts.next()?.parse().ok()?;
+    let tag = parse_hex(parts.next()?)?;
+    let whole = parts.next().is_none() && tag.len() == TAG_BYTES;
+    whole.then_some((Pass { attempt, addr }, tag))
+}
+
+fn parse_hex(text: &str) -> Option<Vec<u8>> {
+    if !text.is_ascii() || text.len() % 2 != 0 {
+        return None;
+    }
+    let bytes = (0..text.len()).step_by(2);
+    bytes
+        .map(|at| u8::from_str_radix(&text[at..at + 2], 16).ok())
+        .collect()
+}
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -24,6 +24,7 @@
 use primrose_core::table::Route;
 use primrose_core::table::Table;
 use primrose_request::IdempotencyKey;
+use primrose_request::Seq;
 use primrose_request::Spec;
 use rand::Rng;
 use sha2::Digest;
@@ -31,14 +32,17 @@
 use tokio::sync::oneshot;
 
 use crate::broker::Standing;
+use crate::caller::Caller;
 use crate::drive::Driver;
 use crate::job::forwarded;
 use crate::job::Job;
+use crate::job::STREAMS_PATH;
 use crate::parse;
 use crate::parse::Completion;
 use crate::reply;
 use crate::reply::Body;
 use crate::reply::Failure;
+use crate::resume::Resumption;
 use crate::shared::Shared;
 use crate::trace::Trace;
 use crate::trace::TRACEPARENT;
@@ -51,6 +55,8 @@
 const READY_PATH: &str = "/readyz";
 /// Header of a caller's idempotency key.
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Header that names the last event that a caller has.
+const LAST_EVENT_ID: &str = "last-event-id";
 /// Scheme of a bearer key.
 const BEARER: &str = "Bearer ";
 
@@ -112,6 +118,10 @@
             return Err(Failure::new(Outcome::NotRun, code, None));
         }
         let account = self.authenticate(request.headers())?;
+        if let Some(text) = stream_of(request.uri().path()) {
+            let text = text.to_owned();
+            return self.go_on(id, &account, &text, request.headers()).await;
+        }
         let (parts, body) = request.into_parts();
         let body = self.read_body(body).await?;
         let job = self.job(Read {
@@ -128,6 +138,30 @@
             .map_err(|_| Failure::new(Outcome::Unknown, ErrorCode::Internal, None))
     }
 
+    /// Goes on with a stream that another router began.
+    async fn go_on(
+        &self,
+        id: RequestId,
+        account: &str,
+        text: &str,
+        headers: &HeaderMap,
+    ) -> Result<Response<Body>, Failure> {
+        let opened = self.shared.passes.open(text, account);
+        let pass = opened.map_err(|error| bad(&error.to_string()))?;
+        let (head, answered) = oneshot::channel();
+        let resumption = Resumption {
+            id,
+            pass,
+            after: last_event(headers)?,
+            shared: Arc::clone(&self.shared),
+            caller: Caller::Waiting(head),
+        };
+        tokio::spawn(resumption.run());
+        answered
+            .await
+            .map_err(|_| Failure::new(Outcome::Unknown, ErrorCode::Internal, None))
+    }
+
     fn authenticate(&self, headers: &HeaderMap) -> Result<AccountId, Failure> {
         let value = headers.get(AUTHORIZATION);
         let text = value.and_then(|value| value.to_str().ok());
@@ -200,6 +234,21 @@
     }
 }
 
+/// The pass in the path of a stream that is to go on.
+fn stream_of(path: &str) -> Option<&str> {
+    path.strip_prefix(STREAMS_PATH)?.strip_prefix('/')
+}
+
+/// Number of the last event that the caller has; 0 for none.
+fn last_event(headers: &HeaderMap) -> Result<Seq, Failure> {
+    let Some(value) = headers.get(LAST_EVENT_ID) else {
+        return Ok(0);
+    };
+    let text = value.to_str().unwrap_or_default();
+    text.parse()
+        .map_err(|_| bad("the last event id is the number of an event"))
+}
+
 fn bad(message: &str) -> Failure {
     Failure::not_run(ErrorCode::BadRequest, message)
 }
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -14,6 +14,7 @@
 use crate::broker::Broker;
 use crate::connections::Connections;
 use crate::limits::Limits;
+use crate::pass::PassKey;
 
 /// Handles that every request needs.
 pub(crate) struct Shared {
@@ -22,6 +23,7 @@
     pub(crate) connections: Arc<Connections>,
     pub(crate) limits: Arc<Limits>,
     pub(crate) active: Arc<Active>,
+    pub(crate) passes: PassKey,
     /// True once no new request is taken.
     pub(crate) drain: watch::Receiver<bool>,
     /// True once requests in flight are cut off.
--- a/crates/front/tests/testsuite/fixture.rs
+++ b/crates/front/tests/testsuite/fixture.rs
@@ -23,6 +23,7 @@
 use primrose_front::Broker;
 use primrose_front::Front;
 use primrose_front::Limits;
+use primrose_front::PassKey;
 use primrose_request::ClaimReply;
 use primrose_request::Event;
 use primrose_request::Grant;
@@ -206,6 +207,7 @@
     let front = Front::start(
         SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
         limits,
+        PassKey::new(b"a key of the test"),
         Arc::clone(&broker) as Arc<dyn Broker>,
         Arc::new(SystemClock::new()),
     )
--- a/crates/front/tests/testsuite/main.rs
+++ b/crates/front/tests/testsuite/main.rs
@@ -6,4 +6,5 @@
 mod limits;
 mod outcomes;
 mod parse;
+mod pass;
 mod stream;
--- a/crates/link/src/key.rs
+++ b/crates/link/src/key.rs
@@ -50,6 +50,11 @@
         Ok(Self(bytes.to_vec()))
     }
 
+    /// Returns the key itself, for tags of other purposes under the same secret.
+    pub fn bytes(&self) -> &[u8] {
+        &self.0
+    }
+
     /// Starts an HMAC under this key.
     pub(crate) fn hmac(&self) -> HmacSha256 {
         HmacSha256::new_from_slice(&self.0).expect("an HMAC takes keys of any length")
@@ -77,7 +82,7 @@
     }
 
     /// Returns the key that signs.
-    pub(crate) fn signing(&self) -> &Key {
+    pub fn signing(&self) -> &Key {
         &self.0[0]
     }
 
--- a/crates/local/tests/testsuite/main.rs
+++ b/crates/local/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod partition;
 mod poison;
 mod replaced;
+mod resumed;
 mod shutdown;
 mod streams;
 mod today;
--- a/crates/local/tests/testsuite/today.rs
+++ b/crates/local/tests/testsuite/today.rs
@@ -182,14 +182,14 @@
         send_chat(&deployment, place);
     }
     for place in [0, 1] {
-        deployment.cut_platform(place, true);
+        deployment.cut_off(place, true);
     }
     deployment.shut_down(1).unwrap();
     let expected = "0; 2 whole, 0 left by their callers";
     wait(&deployment, "the record has arrived", |deployment| {
         found(&page(deployment, 0), "drafting", "broken answers") == expected
     });
-    deployment.cut_platform(0, false);
+    deployment.cut_off(0, false);
     deployment.shut_down(0).unwrap();
     assert_eq!(answers(&kept(&deployment)), 2);
 }
--- a/crates/primrosed/src/router.rs
+++ b/crates/primrosed/src/router.rs
@@ -19,6 +19,7 @@
 use primrose_core::id::Incarnation;
 use primrose_core::id::Member;
 use primrose_front::Front;
+use primrose_front::PassKey;
 use primrose_front::StartError;
 use primrose_link::Endpoint;
 use primrose_link::Keys;
@@ -208,6 +209,7 @@
         let front = Front::start(
             settings.listen.callers,
             front_limits(settings),
+            PassKey::new(parts.keys.signing().bytes()),
             broker,
             Arc::clone(&parts.clock),
         )
