Find a server without listing all, and keep the set of zones

The deciding thread of a router built the list of a pool's servers in all zones for each grant, and collected the zones of all hosts for each dispatcher that it held, twenty times a second. Now an address is looked up in place, and the zones are collected when the table or the host list changes.

--- a/crates/primrosed/src/decide/directory.rs
+++ b/crates/primrosed/src/decide/directory.rs
@@ -37,16 +37,20 @@
 pub(crate) struct Directory {
     table: Arc<Table>,
     hosts: BTreeMap<String, Vec<Host>>,
+    /// Zones of the table's rows and of the hosts; asked for far more often than these change.
+    zones: BTreeSet<ZoneId>,
     left: BTreeMap<HostId, Incarnation>,
 }
 
 impl Directory {
     pub(crate) fn set_table(&mut self, table: Arc<Table>) {
         self.table = table;
+        self.zones = self.collect_zones();
     }
 
     pub(crate) fn set_hosts(&mut self, service: String, hosts: Vec<Host>) {
         self.hosts.insert(service, hosts);
+        self.zones = self.collect_zones();
     }
 
     /// Notes that this and earlier incarnations of a host are leaving.
@@ -62,13 +66,18 @@
 
     /// Availability zones that have a router or a server.
     pub(crate) fn zones(&self) -> BTreeSet<ZoneId> {
-        let listed = self.hosts.values().flatten().map(|host| host.zone.clone());
+        self.zones.clone()
+    }
+
+    fn collect_zones(&self) -> BTreeSet<ZoneId> {
+        let listed = self.hosts.values().flatten().map(|host| &host.zone);
         let rows = self.table.pools.values();
         let served = rows.flat_map(|pool| match &pool.servers {
-            Selector::Listed(servers) => servers.iter().map(|one| one.zone.clone()).collect(),
-            Selector::Service(_) => Vec::new(),
+            Selector::Listed(servers) => servers.as_slice(),
+            Selector::Service(_) => &[],
         });
-        listed.chain(served).collect()
+        let zones: BTreeSet<&ZoneId> = listed.chain(served.map(|one| &one.zone)).collect();
+        zones.into_iter().cloned().collect()
     }
 
     /// The servers of a pool in all zones.
@@ -98,12 +107,17 @@
 
     /// Where a server of a pool listens.
     pub(crate) fn addr(&self, pool: &str, server: &str) -> Option<SocketAddr> {
-        let pool = self.table.pools.get(pool)?;
-        let servers = self.servers(pool);
-        servers
-            .iter()
-            .find(|one| one.id == server)
-            .map(|one| one.addr)
+        // Asked for at each grant, so no list is made.
+        match &self.table.pools.get(pool)?.servers {
+            Selector::Listed(servers) => {
+                let found = servers.iter().find(|one| one.id == server);
+                found.map(|one| one.addr)
+            }
+            Selector::Service(service) => {
+                let found = self.hosts.get(service)?.iter().find(|one| one.id == server);
+                found.map(|host| host.addr)
+            }
+        }
     }
 
     /// The servers that the dispatcher of a zone has: its own, and those it has taken over.
