--- a/crates/local/src/deployment.rs
+++ b/crates/local/src/deployment.rs
@@ -1,5 +1,6 @@
 //! Starting and changing a local deployment.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -116,7 +117,6 @@
     zone: ZoneId,
     host: String,
     router: Router,
-    cut: Cut,
 }
 
 /// A running deployment; everything ends when it is dropped.
@@ -132,12 +132,18 @@
     kv: Kv,
     runtime: Runtime,
     incarnation: Incarnation,
+    /// By host: the router's way to the platform.
+    cuts: BTreeMap<String, Cut>,
 }
 
 impl Deployment {
     /// Starts stand-ins and routers, and waits until every router is ready.
     pub fn start(shape: Shape) -> Result<Self> {
-        let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+        Self::start_with(shape, Arc::new(SystemClock::new()))
+    }
+
+    /// Does the same with another clock, which must run at the pace of the machine's.
+    pub fn start_with(shape: Shape, clock: Arc<dyn Clock>) -> Result<Self> {
         let runtime = Runtime::new().context(StandinSnafu)?;
         let board = HostBoard::new(Arc::clone(&clock), shape.host_lag);
         let kv = Kv::start(
@@ -162,6 +168,7 @@
             kv,
             runtime,
             incarnation: 1,
+            cuts: BTreeMap::new(),
             shape,
         };
         deployment.store_documents()?;
@@ -231,7 +238,7 @@
     fn start_router(&mut self, zone: &str, host: &str, sharing: Sharing) -> Result<Placed> {
         self.incarnation += 1;
         let settings = self.settings(zone, host);
-        let cut = Cut::default();
+        let cut = self.cuts.entry(host.to_owned()).or_default().clone();
         let parts = self.parts(sharing, &cut);
         let router = Router::start(&settings, parts).context(RouterSnafu)?;
         self.list(host, zone, ROUTERS, router.peers());
@@ -239,7 +246,6 @@
             zone: zone.to_owned(),
             host: host.to_owned(),
             router,
-            cut,
         })
     }
 
@@ -332,7 +338,7 @@
     }
 
     /// Waits until the documents are in force on every router and the links are up.
-    fn wait_ready(&self) -> Result<()> {
+    pub fn wait_ready(&self) -> Result<()> {
         let limit = Duration::from_secs(20);
         self.wait("all routers are ready", limit, |deployment| {
             let mut running = deployment.routers.iter().flatten();
@@ -397,13 +403,12 @@
         &placed.expect("the router is running").zone
     }
 
-    /// Cuts a running router off from the platform, or ends that.
-    ///
-    /// # Panics
-    /// If the router was stopped.
+    /// Cuts a place off from the platform, or ends that; a router that replaces one stays cut off.
     pub fn cut_off(&self, place: usize, cut: bool) {
-        let placed = self.routers[place].as_ref();
-        placed.expect("the router is running").cut.set(cut);
+        let (_, host) = self.names_of(place);
+        if let Some(way) = self.cuts.get(&host) {
+            way.set(cut);
+        }
     }
 
     /// State of a running router, as its operator listener shows it.
--- a/crates/local/tests/testsuite/main.rs
+++ b/crates/local/tests/testsuite/main.rs
@@ -10,3 +10,4 @@
 mod replaced;
 mod shutdown;
 mod streams;
+mod today;
--- a/crates/primrosed/src/decide/mod.rs
+++ b/crates/primrosed/src/decide/mod.rs
@@ -2,12 +2,13 @@
 //!
 //! A [`Decider`] holds the membership view, the requester, the dispatchers of which this router is
 //! the holder, the documents in force, the retry budgets and the register of suspects. It takes an
-//! [`Input`](crate::input::Input) or an event of a link, hands it to the machine in charge, and
+//! [`Input`] or an event of a link, hands it to the machine in charge, and
 //! carries what comes out to the next machine or to the wires. It blocks on nothing.
 
 mod directory;
 mod documents;
 mod fleet;
+mod observe;
 mod requests;
 mod run;
 mod show;
@@ -43,6 +44,8 @@
 use crate::message::DocumentKind;
 use crate::message::PeerMessage;
 use crate::published::Published;
+use crate::reporter::ReportInput;
+use crate::reporter::Reporter;
 use crate::router::Sharing;
 
 pub(crate) use directory::ROUTER_SERVICE;
@@ -50,6 +53,7 @@
 pub(crate) use wires::Wires;
 
 use directory::Directory;
+use observe::Observer;
 use requests::Pending;
 
 /// A link that is up.
@@ -88,6 +92,7 @@
     next_headers: Mono,
     next_sweep: Mono,
     draining: bool,
+    observer: Observer,
 }
 
 impl Decider {
@@ -99,6 +104,7 @@
         published: Arc<Published>,
         sharing: Sharing,
         seed: u64,
+        reporter: Reporter,
     ) -> Self {
         let now = clock.now();
         Self {
@@ -127,6 +133,7 @@
             next_headers: now,
             next_sweep: now,
             draining: false,
+            observer: Observer::new(reporter, now),
             clock,
         }
     }
@@ -153,6 +160,10 @@
             Input::Lift(fingerprint, reply) => {
                 let _ = reply.try_send(self.lift(fingerprint));
             }
+            Input::Finish(reply) => {
+                // Without room the router ends without the last seconds of its day.
+                self.observer.reporter.tell(ReportInput::Finish(reply));
+            }
             Input::Stop => {}
         }
     }
@@ -181,6 +192,10 @@
             PeerMessage::Fetch(kind) => self.send_document(from, kind),
             PeerMessage::Document(text) => self.fetched(from, text),
             PeerMessage::Suspects(message) => self.peer_suspects(from, &message),
+            PeerMessage::Record(record) => {
+                // One that finds no room is followed by the next.
+                self.observer.reporter.tell(ReportInput::Record(record));
+            }
         }
     }
 
@@ -197,5 +212,6 @@
             self.sweep_suspects(now);
         }
         self.tick_slots(now);
+        self.sample(now);
     }
 }
--- a/crates/primrosed/src/decide/requests.rs
+++ b/crates/primrosed/src/decide/requests.rs
@@ -23,6 +23,7 @@
 use primrose_front::broker::Report;
 use primrose_front::broker::Told;
 use primrose_front::broker::Waiting;
+use primrose_report::observation::Observation;
 use primrose_request::AttemptResult;
 use primrose_request::Event;
 use primrose_request::Grant;
@@ -132,6 +133,11 @@
         let used = self.used(report);
         let pending = self.pending.remove(&report.attempt.request);
         self.learn(report, pending.and_then(|pending| pending.began));
+        self.observer.reporter.see(Observation::Served {
+            pool: report.pool.clone(),
+            account: report.account.clone(),
+            service: used,
+        });
         let finished = Finished {
             attempt: report.attempt,
             ending: ending(report.result),
@@ -186,6 +192,7 @@
             return;
         }
         let began = self.unix_millis();
+        self.observe_grant(&run.pool, &run.server, now);
         let addr = self.directory.addr(&run.pool, &run.server);
         let pending = self.pending.get_mut(&run.attempt.request);
         let wanted = pending.filter(|pending| pending.attempt == run.attempt);
@@ -285,7 +292,7 @@
         AttemptResult::Refused => Ending::Refused,
         AttemptResult::Unreachable | AttemptResult::ServerLost => Ending::Lost,
         AttemptResult::Broken => Ending::Failed,
-        AttemptResult::Cancelled => Ending::Cancelled,
+        AttemptResult::Cancelled | AttemptResult::Abandoned => Ending::Cancelled,
     }
 }
 
--- a/crates/primrosed/src/message.rs
+++ b/crates/primrosed/src/message.rs
@@ -3,6 +3,7 @@
 use primrose_core::id::Generation;
 use primrose_member::Beat;
 use primrose_member::Routed;
+use primrose_report::record::Record;
 use primrose_table::header::ChangeId;
 use primrose_table::header::Header;
 use serde::Deserialize;
@@ -32,6 +33,9 @@
     /// Records of requests that were on servers which died.
     #[serde(rename = "s")]
     Suspects(primrose_suspect::Message),
+    /// What a router of the zone counted on a day, for the zone's gatherer.
+    #[serde(rename = "y")]
+    Record(Box<Record>),
 }
 
 /// The two documents that operators change.
