--- a/crates/local/src/measure/control/point.rs
+++ b/crates/local/src/measure/control/point.rs
@@ -28,7 +28,9 @@
 /// Time of a run with edits.
 const EDITED_RUN: Duration = Duration::from_secs(12);
 /// Threads of a router that do control.
-const CONTROL: [&str; 6] = ["decide", "link", "watch", "hosts", "loads", "claims"];
+const CONTROL: [&str; 8] = [
+    "decide", "link", "watch", "hosts", "loads", "claims", "report", "gather",
+];
 /// Of these, the ones of which each router has exactly one, started with it.
 const SINGLE: [&str; 4] = ["decide", "link", "loads", "claims"];
 /// Port on which nothing listens.
