--- a/crates/primrosed/src/decide/fleet.rs
+++ b/crates/primrosed/src/decide/fleet.rs
@@ -21,6 +21,8 @@
 
 /// Duties of watching the documents at the key-value service; each has a holder in each zone.
 const WATCH_DUTIES: [&str; 2] = ["watch first", "watch second"];
+/// Duty of removing old claims.
+const SWEEP_DUTY: &str = "sweep claims";
 /// How often the view is told the time.
 const VIEW_TICK: Duration = Duration::from_millis(50);
 
@@ -103,9 +105,12 @@
         self.next_view = now + VIEW_TICK;
         self.view_event(Event::Tick, now);
         self.update_holders(now);
-        let is_mine = |duty: &&str| self.view.holder(duty) == Some(&self.me);
+        let is_mine = |duty: &str| self.view.holder(duty) == Some(&self.me);
         self.published
-            .set_watching(WATCH_DUTIES.iter().any(is_mine));
+            .set_watching(WATCH_DUTIES.iter().any(|duty| is_mine(duty)));
+        // The first zone by name of those that hear each other sweeps for all.
+        let first = self.view.reachable_zones().all(|zone| self.zone <= *zone);
+        self.published.set_sweeping(first && is_mine(SWEEP_DUTY));
     }
 
     /// Sends a message to another router, over other routers if there is no link to it.
--- a/crates/primrosed/src/duty/claims.rs
+++ b/crates/primrosed/src/duty/claims.rs
@@ -74,15 +74,9 @@
 
     /// Writes what still waits, as long as the service answers.
     fn finish(&mut self) {
-        let mut left = self.desk.waiting();
-        while left > 0 {
-            self.step();
-            let waiting = self.desk.waiting();
-            if waiting >= left {
-                log::error!(orders = waiting; "claims were left unwritten at shutdown");
-                return;
-            }
-            left = waiting;
+        let left = self.desk.finish(&*self.store, &*self.clock);
+        if left > 0 {
+            log::error!(orders = left; "claims were left unwritten at shutdown");
         }
     }
 
--- a/crates/primrosed/src/duty/mod.rs
+++ b/crates/primrosed/src/duty/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod operator;
 pub(crate) mod page;
 pub(crate) mod report;
+pub(crate) mod sweep;
 pub(crate) mod watch;
 
 use std::sync::atomic::AtomicBool;
--- a/crates/primrosed/src/published.rs
+++ b/crates/primrosed/src/published.rs
@@ -45,6 +45,7 @@
     generations: RwLock<BTreeMap<DocumentKind, Generation>>,
     ready: AtomicBool,
     watching: AtomicBool,
+    sweeping: AtomicBool,
 }
 
 /// Swaps one snapshot.
@@ -119,6 +120,15 @@
         self.watching.load(Ordering::Relaxed)
     }
 
+    /// Whether this router is the one that removes old claims.
+    pub(crate) fn sweeping(&self) -> bool {
+        self.sweeping.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_sweeping(&self, sweeping: bool) {
+        self.sweeping.store(sweeping, Ordering::Relaxed);
+    }
+
     pub(crate) fn set_watching(&self, watching: bool) {
         self.watching.store(watching, Ordering::Relaxed);
     }
--- a/crates/primrosed/src/router.rs
+++ b/crates/primrosed/src/router.rs
@@ -14,6 +14,8 @@
 use crossbeam_channel::Receiver;
 use crossbeam_channel::Sender;
 use metrics_exporter_prometheus::PrometheusHandle;
+use primrose_claim::sweep::SweepLimits;
+use primrose_claim::sweep::Sweeper;
 use primrose_claim::Desk;
 use primrose_core::clock::Clock;
 use primrose_core::id::Incarnation;
@@ -44,6 +46,7 @@
 use crate::duty::operator::Operator;
 use crate::duty::operator::OperatorError;
 use crate::duty::page::Pages;
+use crate::duty::sweep::Sweep;
 use crate::duty::watch::Watch;
 use crate::duty::Stop;
 use crate::input;
@@ -276,6 +279,15 @@
             };
             drop(spawn("watch", move || watch.run())?);
         }
+        let sweep = Sweep {
+            sweeper: Sweeper::new(&settings.platform.prefix, SweepLimits::default()),
+            mark: format!("{}/sweep", settings.platform.prefix),
+            store: Arc::clone(&parts.store),
+            clock: Arc::clone(&parts.clock),
+            published: Arc::clone(published),
+            stop: Arc::clone(&self.stop),
+        };
+        drop(spawn("sweep", move || sweep.run())?);
         let loads = Loads {
             published: Arc::clone(published),
             ring: self.ring.clone(),
