--- a/crates/dispatch/src/spill.rs
+++ b/crates/dispatch/src/spill.rs
@@ -46,6 +46,8 @@
 
 /// Demand up to which each request more is told at once.
 const SMALL_DEMAND: u32 = 8;
+/// Pauses between two tellings for the sake of another account among the least served.
+const NEWCOMER_GAPS: u32 = 4;
 /// How much longer a request of the same account must have waited in another zone to go first.
 const AGE_MARGIN: Duration = Duration::from_secs(3);
 
@@ -335,6 +337,12 @@
         if doubled || more || total < believed / 2 {
             return true;
         }
+        // An account that is new among the least served may have nothing else than a slot lent here.
+        let named = |account: &AccountId| told.wants.iter().any(|w| w.account == *account);
+        let newcomer = level.wants.iter().any(|w| !named(&w.account));
+        if newcomer && since >= gap * NEWCOMER_GAPS {
+            return true;
+        }
         since >= DEMAND_REFRESH || (level != told && since >= DIGEST_EVERY)
     }
 
