Wire orders to backend servers into the daemon

Cause: crates/order decided who orders a server which model version, but no thread ran it; an edit of model-version changed nothing.

Change: an order thread runs the writer against the servers that the deciding thread publishes: live servers of this zone, of pools that name a version and a service, where this router holds the duty "orders <pool>". A graceful shutdown gives the keys back and ends the lease (Writer::resign); any other end is a crash to the successor.

--- a/crates/local/src/deployment.rs
+++ b/crates/local/src/deployment.rs
@@ -503,6 +503,18 @@
         self.kv.store().commit(&[op]).context(StoreSnafu)?;
         Ok(())
     }
+
+    /// Does the same with another model version for the engines.
+    pub fn edit_version(&mut self, generation: Generation, version: &str) -> Result<()> {
+        version.clone_into(&mut self.shape.version);
+        self.edit_tables(generation)
+    }
+
+    /// Place of a router by its host name.
+    pub fn place_of(&self, host: &str) -> Option<usize> {
+        let mut places = 0..self.places();
+        places.find(|place| self.names_of(*place).1 == host)
+    }
 }
 
 impl Drop for Deployment {
--- a/crates/local/src/documents.rs
+++ b/crates/local/src/documents.rs
@@ -46,6 +46,7 @@
              [pool drafting]\nkind = engine\nservice = drafting\nmin-slots = {min}\n\
              max-slots = {max}\nlongest-run = 60s\nqueue-account-requests = {queue}\n"
         );
+        text.push_str(&version_text(shape));
         for account in &shape.accounts {
             // Writing to a string cannot fail.
             let _ = writeln!(text, "weight.{} = {}", account.name, account.weight);
@@ -61,6 +62,20 @@
     }
 }
 
+/// Renders what the table asks of the engines' model version.
+fn version_text(shape: &Shape) -> String {
+    if shape.version.is_empty() {
+        return String::new();
+    }
+    let checks = if shape.engine.checks_fence {
+        "yes"
+    } else {
+        "no"
+    };
+    let version = &shape.version;
+    format!("model-version = {version}\nchecks-orders = {checks}\n")
+}
+
 /// Renders the route and the pool of the engine for single requests.
 fn probe_text(deadline: u128) -> String {
     format!(
--- a/crates/local/src/shape.rs
+++ b/crates/local/src/shape.rs
@@ -51,6 +51,8 @@
     pub accounts: Vec<AccountShape>,
     /// Lowest and highest slot limit of an engine.
     pub slots: (u32, u32),
+    /// Model version that the table asks of the engines; empty for none.
+    pub version: String,
     /// How engines behave; the address is set for each.
     pub engine: EngineConfig,
     /// One more engine in a pool of its own, for single requests beside the load.
@@ -102,6 +104,7 @@
             zones: zones(["barasat", "madhyamgram", "habra"], [1, 1, 1], [1, 1, 1]),
             accounts: accounts("parish", 3),
             slots: (1, 8),
+            version: String::new(),
             engine: EngineConfig {
                 model: MODEL.to_owned(),
                 pace: Pace::Timed {
--- a/crates/local/tests/testsuite/main.rs
+++ b/crates/local/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod fixture;
 mod leaving;
 mod orders;
+mod orders_to_servers;
 mod partition;
 mod poison;
 mod replaced;
--- a/crates/order/src/lease.rs
+++ b/crates/order/src/lease.rs
@@ -108,6 +108,13 @@
         }
     }
 
+    /// Ends the lease at once; `None` if there is none.
+    pub(crate) fn resign(&mut self, now: Mono) -> Option<Action> {
+        let lease = self.id()?.clone();
+        self.end(now);
+        Some(Action::Revoke { lease })
+    }
+
     /// Returns when there is something to do next.
     pub(crate) fn wake(&self, config: &OrderConfig, needed: bool) -> Option<Mono> {
         match &self.phase {
--- a/crates/order/src/writer.rs
+++ b/crates/order/src/writer.rs
@@ -84,6 +84,20 @@
         self.forget_gone();
     }
 
+    /// Whether no server is left, so that nothing is held but the lease.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Gives the lease up without waiting for it to be unused for a while; for the end of a process.
+    ///
+    /// Returns the action that ends it. What is still held under it is held no more.
+    pub fn resign(&mut self, now: Mono) -> Option<Action> {
+        let action = self.lease.resign(now)?;
+        self.lose_lease(now);
+        Some(action)
+    }
+
     /// Returns the next action; `None` if there is nothing to do yet.
     pub fn poll(&mut self, now: Mono) -> Option<Action> {
         if self.lease.check(now, &self.config) == Change::Ended {
--- a/crates/order/tests/testsuite/main.rs
+++ b/crates/order/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod http;
 mod random;
+mod resign;
 mod servers;
 mod slow;
 mod steps;
--- /dev/null
+++ b/crates/order/tests/testsuite/resign.rs
@@ -0,0 +1,82 @@
+//! A process that ends gracefully: it gives its keys back, then its lease.
+
+use std::time::Duration;
+
+use primrose_core::clock::Clock;
+use primrose_order::Action;
+use primrose_platform::store::Store;
+
+use crate::fleet::Fleet;
+use crate::servers::violations;
+
+/// Long enough for an order to be sent, too short for the load to end.
+const UNDER_WAY: Duration = Duration::from_secs(10);
+/// Long enough for everything to be over.
+const SETTLE: Duration = Duration::from_secs(600);
+
+struct Case {
+    name: &'static str,
+    checks: bool,
+    /// Whether the keys are given back before the lease.
+    gives_back: bool,
+}
+
+const CASES: [Case; 4] = [
+    Case {
+        name: "checks, gives back",
+        checks: true,
+        gives_back: true,
+    },
+    Case {
+        name: "checks, does not get to it",
+        checks: true,
+        gives_back: false,
+    },
+    Case {
+        name: "obeys anybody, gives back",
+        checks: false,
+        gives_back: true,
+    },
+    Case {
+        name: "obeys anybody, does not get to it",
+        checks: false,
+        gives_back: false,
+    },
+];
+
+#[test]
+fn a_process_that_resigns_holds_nothing_and_the_next_one_goes_on() {
+    for case in CASES {
+        let mut fleet = Fleet::new(2, &[case.checks]);
+        fleet.desire(0, "2", "");
+        fleet.run(UNDER_WAY);
+        assert_eq!(fleet.servers.sent().len(), 1, "{}", case.name);
+        fleet.dismiss(0);
+        if case.gives_back {
+            fleet.turn(0);
+        }
+        assert_eq!(
+            fleet.processes[0].writer.is_empty(),
+            case.gives_back,
+            "{}",
+            case.name
+        );
+        let now = fleet.clock.now();
+        let process = &mut fleet.processes[0];
+        let action = process.writer.resign(now).expect("a lease was held");
+        let Action::Revoke { lease } = action.clone() else {
+            panic!("{}: {action:?}", case.name);
+        };
+        process.executor.perform(action);
+        assert!(fleet.store.renew(&lease).is_err(), "{}", case.name);
+        assert_eq!(fleet.processes[0].writer.resign(now), None);
+        for entry in fleet.store.list("").unwrap() {
+            assert_eq!(entry.lease, None, "{}: {}", case.name, entry.key);
+        }
+        fleet.desire(1, "3", "");
+        fleet.run(SETTLE);
+        assert_eq!(fleet.versions(), ["3"], "{}", case.name);
+        let found = violations(&fleet.servers.sent());
+        assert!(found.is_empty(), "{}: {found:?}", case.name);
+    }
+}
--- a/crates/primrosed/src/decide/documents.rs
+++ b/crates/primrosed/src/decide/documents.rs
@@ -127,6 +127,7 @@
             self.view_event(primrose_member::Event::Table(mark), now);
         }
         self.update_holders(now);
+        self.publish_orders();
         self.in_force(DocumentKind::Tables);
     }
 
--- a/crates/primrosed/src/decide/fleet.rs
+++ b/crates/primrosed/src/decide/fleet.rs
@@ -103,6 +103,7 @@
         self.next_view = now + VIEW_TICK;
         self.view_event(Event::Tick, now);
         self.update_holders(now);
+        self.update_orders();
         let is_mine = |duty: &&str| self.view.holder(duty) == Some(&self.me);
         self.published
             .set_watching(WATCH_DUTIES.iter().any(is_mine));
@@ -137,6 +138,7 @@
         self.view_event(Event::Drain, now);
         self.requester_event(requester::Event::Drain, now);
         self.update_holders(now);
+        self.update_orders();
     }
 
     /// Ends every wait.
--- a/crates/primrosed/src/decide/mod.rs
+++ b/crates/primrosed/src/decide/mod.rs
@@ -9,6 +9,7 @@
 mod documents;
 mod fleet;
 mod observe;
+mod orders;
 mod requests;
 mod run;
 mod show;
@@ -17,6 +18,7 @@
 mod wires;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -84,6 +86,8 @@
     dispatchers: BTreeMap<PoolId, Dispatcher>,
     holders: BTreeMap<PoolId, Option<Member>>,
     peers: BTreeMap<PoolId, BTreeMap<ZoneId, Option<Member>>>,
+    /// Pools whose servers this router orders.
+    ordered: BTreeSet<PoolId>,
     pending: HashMap<RequestId, Pending>,
     budgets: BTreeMap<PoolId, Budget>,
     suspects: Register,
@@ -125,6 +129,7 @@
             dispatchers: BTreeMap::new(),
             holders: BTreeMap::new(),
             peers: BTreeMap::new(),
+            ordered: BTreeSet::new(),
             pending: HashMap::new(),
             budgets: BTreeMap::new(),
             suspects: Register::new(primrose_suspect::Limits::default()),
--- a/crates/primrosed/src/decide/slots.rs
+++ b/crates/primrosed/src/decide/slots.rs
@@ -192,6 +192,7 @@
             }
         }
         self.publish_targets();
+        self.publish_orders();
     }
 
     /// Servers that this router's dispatcher of a pool has.
--- a/crates/primrosed/src/duty/mod.rs
+++ b/crates/primrosed/src/duty/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod hosts;
 pub(crate) mod loads;
 pub(crate) mod operator;
+pub(crate) mod orders;
 pub(crate) mod page;
 pub(crate) mod report;
 pub(crate) mod watch;
--- a/crates/primrosed/src/published.rs
+++ b/crates/primrosed/src/published.rs
@@ -14,6 +14,7 @@
 use primrose_core::id::ServerId;
 use primrose_core::table::Table;
 use primrose_front::broker::Standing;
+use primrose_order::Target;
 use primrose_table::accounts::Accounts;
 
 use crate::message::DocumentKind;
@@ -42,6 +43,7 @@
     accounts: RwLock<Arc<Accounts>>,
     marks: RwLock<Arc<BTreeMap<Fingerprint, Mark>>>,
     targets: RwLock<Arc<Vec<LoadTarget>>>,
+    orders: RwLock<Arc<Vec<Target>>>,
     generations: RwLock<BTreeMap<DocumentKind, Generation>>,
     ready: AtomicBool,
     watching: AtomicBool,
@@ -94,6 +96,15 @@
         swap(&self.targets, targets);
     }
 
+    /// Servers that this router orders.
+    pub(crate) fn orders(&self) -> Arc<Vec<Target>> {
+        read(&self.orders)
+    }
+
+    pub(crate) fn set_orders(&self, targets: Vec<Target>) {
+        swap(&self.orders, targets);
+    }
+
     /// Generation of a document in force; 0 for none.
     pub(crate) fn generation(&self, kind: DocumentKind) -> Generation {
         let generations = self.generations.read().expect("snapshot lock poisoned");
--- a/crates/primrosed/src/router.rs
+++ b/crates/primrosed/src/router.rs
@@ -42,6 +42,7 @@
 use crate::duty::loads::Loads;
 use crate::duty::operator::Operator;
 use crate::duty::operator::OperatorError;
+use crate::duty::orders::Orders;
 use crate::duty::page::Pages;
 use crate::duty::watch::Watch;
 use crate::duty::Stop;
@@ -280,6 +281,8 @@
             stop: Arc::clone(&self.stop),
         };
         self.spawn("loads", move || loads.run())?;
+        let orders = Orders::new(settings, parts, published, &self.stop);
+        self.spawn("orders", move || orders.run())?;
         let Some(lists) = &parts.hosts else {
             return Ok(());
         };
