--- a/crates/local/src/shape.rs
+++ b/crates/local/src/shape.rs
@@ -53,6 +53,8 @@
     pub pools: usize,
     /// Lowest and highest slot limit of an engine.
     pub slots: (u32, u32),
+    /// Model version that the table asks of the engines; empty for none.
+    pub version: String,
     /// How engines behave; the address is set for each.
     pub engine: EngineConfig,
     /// One more engine in a pool of its own, for single requests beside the load.
@@ -129,6 +131,7 @@
             accounts: accounts("parish", 3),
             pools: 1,
             slots: (1, 8),
+            version: String::new(),
             engine: EngineConfig {
                 model: MODEL.to_owned(),
                 pace: Pace::Timed {
--- a/crates/primrosed/src/router.rs
+++ b/crates/primrosed/src/router.rs
@@ -45,6 +45,7 @@
 use crate::duty::loads::Loads;
 use crate::duty::operator::Operator;
 use crate::duty::operator::OperatorError;
+use crate::duty::orders::Orders;
 use crate::duty::page::Pages;
 use crate::duty::sweep::Sweep;
 use crate::duty::watch::Watch;
@@ -294,6 +295,8 @@
             stop: Arc::clone(&self.stop),
         };
         self.spawn("loads", move || loads.run())?;
+        let orders = Orders::new(settings, parts, published, &self.stop);
+        self.spawn("orders", move || orders.run())?;
         let Some(lists) = &parts.hosts else {
             return Ok(());
         };
