Order by the table in force also while the host list is away; test it

Broken on purpose on a scratch copy, the missing publication at a change of the table passed the tests, because the host list comes anew every 10 s and published as well. A test with the host list away now fails then. The same for a resigned writer that keeps its servers: the test of resign now asks for that.

--- a/crates/local/src/deployment.rs
+++ b/crates/local/src/deployment.rs
@@ -434,6 +434,11 @@
         &self.board
     }
 
+    /// The service that serves the host list.
+    pub fn hosts(&self) -> &Hosts {
+        &self.hosts
+    }
+
     /// Address of the host list.
     pub fn hosts_addr(&self) -> SocketAddr {
         self.hosts.addr()
--- a/crates/local/tests/testsuite/orders_to_servers.rs
+++ b/crates/local/tests/testsuite/orders_to_servers.rs
@@ -118,6 +118,16 @@
     }
 }
 
+#[test]
+fn an_edit_reaches_the_engines_while_the_host_list_is_away() {
+    let mut deployment = start(1, |_| {});
+    deployment.edit_version(2, "2").unwrap();
+    wait_version(&deployment, "2", fixture::PATIENCE);
+    deployment.hosts().stop();
+    deployment.edit_version(3, "3").unwrap();
+    wait_version(&deployment, "3", fixture::PATIENCE);
+}
+
 #[test]
 fn an_engine_that_restarts_with_another_version_is_corrected() {
     let mut deployment = start(1, |_| {});
--- a/crates/order/tests/testsuite/resign.rs
+++ b/crates/order/tests/testsuite/resign.rs
@@ -69,7 +69,9 @@
         };
         process.executor.perform(action);
         assert!(fleet.store.renew(&lease).is_err(), "{}", case.name);
-        assert_eq!(fleet.processes[0].writer.resign(now), None);
+        let writer = &mut fleet.processes[0].writer;
+        assert!(writer.is_empty(), "{}", case.name);
+        assert_eq!(writer.resign(now), None);
         for entry in fleet.store.list("").unwrap() {
             assert_eq!(entry.lease, None, "{}: {}", case.name, entry.key);
         }
