--- a/crates/local/tests/testsuite/orders_to_servers.rs
+++ b/crates/local/tests/testsuite/orders_to_servers.rs
@@ -64,15 +64,15 @@
     })
 }
 
-/// Key of the first engine's orders.
-fn order_key(deployment: &Deployment) -> Entry {
-    let key = format!("{PREFIX}/orders/{ENGINE}");
+/// Key of an engine's orders.
+fn order_key(deployment: &Deployment, engine: &str) -> Entry {
+    let key = format!("{PREFIX}/orders/{engine}");
     deployment.kv().store().get(&key).unwrap().unwrap()
 }
 
-/// Place of the router that ordered the first engine last.
-fn holder(deployment: &Deployment) -> usize {
-    let entry = order_key(deployment);
+/// Place of the router that ordered an engine last.
+fn holder(deployment: &Deployment, engine: &str) -> usize {
+    let entry = order_key(deployment, engine);
     let mark: serde_json::Value = serde_json::from_slice(&entry.value).unwrap();
     let host = mark["holder"].as_str().unwrap();
     deployment.place_of(host).unwrap()
@@ -116,6 +116,13 @@
         assert_eq!(loads, [load_of("2"), load_of("3")]);
         assert!(fences(engine).is_sorted(), "{:?}", engine.orders());
     }
+    let hosts = deployment.board().visible();
+    let engines = hosts.iter().filter(|host| host.id.contains("engine"));
+    for engine in engines {
+        let place = holder(&deployment, &engine.id);
+        let zone = deployment.zone_of(place);
+        assert_eq!(zone, engine.zone, "{} is ordered from its zone", engine.id);
+    }
 }
 
 #[test]
@@ -148,11 +155,11 @@
     let mut deployment = start(1, |shape| shape.engine.loading_time = LOADING);
     deployment.edit_version(2, "2").unwrap();
     wait_ordered(&deployment, "2");
-    let killed = holder(&deployment);
+    let killed = holder(&deployment, ENGINE);
     deployment.kill(killed);
     deployment.edit_version(3, "3").unwrap();
     wait_version(&deployment, "3", TAKEOVER);
-    assert_eq!(holder(&deployment), killed ^ 1);
+    assert_eq!(holder(&deployment, ENGINE), killed ^ 1);
     let fences = fences(&deployment.engines()[0]);
     assert!(fences.first() < fences.last(), "{fences:?}");
     assert!(fences.is_sorted(), "{fences:?}");
@@ -163,11 +170,11 @@
     let mut deployment = start(1, |shape| shape.engine.loading_time = LOADING);
     deployment.edit_version(2, "2").unwrap();
     wait_ordered(&deployment, "2");
-    let leaving = holder(&deployment);
-    let held = order_key(&deployment).lease;
+    let leaving = holder(&deployment, ENGINE);
+    let held = order_key(&deployment, ENGINE).lease;
     deployment.shut_down(leaving).unwrap();
     // The other router may have taken the key by now, under a lease of its own.
-    let now = order_key(&deployment).lease;
+    let now = order_key(&deployment, ENGINE).lease;
     assert!(now.is_none() || now != held, "{now:?}");
     if let Some(lease) = held {
         let renewed = deployment.kv().store().renew(&lease);
