Let the deciding thread rest while nothing waits

Load reports of 30 servers cost about 1 %; each host list call returned whole every 10 s. Change: ticks every 50 ms unless something waits here or in a zone that asks; duties once a second and on news of routers; loads every 3 s, and every 0.5 s for 30 s after a router of the zone was lost; host list waits of 60 s.

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -207,6 +207,13 @@
         out
     }
 
+    /// Whether anything waits that this dispatcher could give a slot to: here or in another zone.
+    pub fn has_demand(&self) -> bool {
+        self.waiting.accounts().next().is_some()
+            || self.waiting.suspects() > 0
+            || self.spill.is_asked()
+    }
+
     /// Shows the state to operators.
     pub fn status(&self, now: Mono) -> Status {
         Status {
--- a/crates/dispatch/src/spill.rs
+++ b/crates/dispatch/src/spill.rs
@@ -149,6 +149,12 @@
         new
     }
 
+    /// Whether another zone has told of requests that wait there.
+    pub(crate) fn is_asked(&self) -> bool {
+        let mut told = self.peers.values().filter_map(|peer| peer.demand.as_ref());
+        told.any(|told| !told.demand.wants.is_empty() || told.demand.suspects > 0)
+    }
+
     /// Finds the zone of which a router is the holder.
     pub(crate) fn zone_of(&self, member: &Member) -> Option<&ZoneId> {
         let mut peers = self.peers.iter();
--- a/crates/primrosed/src/decide/fleet.rs
+++ b/crates/primrosed/src/decide/fleet.rs
@@ -21,6 +21,8 @@
 
 /// Duties of watching the documents at the key-value service; each has a holder in each zone.
 const WATCH_DUTIES: [&str; 2] = ["watch first", "watch second"];
+/// How often duties are looked at without news of other routers.
+const DUTIES_EVERY: Duration = Duration::from_secs(1);
 /// Duty of removing old claims.
 const SWEEP_DUTY: &str = "sweep claims";
 /// How often the view is told the time.
@@ -89,6 +91,10 @@
     pub(super) fn beat(&mut self, from: &Member, beat: Beat) {
         let now = self.clock.now();
         let from = from.clone();
+        if !beat.records.is_empty() || !beat.reports.is_empty() {
+            // News of routers may change who holds what.
+            self.next_holders = now;
+        }
         self.view_event(Event::Heartbeat { from, beat }, now);
     }
 
@@ -104,6 +110,15 @@
     pub(super) fn tick_view(&mut self, now: Mono) {
         self.next_view = now + VIEW_TICK;
         self.view_event(Event::Tick, now);
+        if now >= self.next_holders {
+            self.update_duties(now);
+        }
+    }
+
+    /// Finds out which duties this router has.
+    fn update_duties(&mut self, now: Mono) {
+        self.next_holders = now + DUTIES_EVERY;
+        self.published.set_orphans(now < self.orphans_until);
         self.update_holders(now);
         self.update_orders();
         let is_mine = |duty: &str| self.view.holder(duty) == Some(&self.me);
--- a/crates/primrosed/src/decide/mod.rs
+++ b/crates/primrosed/src/decide/mod.rs
@@ -21,6 +21,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use primrose_core::clock::Clock;
 use primrose_core::clock::Mono;
@@ -33,6 +34,7 @@
 use primrose_core::table::Table;
 use primrose_dispatch::dispatcher::Dispatcher;
 use primrose_dispatch::requester::Requester;
+use primrose_dispatch::timing::TICK_EVERY;
 use primrose_link::LinkEvent;
 use primrose_member::View;
 use primrose_retry::Budget;
@@ -58,6 +60,9 @@
 use observe::Observer;
 use requests::Pending;
 
+/// Time between two ticks while nothing waits.
+const IDLE_TICK: Duration = Duration::from_millis(50);
+
 /// A link that is up.
 #[derive(Debug, Clone)]
 struct Link {
@@ -94,6 +99,9 @@
     links: BTreeMap<HostId, Link>,
     next_view: Mono,
     next_headers: Mono,
+    next_holders: Mono,
+    /// Until when servers are asked more often for their load.
+    orphans_until: Mono,
     next_sweep: Mono,
     draining: bool,
     observer: Observer,
@@ -136,6 +144,8 @@
             links: BTreeMap::new(),
             next_view: now,
             next_headers: now,
+            next_holders: now,
+            orphans_until: now,
             next_sweep: now,
             draining: false,
             observer: Observer::new(reporter, now),
@@ -202,7 +212,7 @@
         }
     }
 
-    /// Lets time pass; wanted at least every [`primrose_dispatch::timing::TICK_EVERY`].
+    /// Lets time pass; wanted after each [`Decider::pause`].
     pub(crate) fn tick(&mut self) {
         let now = self.clock.now();
         if now >= self.next_view {
@@ -217,4 +227,15 @@
         self.tick_slots(now);
         self.sample(now);
     }
+
+    /// Time that may pass until the next tick: short only while something waits for a slot.
+    pub(crate) fn pause(&self) -> Duration {
+        let waits = self.pending.values().any(requests::Pending::waits);
+        let wanted = self.dispatchers.values().any(Dispatcher::has_demand);
+        if waits || wanted {
+            TICK_EVERY
+        } else {
+            IDLE_TICK
+        }
+    }
 }
--- a/crates/primrosed/src/decide/requests.rs
+++ b/crates/primrosed/src/decide/requests.rs
@@ -62,6 +62,13 @@
     fingerprint: Fingerprint,
 }
 
+impl Pending {
+    /// Whether it has no slot yet.
+    pub(super) fn waits(&self) -> bool {
+        self.since.is_some()
+    }
+}
+
 impl Decider {
     /// Takes what the front asks.
     pub(super) fn ask(&mut self, ask: Ask) {
--- a/crates/primrosed/src/decide/run.rs
+++ b/crates/primrosed/src/decide/run.rs
@@ -1,30 +1,34 @@
 //! The loop of the deciding thread.
 
-use std::time::Duration;
+use std::sync::Arc;
 
 use crossbeam_channel::select;
-use crossbeam_channel::tick;
 use crossbeam_channel::Receiver;
-use primrose_dispatch::timing::TICK_EVERY;
+use primrose_core::clock::Clock;
 use primrose_link::LinkEvent;
 
 use crate::decide::Decider;
 use crate::input::Input;
 use crate::message::PeerMessage;
 
-/// Time between two ticks.
-const TICK: Duration = TICK_EVERY;
-
 /// Feeds the decider until it is told to stop.
 pub(crate) fn run(
     mut decider: Decider,
+    clock: &Arc<dyn Clock>,
     inputs: &Receiver<Input>,
     links: &Receiver<LinkEvent<PeerMessage>>,
 ) {
-    let ticks = tick(TICK);
+    let mut ticked = clock.now();
     loop {
+        // An input may have made the pause shorter, so it is asked for each time.
+        let due = ticked + decider.pause();
+        let now = clock.now();
+        if now >= due {
+            decider.tick();
+            ticked = now;
+            continue;
+        }
         select! {
-            recv(ticks) -> _ => decider.tick(),
             recv(links) -> event => {
                 if let Ok(event) = event {
                     decider.link(event);
@@ -34,6 +38,7 @@
                 Ok(Input::Stop) | Err(_) => return,
                 Ok(input) => decider.handle(input),
             },
+            default(due - now) => {}
         }
     }
 }
--- a/crates/primrosed/src/decide/slots.rs
+++ b/crates/primrosed/src/decide/slots.rs
@@ -1,6 +1,7 @@
 //! Dispatchers of this router, and messages between requesters and dispatchers.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use primrose_core::clock::Mono;
 use primrose_core::id::Member;
@@ -25,6 +26,9 @@
 use crate::published::LoadTarget;
 use crate::router::Sharing;
 
+/// How long servers are asked more often after a router of the zone was lost.
+const ORPHAN_TIME: Duration = Duration::from_secs(30);
+
 /// Name of the duty of dispatching a pool.
 pub(super) fn duty_of(pool: &str) -> String {
     format!("dispatch {pool}")
@@ -103,6 +107,8 @@
 
     /// A router of the zone is gone.
     pub(super) fn router_down(&mut self, member: &Member, now: Mono) {
+        self.orphans_until = now + ORPHAN_TIME;
+        self.published.set_orphans(true);
         let pools: Vec<PoolId> = self.dispatchers.keys().cloned().collect();
         for pool in pools {
             let event = dispatcher::Event::RouterDown(member.clone());
--- a/crates/primrosed/src/duty/hosts.rs
+++ b/crates/primrosed/src/duty/hosts.rs
@@ -21,7 +21,7 @@
 use crate::router::HostLists as ListOf;
 
 /// Longest wait of one call at the host list.
-const WAIT_TIME: Duration = Duration::from_secs(10);
+const WAIT_TIME: Duration = Duration::from_secs(60);
 /// Shortest time between two calls, so that a list that changes all the time costs little.
 const GAP: Duration = Duration::from_millis(200);
 /// How often the tables are looked at for new services.
--- a/crates/primrosed/src/duty/loads.rs
+++ b/crates/primrosed/src/duty/loads.rs
@@ -17,7 +17,9 @@
 use crate::published::Published;
 
 /// Time between two rounds.
-const ROUND: Duration = Duration::from_secs(1);
+const ROUND: Duration = Duration::from_secs(3);
+/// Time between two rounds after a router of the zone was lost, whose slots a report may free.
+const URGENT_ROUND: Duration = Duration::from_millis(500);
 /// Longest time for one server's answer.
 const ANSWER_TIME: Duration = Duration::from_millis(200);
 
@@ -50,7 +52,8 @@
                 }
                 self.ask(&agent, target);
             }
-            self.stop.wait(ROUND);
+            let urgent = self.published.orphans();
+            self.stop.wait(if urgent { URGENT_ROUND } else { ROUND });
         }
     }
 
--- a/crates/primrosed/src/published.rs
+++ b/crates/primrosed/src/published.rs
@@ -48,6 +48,7 @@
     ready: AtomicBool,
     watching: AtomicBool,
     sweeping: AtomicBool,
+    orphans: AtomicBool,
 }
 
 /// Swaps one snapshot.
@@ -140,6 +141,15 @@
         self.sweeping.store(sweeping, Ordering::Relaxed);
     }
 
+    /// Whether a router of the zone was lost lately, whose slots may still be counted.
+    pub(crate) fn orphans(&self) -> bool {
+        self.orphans.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_orphans(&self, orphans: bool) {
+        self.orphans.store(orphans, Ordering::Relaxed);
+    }
+
     pub(crate) fn set_watching(&self, watching: bool) {
         self.watching.store(watching, Ordering::Relaxed);
     }
--- a/crates/primrosed/src/router.rs
+++ b/crates/primrosed/src/router.rs
@@ -241,8 +241,9 @@
             drained,
             clock: Arc::clone(&parts.clock),
         };
+        let clock = Arc::clone(&parts.clock);
         router.spawn("decide", move || {
-            decide::run(decider, &inputs, &link_events)
+            decide::run(decider, &clock, &inputs, &link_events)
         })?;
         let desk = Claims {
             me,
