--- a/crates/local/src/deployment.rs
+++ b/crates/local/src/deployment.rs
@@ -4,7 +4,6 @@
 use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,7 +18,6 @@
 use primrose_platform::consul::ConsulConfig;
 use primrose_platform::consul::ConsulHosts;
 use primrose_platform::consul::ConsulStore;
-use primrose_platform::hosts::HostList;
 use primrose_platform::store::Op;
 use primrose_platform::store::Store;
 use primrose_platform::store::StoreError;
@@ -32,6 +30,7 @@
 use primrose_settings::Security;
 use primrose_settings::Settings;
 use primrose_standin::engine::Engine;
+use primrose_standin::engine::EngineConfig;
 use primrose_standin::hosts::HostBoard;
 use primrose_standin::hosts::Hosts;
 use primrose_standin::kv::Kv;
@@ -47,13 +46,13 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 
+use crate::cut::Cut;
 use crate::documents;
 use crate::documents::TablesText;
 use crate::documents::ACCOUNTS_KEY;
 use crate::documents::PREFIX;
 use crate::documents::TABLES_KEY;
-use crate::gate::Gate;
-use crate::gate::GatedStore;
+use crate::shape;
 use crate::shape::Policy;
 use crate::shape::Shape;
 
@@ -61,8 +60,6 @@
 const PEER_KEY: &[u8] = b"the peer key of a local deployment, 32 bytes and more";
 /// Service name of the routers in the host list.
 const ROUTERS: &str = "primrosed";
-/// Service name of the engines.
-const ENGINES: &str = "drafting";
 /// Service name of the engine for single requests.
 const PROBES: &str = "probing";
 /// Service name of the plain services.
@@ -135,8 +132,8 @@
     kv: Kv,
     runtime: Runtime,
     incarnation: Incarnation,
-    /// By host: whether its router is cut off from the key-value service.
-    gates: BTreeMap<String, Gate>,
+    /// By host: the router's way to the platform.
+    cuts: BTreeMap<String, Cut>,
 }
 
 impl Deployment {
@@ -171,7 +168,7 @@
             kv,
             runtime,
             incarnation: 1,
-            gates: BTreeMap::new(),
+            cuts: BTreeMap::new(),
             shape,
         };
         deployment.store_documents()?;
@@ -196,9 +193,13 @@
         for zone in self.shape.zones.clone() {
             for number in 1..=zone.engines {
                 let id = format!("{}-engine-{number}", zone.name);
-                let config = self.shape.engine.clone();
+                let pool = (number - 1) % self.shape.pools;
+                let config = EngineConfig {
+                    model: shape::model_name(pool),
+                    ..self.shape.engine.clone()
+                };
                 let engine = Engine::start(&self.runtime, config).context(StandinSnafu)?;
-                self.list(&id, &zone.name, ENGINES, engine.addr());
+                self.list(&id, &zone.name, &shape::pool_name(pool), engine.addr());
                 self.engines.push(engine);
             }
             for number in 1..=zone.plains {
@@ -237,8 +238,9 @@
     fn start_router(&mut self, zone: &str, host: &str, sharing: Sharing) -> Result<Placed> {
         self.incarnation += 1;
         let settings = self.settings(zone, host);
-        let gate = Arc::clone(self.gates.entry(host.to_owned()).or_default());
-        let router = Router::start(&settings, self.parts(sharing, gate)).context(RouterSnafu)?;
+        let cut = self.cuts.entry(host.to_owned()).or_default().clone();
+        let parts = self.parts(sharing, &cut);
+        let router = Router::start(&settings, parts).context(RouterSnafu)?;
         self.list(host, zone, ROUTERS, router.peers());
         Ok(Placed {
             zone: zone.to_owned(),
@@ -294,18 +296,16 @@
         }
     }
 
-    fn parts(&self, sharing: Sharing, shut: Gate) -> Parts {
+    fn parts(&self, sharing: Sharing, cut: &Cut) -> Parts {
         let config = ConsulConfig::new(vec![self.kv.addr()]);
         let hosts = ConsulConfig::new(vec![self.hosts.addr()]);
         let key = Key::from_bytes(PEER_KEY).expect("the key is long enough");
+        let from_hosts = cut.clone();
         Parts {
             clock: Arc::clone(&self.clock),
-            store: Arc::new(GatedStore {
-                store: ConsulStore::new(config),
-                shut,
-            }),
+            store: cut.store(ConsulStore::new(config)),
             hosts: Some(Arc::new(move |service: &str| {
-                Arc::new(ConsulHosts::new(hosts.clone(), service)) as Arc<dyn HostList>
+                from_hosts.hosts(ConsulHosts::new(hosts.clone(), service))
             })),
             keys: Keys::new(vec![key]).expect("there is a key"),
             sharing,
@@ -403,6 +403,14 @@
         &placed.expect("the router is running").zone
     }
 
+    /// Cuts a place off from the platform, or ends that; a router that replaces one stays cut off.
+    pub fn cut_off(&self, place: usize, cut: bool) {
+        let (_, host) = self.names_of(place);
+        if let Some(way) = self.cuts.get(&host) {
+            way.set(cut);
+        }
+    }
+
     /// State of a running router, as its operator listener shows it.
     pub fn status(&self, place: usize) -> Option<serde_json::Value> {
         let placed = self.routers[place].as_ref()?;
@@ -490,14 +498,6 @@
         unreachable!("every place belongs to a zone")
     }
 
-    /// Cuts a router's place off from the key-value service, or lets it through again.
-    pub fn cut_platform(&self, place: usize, cut: bool) {
-        let (_, host) = self.names_of(place);
-        if let Some(gate) = self.gates.get(&host) {
-            gate.store(cut, Ordering::Relaxed);
-        }
-    }
-
     /// Puts the tables of another generation into the key-value service.
     pub fn edit_tables(&self, generation: Generation) -> Result<()> {
         let text = TablesText::new(&self.shape).render(generation);
--- a/crates/primrosed/src/duty/mod.rs
+++ b/crates/primrosed/src/duty/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod orders;
 pub(crate) mod page;
 pub(crate) mod report;
+pub(crate) mod sweep;
 pub(crate) mod watch;
 
 use std::sync::atomic::AtomicBool;
--- a/crates/primrosed/src/router.rs
+++ b/crates/primrosed/src/router.rs
@@ -14,11 +14,14 @@
 use crossbeam_channel::Receiver;
 use crossbeam_channel::Sender;
 use metrics_exporter_prometheus::PrometheusHandle;
+use primrose_claim::sweep::SweepLimits;
+use primrose_claim::sweep::Sweeper;
 use primrose_claim::Desk;
 use primrose_core::clock::Clock;
 use primrose_core::id::Incarnation;
 use primrose_core::id::Member;
 use primrose_front::Front;
+use primrose_front::PassKey;
 use primrose_front::StartError;
 use primrose_link::Endpoint;
 use primrose_link::Keys;
@@ -44,6 +47,7 @@
 use crate::duty::operator::OperatorError;
 use crate::duty::orders::Orders;
 use crate::duty::page::Pages;
+use crate::duty::sweep::Sweep;
 use crate::duty::watch::Watch;
 use crate::duty::Stop;
 use crate::input;
@@ -209,6 +213,7 @@
         let front = Front::start(
             settings.listen.callers,
             front_limits(settings),
+            PassKey::new(parts.keys.signing().bytes()),
             broker,
             Arc::clone(&parts.clock),
         )
@@ -275,6 +280,15 @@
             };
             drop(spawn("watch", move || watch.run())?);
         }
+        let sweep = Sweep {
+            sweeper: Sweeper::new(&settings.platform.prefix, SweepLimits::default()),
+            mark: format!("{}/sweep", settings.platform.prefix),
+            store: Arc::clone(&parts.store),
+            clock: Arc::clone(&parts.clock),
+            published: Arc::clone(published),
+            stop: Arc::clone(&self.stop),
+        };
+        drop(spawn("sweep", move || sweep.run())?);
         let loads = Loads {
             published: Arc::clone(published),
             ring: self.ring.clone(),
