Spread a zone's dispatchers over its routers, and split two large files

Cause: the busiest router of a planned zone took 30.8 KB/s where the mean took 13.9: plain hashing gave it several of the five pools. A zone whose last router drains had no dispatcher, so what waited there was not served. Change: the pools go to routers by hashing with bounded loads; draining routers keep duties while there is nobody else.

--- a/crates/member/src/lookup.rs
+++ b/crates/member/src/lookup.rs
@@ -7,6 +7,7 @@
 
 use crate::beat::TableMark;
 use crate::rendezvous::holder;
+use crate::rendezvous::spread;
 use crate::routed::Routes;
 use crate::view::View;
 
@@ -42,6 +43,33 @@
         Some(&line.member)
     }
 
+    /// Returns the live routers of the zone that hold several duties, spread evenly over them.
+    ///
+    /// Draining routers hold duties only while there is nobody else.
+    pub fn holders(&self, duties: &[String]) -> Vec<Option<&Member>> {
+        let spread = spread(&self.zone.duty_hosts(), duties).into_iter();
+        spread.map(|host| self.zone.member(host?)).collect()
+    }
+
+    /// Returns the routers of a zone that hold several duties there, as far as this router knows.
+    ///
+    /// None for a zone that cannot be reached.
+    pub fn holders_in(&self, zone: &str, duties: &[String]) -> Vec<Option<&Member>> {
+        if zone == self.settings.zone {
+            return self.holders(duties);
+        }
+        if self.fleet.first(zone).is_none() {
+            return vec![None; duties.len()];
+        }
+        let lines = self.fleet.members(zone);
+        let all_draining = lines.iter().all(|line| line.draining);
+        let takes = lines.iter().filter(|line| all_draining || !line.draining);
+        let hosts: Vec<&str> = takes.map(|line| line.member.host.as_str()).collect();
+        let member = |host: &str| lines.iter().find(|line| line.member.host == host);
+        let spread = spread(&hosts, duties).into_iter();
+        spread.map(|host| Some(&member(host?)?.member)).collect()
+    }
+
     /// Returns the other zones that can be reached.
     pub fn reachable_zones(&self) -> impl Iterator<Item = &ZoneId> {
         self.fleet.reachable()
--- a/crates/member/src/rendezvous.rs
+++ b/crates/member/src/rendezvous.rs
@@ -4,6 +4,8 @@
 //! (Thaler and Ravishankar, 1998). When a candidate leaves, only its duties move; the incarnation
 //! is not part of the score, so a restarted router gets its duties back.
 
+use std::collections::BTreeMap;
+
 use xxhash_rust::xxh3::Xxh3;
 
 /// Score of one candidate for one duty.
@@ -29,6 +31,26 @@
         .max_by_key(|host| (score(host, duty), *host))
 }
 
+/// Returns the candidate that holds each of several duties, with none holding many more than others.
+///
+/// Each duty, in the order given, goes to the highest score among the candidates that hold fewer
+/// than their even share so far, as in consistent hashing with bounded loads (Mirrokni, Thorup and
+/// Zadimoghaddam, 2018) with no slack. Callers that give the same candidates and duties agree.
+pub fn spread<'a>(hosts: &[&'a str], duties: &[String]) -> Vec<Option<&'a str>> {
+    let most = duties.len().div_ceil(hosts.len().max(1));
+    let mut held: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut holders = Vec::with_capacity(duties.len());
+    for duty in duties {
+        let room = |host: &&str| held.get(*host).copied().unwrap_or(0) < most;
+        let found = holder(hosts.iter().copied().filter(room), duty);
+        if let Some(host) = found {
+            *held.entry(host).or_default() += 1;
+        }
+        holders.push(found);
+    }
+    holders
+}
+
 /// Returns the candidates in the order in which they would hold the duty.
 pub fn ranking<'a, I>(hosts: I, duty: &str) -> Vec<&'a str>
 where
--- a/crates/member/tests/testsuite/rendezvous.rs
+++ b/crates/member/tests/testsuite/rendezvous.rs
@@ -4,6 +4,7 @@
 
 use primrose_member::rendezvous::holder;
 use primrose_member::rendezvous::ranking;
+use primrose_member::rendezvous::spread;
 use primrose_support::seeded::checker;
 
 const DUTIES: usize = 1200;
@@ -53,3 +54,65 @@
     };
     checker().quickcheck(property);
 }
+
+struct Spread {
+    hosts: usize,
+    duties: usize,
+    most: usize,
+}
+
+/// A few duties never pile up on one router, and the order of the candidates does not matter.
+#[test]
+fn spread_gives_no_candidate_more_than_its_even_share() {
+    let cases = [
+        Spread {
+            hosts: 1,
+            duties: 5,
+            most: 5,
+        },
+        Spread {
+            hosts: 3,
+            duties: 5,
+            most: 2,
+        },
+        Spread {
+            hosts: 5,
+            duties: 5,
+            most: 1,
+        },
+        Spread {
+            hosts: 12,
+            duties: 5,
+            most: 1,
+        },
+        Spread {
+            hosts: 0,
+            duties: 2,
+            most: 0,
+        },
+    ];
+    for case in cases {
+        let names: Vec<String> = (0..case.hosts).map(|number| format!("r{number}")).collect();
+        let mut hosts: Vec<&str> = names.iter().map(String::as_str).collect();
+        let duties: Vec<String> = (0..case.duties)
+            .map(|number| format!("d{number}"))
+            .collect();
+        let holders = spread(&hosts, &duties);
+        for host in &hosts {
+            let held = holders.iter().filter(|one| **one == Some(*host)).count();
+            assert!(held <= case.most, "{host} of {} holds {held}", case.hosts);
+        }
+        let vacant = holders.iter().filter(|one| one.is_none()).count();
+        assert_eq!(vacant, if case.hosts == 0 { case.duties } else { 0 });
+        hosts.reverse();
+        assert_eq!(spread(&hosts, &duties), holders);
+    }
+}
+
+/// The first duty goes where plain rendezvous hashing puts it.
+#[test]
+fn spread_puts_the_first_duty_where_plain_hashing_does() {
+    let hosts = ["a", "b", "c", "d"];
+    let duties = vec!["one".to_owned()];
+    assert_eq!(spread(&hosts, &duties)[0], holder(hosts, "one"));
+}
--- a/crates/primrosed/src/decide/slots.rs
+++ b/crates/primrosed/src/decide/slots.rs
@@ -121,23 +121,46 @@
         let table = self.published.table();
         self.dispatchers
             .retain(|pool, _| table.pools.contains_key(pool));
-        for pool in table.pools.keys() {
-            let holder = self.holder(pool);
+        let duties: Vec<String> = table.pools.keys().map(|pool| duty_of(pool)).collect();
+        let holders = self.zone_holders(&duties);
+        let mut peers = self.peer_holders(&duties);
+        for (place, pool) in table.pools.keys().enumerate() {
+            let holder = holders[place].clone();
             self.hold(pool, holder.as_ref() == Some(&self.me), now);
             if self.holders.get(pool) != Some(&holder) {
                 self.holders.insert(pool.clone(), holder.clone());
                 let pool = pool.clone();
                 self.requester_event(requester::Event::Holder { pool, holder }, now);
             }
-            self.update_peers(pool, now);
+            self.update_peers(pool, std::mem::take(&mut peers[place]), now);
         }
     }
 
-    fn holder(&self, pool: &str) -> Option<Member> {
-        match self.sharing {
-            Sharing::Alone { .. } => Some(self.me.clone()),
-            _ => self.view.holder(&duty_of(pool)).cloned(),
+    /// Routers of the own zone that hold the duties.
+    fn zone_holders(&self, duties: &[String]) -> Vec<Option<Member>> {
+        if matches!(self.sharing, Sharing::Alone { .. }) {
+            return vec![Some(self.me.clone()); duties.len()];
         }
+        let holders = self.view.holders(duties).into_iter();
+        holders.map(|holder| holder.cloned()).collect()
+    }
+
+    /// Routers of the other zones that hold the duties, by duty.
+    fn peer_holders(&self, duties: &[String]) -> Vec<BTreeMap<ZoneId, Option<Member>>> {
+        let mut peers = vec![BTreeMap::new(); duties.len()];
+        if matches!(self.sharing, Sharing::Alone { .. }) {
+            return peers;
+        }
+        for zone in self.directory.zones() {
+            if zone == self.zone {
+                continue;
+            }
+            let holders = self.view.holders_in(&zone, duties);
+            for (by_zone, holder) in peers.iter_mut().zip(holders) {
+                by_zone.insert(zone.clone(), holder.cloned());
+            }
+        }
+        peers
     }
 
     /// Takes up or gives up the dispatcher of a pool.
@@ -167,25 +190,12 @@
     }
 
     /// Tells a dispatcher who holds its pool in the other zones.
-    fn update_peers(&mut self, pool: &PoolId, now: Mono) {
-        let alone = matches!(self.sharing, Sharing::Alone { .. });
-        if alone || !self.dispatchers.contains_key(pool) {
+    fn update_peers(&mut self, pool: &PoolId, peers: BTreeMap<ZoneId, Option<Member>>, now: Mono) {
+        if !self.dispatchers.contains_key(pool) || self.peers.get(pool) == Some(&peers) {
             return;
         }
-        let duty = duty_of(pool);
-        let others = self.directory.zones();
-        let peers: BTreeMap<ZoneId, Option<Member>> = others
-            .into_iter()
-            .filter(|zone| *zone != self.zone)
-            .map(|zone| {
-                let holder = self.view.holder_in(&zone, &duty).cloned();
-                (zone, holder)
-            })
-            .collect();
-        if self.peers.get(pool) != Some(&peers) {
-            self.peers.insert(pool.clone(), peers.clone());
-            self.dispatcher_event(pool, dispatcher::Event::Peers(peers), now);
-        }
+        self.peers.insert(pool.clone(), peers.clone());
+        self.dispatcher_event(pool, dispatcher::Event::Peers(peers), now);
     }
 
     /// Tells every dispatcher here which servers it has.
--- a/crates/primrosed/src/router.rs
+++ b/crates/primrosed/src/router.rs
@@ -3,7 +3,6 @@
 //! [`Router::start`] takes [`Settings`] and the [`Parts`] that touch the outside world, so that the
 //! daemon, the quick start and tests run the same code with other clocks and platforms.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,28 +12,20 @@
 use crossbeam_channel::bounded;
 use crossbeam_channel::Receiver;
 use crossbeam_channel::Sender;
-use metrics_exporter_prometheus::PrometheusHandle;
 use primrose_claim::sweep::SweepLimits;
 use primrose_claim::sweep::Sweeper;
 use primrose_claim::Desk;
 use primrose_core::clock::Clock;
-use primrose_core::id::Incarnation;
 use primrose_core::id::Member;
 use primrose_front::Front;
 use primrose_front::PassKey;
-use primrose_front::StartError;
 use primrose_link::Endpoint;
-use primrose_link::Keys;
 use primrose_link::LinkConfig;
-use primrose_platform::hosts::HostList;
-use primrose_platform::store::Store;
 use primrose_report::calendar::Calendar;
-use primrose_report::calendar::CalendarError;
 use primrose_report::observation::Observation;
 use primrose_settings::Settings;
 use rand::Rng;
 use snafu::ResultExt;
-use snafu::Snafu;
 
 use crate::broker::RingBroker;
 use crate::decide;
@@ -44,7 +35,6 @@
 use crate::duty::hosts::HostLists as Follower;
 use crate::duty::loads::Loads;
 use crate::duty::operator::Operator;
-use crate::duty::operator::OperatorError;
 use crate::duty::orders::Orders;
 use crate::duty::page::Pages;
 use crate::duty::sweep::Sweep;
@@ -61,85 +51,25 @@
 pub use primrose_front::CutRequest;
 
 mod counting;
+mod error;
+mod parts;
+mod translate;
 
-/// Link events that may wait for the deciding thread.
-const LINK_RING: usize = 1024;
-
-/// Gives the host list of one service.
-pub type HostLists = Arc<dyn Fn(&str) -> Arc<dyn HostList> + Send + Sync>;
-
-/// How routers share slots; anything but [`Sharing::Fleet`] is a baseline for measurements.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum Sharing {
-    /// Fair over the whole fleet.
-    #[default]
-    Fleet,
-    /// First come first served at each zone's dispatcher.
-    FirstCome,
-    /// Fair in each router alone, over a fixed part of its zone's slots.
-    Alone {
-        /// Place of this router in its zone, from 0.
-        index: u32,
-        /// Routers of the zone.
-        count: u32,
-    },
-}
+pub use error::RouterError;
+pub use parts::HostLists;
+pub use parts::Parts;
+pub use parts::Sharing;
 
-/// What a router needs of the world outside.
-#[derive(Clone)]
-pub struct Parts {
-    /// Reads the time.
-    pub clock: Arc<dyn Clock>,
-    /// The platform's key-value service.
-    pub store: Arc<dyn Store>,
-    /// The platform's host list; nothing if the deployment has none.
-    pub hosts: Option<HostLists>,
-    /// Keys of the peer links.
-    pub keys: Keys,
-    /// How slots are shared.
-    pub sharing: Sharing,
-    /// Number of this run of the process.
-    pub incarnation: Incarnation,
-    /// Renders the metrics; nothing if they are not exported.
-    pub metrics: Option<PrometheusHandle>,
-}
+use error::DaySnafu;
+use error::FrontSnafu;
+use error::LinkSnafu;
+use error::OperatorSnafu;
+use error::ThreadSnafu;
+use translate::front_limits;
+use translate::view_settings;
 
-/// The router could not start.
-#[derive(Debug, Snafu)]
-pub enum RouterError {
-    /// The callers' side.
-    #[snafu(display("failed to start the front"))]
-    Front {
-        /// The cause.
-        source: StartError,
-    },
-    /// The peers' side.
-    #[snafu(display("failed to start the peer links"))]
-    Link {
-        /// The cause.
-        source: primrose_link::StartError,
-    },
-    /// The operators' side.
-    #[snafu(display("failed to start the operators' listener"))]
-    Operator {
-        /// The cause.
-        source: OperatorError,
-    },
-    /// The settings name no time zone for the day.
-    #[snafu(display("failed to read the settings of the day"))]
-    Day {
-        /// The cause.
-        source: CalendarError,
-    },
-    /// A thread could not be made.
-    #[snafu(display("failed to start the {name} thread"))]
-    Thread {
-        /// Name of the thread.
-        name: String,
-        /// The cause.
-        source: std::io::Error,
-    },
-}
+/// Link events that may wait for the deciding thread.
+const LINK_RING: usize = 1024;
 
 /// How a shutdown ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -406,25 +336,3 @@
         .spawn(body)
         .context(ThreadSnafu { name })
 }
-
-fn front_limits(settings: &Settings) -> primrose_front::Limits {
-    let limits = &settings.limits;
-    primrose_front::Limits {
-        header_bytes: limits.header_bytes,
-        body_bytes: limits.body_bytes,
-        connections: limits.connections,
-        header_time: limits.header_timeout,
-        idle_time: limits.first_byte,
-        ..primrose_front::Limits::default()
-    }
-}
-
-fn view_settings(settings: &Settings, me: &Member, addr: SocketAddr) -> primrose_member::Settings {
-    let zone = settings.router.zone.clone();
-    let region = settings.router.region.clone();
-    primrose_member::Settings {
-        seeds: settings.peers.seeds.iter().map(|seed| seed.addr).collect(),
-        regions: BTreeMap::from([(zone.clone(), region)]),
-        ..primrose_member::Settings::new(me.clone(), zone, addr)
-    }
-}
