--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -22,6 +22,7 @@
 mod caller;
 mod connections;
 mod drive;
+mod end;
 mod finish;
 mod front;
 mod hold;
--- a/crates/local/src/measure/control/memory.rs
+++ b/crates/local/src/measure/control/memory.rs
@@ -6,9 +6,9 @@
 
 use crate::deployment::Deployment;
 use crate::measure::control::fit::Line;
-use crate::measure::control::process;
 use crate::measure::control::size::Size;
 use crate::measure::control::size::BASE;
+use crate::measure::process;
 use crate::measure::Result;
 
 /// Routers of the deployments that are started beside each other.
--- a/crates/local/src/measure/control/mod.rs
+++ b/crates/local/src/measure/control/mod.rs
@@ -12,7 +12,6 @@
 mod fit;
 mod memory;
 mod point;
-mod process;
 mod size;
 
 use std::collections::BTreeMap;
@@ -20,6 +19,7 @@
 
 use crate::measure::figure::Figure;
 use crate::measure::figure::Target;
+use crate::measure::process;
 use crate::measure::Result;
 use crate::TablesText;
 
--- a/crates/local/src/measure/control/point.rs
+++ b/crates/local/src/measure/control/point.rs
@@ -14,10 +14,10 @@
 
 use crate::deployment::Deployment;
 use crate::measure::control::callers::Callers;
-use crate::measure::control::process;
-use crate::measure::control::process::Thread;
-use crate::measure::control::process::ThreadId;
 use crate::measure::control::size::Size;
+use crate::measure::process;
+use crate::measure::process::Thread;
+use crate::measure::process::ThreadId;
 use crate::measure::Result;
 use crate::shape::pool_name;
 
--- a/crates/local/src/measure/mod.rs
+++ b/crates/local/src/measure/mod.rs
@@ -9,6 +9,7 @@
 mod figure;
 mod first_token;
 mod load;
+mod process;
 mod sample;
 mod utilisation;
 
--- a/crates/local/src/measure/control/process.rs
+++ b/crates/local/src/measure/process.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// Number of a thread.
-pub(super) type ThreadId = u32;
+pub(crate) type ThreadId = u32;
 
 /// Length of a tick in which the kernel counts processor time.
 const TICK: Duration = Duration::from_millis(10);
@@ -19,17 +19,17 @@
 
 /// One thread.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Thread {
+pub(crate) struct Thread {
     /// Name.
-    pub(super) name: String,
+    pub(crate) name: String,
     /// Start, in ticks since the machine began.
-    pub(super) started: u64,
+    pub(crate) started: u64,
     /// Processor time.
-    pub(super) time: Duration,
+    pub(crate) time: Duration,
 }
 
 /// Reads all threads of this process.
-pub(super) fn threads() -> io::Result<BTreeMap<ThreadId, Thread>> {
+pub(crate) fn threads() -> io::Result<BTreeMap<ThreadId, Thread>> {
     let mut threads = BTreeMap::new();
     for entry in fs::read_dir("/proc/self/task")? {
         let entry = entry?;
@@ -58,7 +58,7 @@
 }
 
 /// Reads the resident size of this process, in bytes.
-pub(super) fn resident() -> io::Result<u64> {
+pub(crate) fn resident() -> io::Result<u64> {
     let status = fs::read_to_string("/proc/self/status")?;
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     let kilobytes = line.and_then(|rest| rest.split_whitespace().next());
@@ -69,7 +69,7 @@
 }
 
 /// Reads how busy the machine is: the load average of the last minute.
-pub(super) fn load_average() -> io::Result<String> {
+pub(crate) fn load_average() -> io::Result<String> {
     let text = fs::read_to_string("/proc/loadavg")?;
     Ok(text.split(' ').next().unwrap_or_default().to_owned())
 }
