--- a/crates/primrosed/tests/testsuite/processes.rs
+++ b/crates/primrosed/tests/testsuite/processes.rs
@@ -83,3 +83,20 @@
     }
     assert_eq!(world.engine.crashes(), 0);
 }
+
+#[test]
+fn a_second_signal_cuts_off_what_is_left_and_says_so() {
+    let world = World::start("cut");
+    let router = world.router(11, "north");
+    wait_ready(&world, &router);
+    let mut lines = stream(router.addrs.callers, 5000);
+    assert!(lines.any(|line| line == "id: 1"));
+    router.terminate();
+    // The stream goes on after the first signal.
+    assert!(lines.any(|line| line == "id: 20"));
+    router.terminate();
+    let rest: Vec<String> = lines.collect();
+    assert!(rest.iter().any(|line| line == "event: error"), "{rest:?}");
+    assert!(!rest.iter().any(|line| line == "data: [DONE]"));
+    assert_eq!(router.end(), Some(3));
+}
