Keep the shutdown limit and the test for waiting in one place each

Cause: splitting the local deployment had left its shutdown limit in two files, and one look for waiting requests spelled out what Pending::waits says. Conclusion: none for behaviour.

--- a/crates/local/src/deployment/operate.rs
+++ b/crates/local/src/deployment/operate.rs
@@ -1,24 +1,19 @@
 //! What operators and faults do to a running deployment.
 
-use std::time::Duration;
-
 use primrose_core::id::Generation;
 use primrose_core::id::ZoneId;
 use primrose_platform::store::Op;
 use primrose_platform::store::Store;
 use primrosed::router::Sharing;
-
 use snafu::ResultExt;
 
+use crate::deployment::process::SHUTDOWN;
 use crate::deployment::Deployment;
 use crate::deployment::Result;
 use crate::deployment::StoreSnafu;
 use crate::documents::TablesText;
 use crate::documents::TABLES_KEY;
 
-/// Longest graceful shutdown.
-const SHUTDOWN: Duration = Duration::from_secs(30);
-
 impl Deployment {
     /// Cuts a place off from the platform, or ends that; a router that replaces one stays cut off.
     pub fn cut_off(&self, place: usize, cut: bool) {
--- a/crates/local/src/deployment/process.rs
+++ b/crates/local/src/deployment/process.rs
@@ -39,7 +39,7 @@
 /// Longest silence of a backend server.
 const SERVER_TIME: Duration = Duration::from_secs(30);
 /// Longest graceful shutdown.
-const SHUTDOWN: Duration = Duration::from_secs(30);
+pub(super) const SHUTDOWN: Duration = Duration::from_secs(30);
 
 impl Deployment {
     pub(super) fn sharing(&self, index: usize, count: usize) -> Sharing {
--- a/crates/primrosed/src/decide/requests.rs
+++ b/crates/primrosed/src/decide/requests.rs
@@ -246,7 +246,7 @@
     }
 
     fn waiting_with(&self, fingerprint: Fingerprint) -> Vec<RequestId> {
-        let waits = |one: &&Pending| one.fingerprint == fingerprint && one.since.is_some();
+        let waits = |one: &&Pending| one.fingerprint == fingerprint && one.waits();
         let waiting = self.pending.values().filter(waits);
         waiting.map(|one| one.attempt.request).collect()
     }
