--- a/crates/claim/src/call.rs
+++ b/crates/claim/src/call.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use primrose_platform::store::CommitResult;
-use primrose_platform::store::Entry;
-use primrose_platform::store::Key;
-use primrose_platform::store::Op;
-use primrose_platform::store::Result as StoreResult;
+use primrose_store::store::CommitResult;
+use primrose_store::store::Entry;
+use primrose_store::store::Key;
+use primrose_store::store::Op;
+use primrose_store::store::Result as StoreResult;
 
 /// Bounds of a desk.
 #[derive(Debug, Clone)]
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -12,7 +12,7 @@
 //!
 //! A [`Desk`] groups the claims and closings that wait into commits of up to 64 operations. It
 //! decides without input or output; [`Desk::step`] drives it over a
-//! [`Store`](primrose_platform::store::Store). Why not a lock with a time to live: a holder that
+//! [`Store`](primrose_store::store::Store). Why not a lock with a time to live: a holder that
 //! was paused past it and wakes would send a request that another router has sent meanwhile.
 //!
 //! ```
@@ -21,7 +21,7 @@
 //! use primrose_claim::{ClaimResult, Desk, Limits, Order, Wish};
 //! use primrose_core::clock::Clock;
 //! use primrose_core::id::Member;
-//! use primrose_platform::memory::MemoryStore;
+//! use primrose_store::memory::MemoryStore;
 //! use primrose_support::clock::FakeClock;
 //!
 //! let clock = Arc::new(FakeClock::new());
--- a/crates/claim/src/sweep.rs
+++ b/crates/claim/src/sweep.rs
@@ -14,10 +14,10 @@
 
 use primrose_core::clock::Mono;
 use primrose_core::id::AccountId;
-use primrose_platform::store::Entry;
-use primrose_platform::store::Op;
-use primrose_platform::store::Version;
-use primrose_platform::store::MAX_OPS;
+use primrose_store::store::Entry;
+use primrose_store::store::Op;
+use primrose_store::store::Version;
+use primrose_store::store::MAX_OPS;
 
 use crate::key::account_prefix;
 use crate::record::Record;
--- a/crates/claim/src/task.rs
+++ b/crates/claim/src/task.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use primrose_core::clock::Mono;
-use primrose_platform::store::Entry;
-use primrose_platform::store::Key;
-use primrose_platform::store::Op;
-use primrose_platform::store::Version;
+use primrose_store::store::Entry;
+use primrose_store::store::Key;
+use primrose_store::store::Op;
+use primrose_store::store::Version;
 
 use crate::key::claim_key;
 use crate::order::ClaimResult;
--- a/crates/claim/tests/testsuite/desk.rs
+++ b/crates/claim/tests/testsuite/desk.rs
@@ -9,9 +9,9 @@
 use primrose_claim::Order;
 use primrose_claim::Record;
 use primrose_claim::Wish;
-use primrose_platform::memory::Fault;
-use primrose_platform::store::Op;
-use primrose_platform::store::Store;
+use primrose_store::memory::Fault;
+use primrose_store::store::Op;
+use primrose_store::store::Store;
 
 use crate::desk;
 use crate::order;
--- a/crates/claim/tests/testsuite/fleet.rs
+++ b/crates/claim/tests/testsuite/fleet.rs
@@ -9,7 +9,7 @@
 use primrose_claim::Reply;
 use primrose_claim::Wish;
 use primrose_core::id::RequestId;
-use primrose_platform::memory::Fault;
+use primrose_store::memory::Fault;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
--- a/crates/claim/tests/testsuite/keys.rs
+++ b/crates/claim/tests/testsuite/keys.rs
@@ -6,7 +6,7 @@
 use primrose_claim::Answer;
 use primrose_claim::Record;
 use primrose_core::id::Member;
-use primrose_platform::store::check_key;
+use primrose_store::store::check_key;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 
--- a/crates/claim/tests/testsuite/main.rs
+++ b/crates/claim/tests/testsuite/main.rs
@@ -17,7 +17,7 @@
 use primrose_core::clock::Clock;
 use primrose_core::id::Member;
 use primrose_core::id::RequestId;
-use primrose_platform::memory::MemoryStore;
+use primrose_store::memory::MemoryStore;
 use primrose_support::clock::FakeClock;
 
 /// An order of one request; the key is the same for all.
--- a/crates/claim/tests/testsuite/sweep.rs
+++ b/crates/claim/tests/testsuite/sweep.rs
@@ -7,7 +7,7 @@
 use primrose_claim::Sweeper;
 use primrose_claim::Wish;
 use primrose_core::clock::Clock;
-use primrose_platform::store::Store;
+use primrose_store::store::Store;
 
 use crate::desk;
 use crate::order;
--- a/crates/front/src/connections.rs
+++ b/crates/conn/src/lib.rs
@@ -1,4 +1,4 @@
-//! Connections to backend servers, kept open between requests.
+//! Connections to servers, kept open between requests.
 //!
 //! The one thing that callers of this module rely on is the stage of a failure: an error that is
 //! [`SendError::BeforeSend`] says that no byte of the request has left this process. A request
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -19,6 +20,8 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use primrose_core::clock::Clock;
+use primrose_core::clock::Mono;
 use snafu::Snafu;
 use tokio::net::TcpStream;
 
@@ -29,11 +32,11 @@
 const PROBE_TIME: Duration = Duration::from_millis(200);
 
 /// A request body towards a backend server.
-pub(crate) type OutBody = Full<Bytes>;
+pub type OutBody = Full<Bytes>;
 
 /// Why a request to a backend server brought no answer.
 #[derive(Debug, Snafu)]
-pub(crate) enum SendError {
+pub enum SendError {
     /// No byte of the request has left.
     #[snafu(display("failed to reach backend server {addr}: {reason}"))]
     BeforeSend {
@@ -53,29 +56,47 @@
 }
 
 /// An answer whose body is still to be read, and the connection it comes over.
-pub(crate) struct Answer {
+pub struct Answer {
     /// Status, headers and body.
-    pub(crate) response: Response<Incoming>,
+    pub response: Response<Incoming>,
     /// Given back to [`Connections::keep`] after the body.
-    pub(crate) sender: SendRequest<OutBody>,
+    pub sender: SendRequest<OutBody>,
+}
+
+/// A connection between two requests.
+struct Idle {
+    sender: SendRequest<OutBody>,
+    /// When the server may close it, if known.
+    until: Option<Mono>,
 }
 
 /// Keeps idle connections by server address.
-pub(crate) struct Connections {
-    idle: Mutex<HashMap<SocketAddr, Vec<SendRequest<OutBody>>>>,
+pub struct Connections {
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
     connect_time: Duration,
+    idle_connections: usize,
+    clock: Arc<dyn Clock>,
 }
 
 impl Connections {
-    pub(crate) fn new(connect_time: Duration) -> Self {
+    /// Makes an empty pool; opening a connection may take `connect_time`.
+    pub fn new(connect_time: Duration, clock: Arc<dyn Clock>) -> Self {
         Self {
             idle: Mutex::new(HashMap::new()),
             connect_time,
+            idle_connections: IDLE_PER_SERVER,
+            clock,
         }
     }
 
+    /// Changes how many idle connections are kept to one server.
+    pub fn with_idle_connections(mut self, most: usize) -> Self {
+        self.idle_connections = most;
+        self
+    }
+
     /// Opens a connection; takes a kept one unless `fresh` is asked for.
-    pub(crate) async fn open(
+    pub async fn open(
         &self,
         addr: SocketAddr,
         fresh: bool,
@@ -89,7 +110,7 @@
     }
 
     /// Sends a request over an opened connection, or over a new one if that has closed unused.
-    pub(crate) async fn send(
+    pub async fn send(
         &self,
         addr: SocketAddr,
         sender: SendRequest<OutBody>,
@@ -113,20 +134,27 @@
         })
     }
 
-    /// Keeps a connection whose answer has been read to the end.
-    pub(crate) fn keep(&self, addr: SocketAddr, sender: SendRequest<OutBody>) {
+    /// Keeps a connection whose answer has been read to the end, for `idle` at most.
+    pub fn keep(&self, addr: SocketAddr, sender: SendRequest<OutBody>, idle: Option<Duration>) {
         if sender.is_closed() {
             return;
         }
-        let mut idle = self.idle.lock().expect("idle connections lock poisoned");
-        let kept = idle.entry(addr).or_default();
-        if kept.len() < IDLE_PER_SERVER {
-            kept.push(sender);
+        let until = idle.map(|idle| self.clock.now() + idle);
+        let mut pool = self.idle.lock().expect("idle connections lock poisoned");
+        let kept = pool.entry(addr).or_default();
+        if kept.len() < self.idle_connections {
+            kept.push(Idle { sender, until });
         }
     }
 
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, addr: SocketAddr) {
+        let mut pool = self.idle.lock().expect("idle connections lock poisoned");
+        pool.remove(&addr);
+    }
+
     /// Whether nothing listens at the address any more.
-    pub(crate) async fn is_refused(&self, addr: SocketAddr) -> bool {
+    pub async fn is_refused(&self, addr: SocketAddr) -> bool {
         let opened = tokio::time::timeout(PROBE_TIME, TcpStream::connect(addr)).await;
         match opened {
             Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
@@ -138,8 +166,9 @@
     fn take(&self, addr: SocketAddr) -> Option<SendRequest<OutBody>> {
         let mut idle = self.idle.lock().expect("idle connections lock poisoned");
         let kept = idle.get_mut(&addr)?;
-        while let Some(sender) = kept.pop() {
-            if sender.is_ready() {
+        let now = self.clock.now();
+        while let Some(Idle { sender, until }) = kept.pop() {
+            if sender.is_ready() && until.is_none_or(|until| now < until) {
                 return Some(sender);
             }
         }
--- /dev/null
+++ b/crates/fleet/src/crash.rs
@@ -0,0 +1,100 @@
+//! Requests that broke the connection of each server that ran them.
+//!
+//! Now and then one request crashes every server that begins to run it, and its caller sends it
+//! again, at any gateway. A request is known by its fingerprint; each gateway counts the runs that
+//! ended in a broken connection before any answer, tells its counts, and refuses a fingerprint
+//! whose count over the fleet reaches the limit.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use primrose_core::clock::Mono;
+use primrose_core::fingerprint::Fingerprint;
+
+/// Broken runs over the fleet after which a fingerprint is refused.
+const LIMIT: u32 = 3;
+/// How long a broken run counts; a caller that comes back later is heard again.
+const MEMORY: Duration = Duration::from_secs(60);
+/// Fingerprints that a digest names; the newest matter.
+const TOLD: usize = 16;
+/// Broken runs of one fingerprint that are worth telling: most have one and never come again.
+const WORTH_TELLING: Duration = Duration::from_secs(15);
+
+#[derive(Debug, Clone, Copy)]
+struct Count {
+    runs: u32,
+    last: Mono,
+}
+
+/// Counts of broken runs.
+#[derive(Debug, Default)]
+pub struct Crashes {
+    own: HashMap<Fingerprint, Count>,
+    others: HashMap<(u64, Fingerprint), Count>,
+}
+
+impl Crashes {
+    /// Records a run that ended in a broken connection.
+    pub fn broke(&mut self, print: Fingerprint, now: Mono) {
+        let count = self
+            .own
+            .entry(print)
+            .or_insert(Count { runs: 0, last: now });
+        count.runs += 1;
+        count.last = now;
+    }
+
+    /// Records that a run came to its end, which clears the request.
+    pub fn ended_well(&mut self, print: Fingerprint) {
+        self.own.remove(&print);
+    }
+
+    /// Records what another gateway counted.
+    pub fn merge(&mut self, writer: u64, counts: &[(Fingerprint, u32)], now: Mono) {
+        for (print, runs) in counts {
+            let count = Count {
+                runs: *runs,
+                last: now,
+            };
+            self.others.insert((writer, *print), count);
+        }
+    }
+
+    /// Whether the request is refused.
+    pub fn is_refused(&self, print: Fingerprint) -> bool {
+        self.runs(print) >= LIMIT
+    }
+
+    /// Broken runs over the fleet.
+    pub fn runs(&self, print: Fingerprint) -> u32 {
+        let own = self.own.get(&print).map_or(0, |count| count.runs);
+        let mut runs = own;
+        for ((_, other), count) in &self.others {
+            if *other == print {
+                runs += count.runs;
+            }
+        }
+        runs
+    }
+
+    /// Counts to tell, newest first.
+    pub fn told(&self, now: Mono) -> Vec<(Fingerprint, u32)> {
+        let mut rows: Vec<_> = self
+            .own
+            .iter()
+            .filter(|(_, count)| now.saturating_sub(count.last) < WORTH_TELLING)
+            .collect();
+        rows.sort_by_key(|(print, count)| (std::cmp::Reverse(count.last), **print));
+        rows.truncate(TOLD);
+        rows.into_iter()
+            .map(|(print, count)| (*print, count.runs))
+            .collect()
+    }
+
+    /// Forgets old counts.
+    pub fn forget(&mut self, now: Mono) {
+        let fresh = |count: &Count| now.saturating_sub(count.last) < MEMORY;
+        self.own.retain(|_, count| fresh(count));
+        self.others.retain(|_, count| fresh(count));
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/fleet/intake.rs
@@ -0,0 +1,306 @@
+//! Taking requests in: place, admit, account, learn.
+
+use std::time::Duration;
+
+use primrose_core::clock::Mono;
+
+use super::Ask;
+use super::Decision;
+use super::Ended;
+use super::Fleet;
+use super::Reason;
+use super::Refusal;
+use super::Work;
+use crate::entry::short;
+use crate::entry::ShortId;
+use crate::place;
+use crate::place::Candidate;
+use crate::place::Choice;
+use crate::server::Load;
+
+/// Time of a plain call before any was seen.
+pub(super) const CALL_TIME_AT_START: Duration = Duration::from_millis(30);
+/// Weight of the newest call in a pool's mean time.
+const CALL_TIME_GAIN: u32 = 20;
+/// Part of the objective that the wait of an account within its share may take. The rest covers
+/// what arrives at the server from other gateways before it is told.
+const WAIT_SHARE: f64 = 0.85;
+/// The same for an account beyond its share: it is served while servers have room, and leaves
+/// the rest of the wait to the others.
+const WAIT_SHARE_BEYOND: f64 = 0.35;
+/// Part of the time left that a request which is late already may wait.
+const WAIT_SHARE_LATE: f64 = 0.4;
+/// Longest wait for a plain call, as part of the time left: a late answer is still worth having.
+const CALL_SHARE: f64 = 0.5;
+/// Shortest and longest time after which a refused caller is asked to come back.
+const RETRY_AFTER: (Duration, Duration) =
+    (Duration::from_millis(120), Duration::from_millis(2_000));
+/// Retry-After where a pool has no server: about the time in which one comes back.
+const RETRY_NO_SERVER: Duration = Duration::from_millis(1_000);
+/// Retry-After for a request that crashes servers.
+const RETRY_CRASHES: Duration = Duration::from_secs(60);
+
+struct View {
+    candidates: Vec<Candidate>,
+    servers: Vec<String>,
+}
+
+impl Fleet {
+    /// Decides on a request; a server that is chosen is charged with it at once.
+    pub fn decide(&mut self, ask: &Ask, now: Mono) -> Decision {
+        let first = ask.tried.is_empty();
+        let service = ask.prompt.map_or(0, |prompt| prompt.service());
+        let account = ask.account.as_deref().map(short);
+        if first {
+            self.pool(&ask.pool).budget.record_attempt();
+            if let Some(account) = account {
+                self.demand.ask(account, service, now);
+            }
+        }
+        if self.crashes.is_refused(ask.print) {
+            return refuse(Reason::CrashesServers, RETRY_CRASHES);
+        }
+        let view = self.view(ask, now);
+        if view.candidates.is_empty() {
+            return refuse(Reason::NoServer, RETRY_NO_SERVER);
+        }
+        let Some(choice) = self.choose(ask, &view, now) else {
+            return refuse(Reason::NoRoom, RETRY_AFTER.0 * 2);
+        };
+        if first {
+            if let Some(refusal) = self.admit(ask, choice, account, service, now) {
+                return Decision::Refuse(refusal);
+            }
+            if let Some(account) = account {
+                self.demand.grant(account, service, now);
+            }
+        }
+        let server = &view.servers[choice.index];
+        let waiting = view.candidates[choice.index].load.reading + choice.reading;
+        match self.charge(ask, server, choice, waiting, now) {
+            Some(work) => Decision::Send(work),
+            None => refuse(Reason::NoServer, RETRY_NO_SERVER),
+        }
+    }
+
+    /// Whether a request may be sent to one more server, which draws on the budget of the fleet.
+    pub fn try_again(&mut self, ask: &Ask) -> bool {
+        self.pool(&ask.pool).budget.try_retry()
+    }
+
+    /// Records the first event of a stream.
+    pub fn first_event(&mut self, work: &mut Work, now: Mono) {
+        if work.first_seen {
+            return;
+        }
+        work.first_seen = true;
+        let took = now.saturating_sub(work.began);
+        let pool = self.pool(&work.pool.clone());
+        let predicted = pool.pace.predict(work.waiting);
+        pool.pace.observe(work.waiting, took);
+        let read = Load {
+            reading: work.load.reading,
+            ..Load::default()
+        };
+        if let Some(server) = self.server_of(work) {
+            server.own.remove(read);
+            server.slowness.observe(took, predicted);
+            server.heard = Some(now);
+        }
+        work.load.reading = 0;
+    }
+
+    /// Records that something was read from a server.
+    pub fn heard(&mut self, work: &Work, now: Mono) {
+        if let Some(server) = self.server_of(work) {
+            server.heard = Some(now);
+        }
+    }
+
+    /// Whether a server has been silent to all of this gateway's requests since `since`.
+    pub fn is_silent(&mut self, work: &Work, since: Mono) -> bool {
+        match self.server_of(work) {
+            Some(server) => server.heard.is_none_or(|heard| heard < since),
+            None => true,
+        }
+    }
+
+    /// Records the end of a request at a server.
+    pub fn end(&mut self, ask: &Ask, work: &Work, ended: Ended, now: Mono) {
+        if ended == Ended::Good && ask.prompt.is_none() {
+            let took = now.saturating_sub(work.began);
+            let pool = self.pool(&work.pool.clone());
+            let mean = pool.call_time * (CALL_TIME_GAIN - 1) + took;
+            pool.call_time = mean / CALL_TIME_GAIN;
+        }
+        match ended {
+            Ended::Broken => self.crashes.broke(ask.print, now),
+            Ended::Good => self.crashes.ended_well(ask.print),
+            _ => {}
+        }
+        let Some(server) = self.server_of(work) else {
+            return;
+        };
+        server.own.remove(work.load);
+        match ended {
+            Ended::Good => server.health.succeeded(now),
+            Ended::Failed | Ended::Broken => server.health.failed(now),
+            Ended::Unreachable => server.health.unreachable(now),
+            Ended::NotRun => server.health.reached(),
+            Ended::GivenUp => {}
+        }
+    }
+
+    fn server_of(&mut self, work: &Work) -> Option<&mut crate::server::Server> {
+        let server = self.servers.get_mut(&work.server)?;
+        (server.entry.born_ms == work.born_ms).then_some(server)
+    }
+
+    fn view(&mut self, ask: &Ask, now: Mono) -> View {
+        let memory = self.catalog.as_ref().and_then(|catalog| {
+            let pool = catalog.tables().pools.get(&ask.pool)?;
+            pool.engine.map(|engine| engine.memory)
+        });
+        let mut view = View {
+            candidates: Vec::new(),
+            servers: Vec::new(),
+        };
+        for server in self.servers.iter_mut() {
+            let entry = &server.entry;
+            if entry.pool != ask.pool || !server.takes_new() || server.health.is_paused(now) {
+                continue;
+            }
+            if ask.tried.contains(&entry.id) {
+                continue;
+            }
+            let mut load = server.own;
+            let mut counts = server.health.counts(now);
+            if let Some((other, seen)) = self.others.get(&server.short) {
+                load.add(*other);
+                counts.good += seen.good;
+                counts.failed += seen.failed;
+            }
+            view.candidates.push(Candidate {
+                short: server.short,
+                load,
+                slots: entry.slots,
+                memory: memory.unwrap_or(u64::MAX),
+                near: entry.zone == self.config.zone,
+                failures: counts.failure_share(),
+                slowness: server.slowness.factor(),
+            });
+            view.servers.push(entry.id.clone());
+        }
+        view
+    }
+
+    fn choose(&mut self, ask: &Ask, view: &View, now: Mono) -> Option<Choice> {
+        match &ask.prompt {
+            Some(prompt) => {
+                self.pool(&ask.pool);
+                let pace = &self.pools[&ask.pool].pace;
+                place::place_prompt(prompt, &view.candidates, &self.kept, pace, now)
+            }
+            None => {
+                let work = self.pool(&ask.pool).call_time;
+                place::place_call(&view.candidates, work)
+            }
+        }
+    }
+
+    /// Returns why a new request is not accepted, if it is not.
+    fn admit(
+        &mut self,
+        ask: &Ask,
+        choice: Choice,
+        account: Option<ShortId>,
+        service: u64,
+        now: Mono,
+    ) -> Option<Refusal> {
+        let left = ask.deadline.saturating_sub(now);
+        let spent = now.saturating_sub(ask.arrived);
+        if ask.prompt.is_none() {
+            let allowed = left.mul_f64(CALL_SHARE);
+            return too_long(Reason::Overload, choice.wait, allowed);
+        }
+        let objective = ask.route.objective.saturating_sub(spent);
+        if objective.is_zero() {
+            let allowed = left.mul_f64(WAIT_SHARE_LATE);
+            return too_long(Reason::Overload, choice.wait, allowed);
+        }
+        let beyond = account.is_some_and(|account| self.is_beyond_share(account, service, now));
+        if beyond {
+            let allowed = objective.mul_f64(WAIT_SHARE_BEYOND);
+            return too_long(Reason::OverShare, choice.wait, allowed);
+        }
+        too_long(Reason::Overload, choice.wait, objective.mul_f64(WAIT_SHARE))
+    }
+
+    fn is_beyond_share(&mut self, account: ShortId, service: u64, now: Mono) -> bool {
+        let rate = self
+            .catalog
+            .as_ref()
+            .and_then(|catalog| catalog.tables().limits.token_rate);
+        let Some(rate) = rate else {
+            return false;
+        };
+        let share = self.demand.share(rate, now);
+        let totals = self.demand.totals(now);
+        let granted = totals.get(&account).map_or(0, |sums| sums.granted);
+        granted + service > share
+    }
+
+    fn charge(
+        &mut self,
+        ask: &Ask,
+        server: &str,
+        choice: Choice,
+        waiting: u64,
+        now: Mono,
+    ) -> Option<Work> {
+        let server = self.servers.get_mut(server)?;
+        let load = Load {
+            reading: choice.reading,
+            memory: ask.prompt.as_ref().map_or(0, place::memory_of),
+            running: 1,
+        };
+        server.own.add(load);
+        server.health.claim_probe(now);
+        if let Some(prompt) = &ask.prompt {
+            self.kept.record(prompt.shared, server.short, now);
+        }
+        Some(Work {
+            server: server.entry.id.clone(),
+            born_ms: server.entry.born_ms,
+            addr: server.entry.addr,
+            load,
+            predicted: choice.wait,
+            waiting,
+            began: now,
+            pool: ask.pool.clone(),
+            first_seen: false,
+        })
+    }
+}
+
+fn refuse(reason: Reason, retry_after: Duration) -> Decision {
+    Decision::Refuse(Refusal {
+        reason,
+        retry_after,
+        predicted: Duration::ZERO,
+        allowed: Duration::ZERO,
+    })
+}
+
+fn too_long(reason: Reason, predicted: Duration, allowed: Duration) -> Option<Refusal> {
+    if predicted <= allowed {
+        return None;
+    }
+    let excess = predicted.saturating_sub(allowed);
+    Some(Refusal {
+        reason,
+        retry_after: excess.clamp(RETRY_AFTER.0, RETRY_AFTER.1),
+        predicted,
+        allowed,
+    })
+}
--- /dev/null
+++ b/crates/fleet/src/server.rs
@@ -0,0 +1,269 @@
+//! The servers that a gateway knows of, and when it stops using one.
+//!
+//! The platform's list is followed change by change. A server that leaves is not used from the
+//! moment it is known, and the mark holds for that start of the server, whatever older news comes
+//! after it. An entry that disappears while the platform was out of reach may only have lapsed, so
+//! it stays usable for the time that a living server takes to come back.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use primrose_core::clock::Mono;
+use primrose_core::id::ServerId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::entry::short;
+use crate::entry::ServerEntry;
+use crate::entry::ShortId;
+use crate::health::Health;
+use crate::pace::Slowness;
+
+/// How long a server may be missing after an outage of the platform before it counts as gone:
+/// living servers are back in the list within about two seconds of its return.
+const RETURN_TIME: Duration = Duration::from_millis(2_000);
+/// How long after an outage a missing entry may be one that lapsed.
+const OUTAGE_SHADOW: Duration = Duration::from_millis(2_500);
+/// How long a leaving mark is told to other gateways; the platform's list has it by then.
+const MARK_TOLD: Duration = Duration::from_secs(10);
+/// Marks that a digest names.
+const MARKS_TOLD: usize = 16;
+
+/// What requests take of a server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Prompt tokens that are still to be read before first events.
+    pub reading: u64,
+    /// Tokens that running requests need in memory.
+    pub memory: u64,
+    /// Requests that run or wait there.
+    pub running: u32,
+}
+
+impl Load {
+    /// Adds a part.
+    pub fn add(&mut self, part: Self) {
+        self.reading += part.reading;
+        self.memory += part.memory;
+        self.running += part.running;
+    }
+
+    /// Takes a part away again.
+    pub fn remove(&mut self, part: Self) {
+        self.reading = self.reading.saturating_sub(part.reading);
+        self.memory = self.memory.saturating_sub(part.memory);
+        self.running = self.running.saturating_sub(part.running);
+    }
+}
+
+/// A server and what this gateway knows of it.
+#[derive(Debug)]
+pub struct Server {
+    /// The platform's entry.
+    pub entry: ServerEntry,
+    /// Short name.
+    pub short: ShortId,
+    /// What this gateway's requests take.
+    pub own: Load,
+    /// What this gateway's requests experienced.
+    pub health: Health,
+    /// How much slower it is than its pool.
+    pub slowness: Slowness,
+    /// When anything was last read from it.
+    pub heard: Option<Mono>,
+    /// Since when the platform's list lacks it.
+    missing: Option<Mono>,
+}
+
+impl Server {
+    fn new(entry: ServerEntry) -> Self {
+        Self {
+            short: short(&entry.id),
+            entry,
+            own: Load::default(),
+            health: Health::default(),
+            slowness: Slowness::default(),
+            heard: None,
+            missing: None,
+        }
+    }
+
+    /// Whether new requests may be sent to it.
+    pub fn takes_new(&self) -> bool {
+        !self.entry.leaving
+    }
+}
+
+/// A change of a gateway's belief, for its log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// A server or a new start of one is usable.
+    Joined(ServerId),
+    /// A server takes no new requests.
+    Leaving(ServerId),
+    /// An entry disappeared, perhaps only for a while.
+    Missing(ServerId),
+    /// A server is not used any more.
+    Gone(ServerId),
+}
+
+/// All servers.
+#[derive(Debug, Default)]
+pub struct Servers {
+    by_id: HashMap<ServerId, Server>,
+    marks: HashMap<(ShortId, u64), Mono>,
+    outage_end: Option<Mono>,
+}
+
+impl Servers {
+    /// Takes in an entry of the list.
+    pub fn seen(&mut self, mut entry: ServerEntry, now: Mono) -> Vec<Change> {
+        let mark = (short(&entry.id), entry.born_ms);
+        entry.leaving |= self.marks.contains_key(&mark);
+        let mut changes = self.drop_reused(&entry);
+        if entry.leaving {
+            self.marks.entry(mark).or_insert(now);
+        }
+        let known = self.by_id.get_mut(&entry.id);
+        let change = match known {
+            Some(server) if server.entry.born_ms == entry.born_ms => {
+                let began = entry.leaving && !server.entry.leaving;
+                server.missing = None;
+                server.entry = entry;
+                began.then(|| Change::Leaving(server.entry.id.clone()))
+            }
+            _ => {
+                let id = entry.id.clone();
+                let leaving = entry.leaving;
+                self.by_id.insert(id.clone(), Server::new(entry));
+                Some(if leaving {
+                    Change::Leaving(id)
+                } else {
+                    Change::Joined(id)
+                })
+            }
+        };
+        changes.extend(change);
+        changes
+    }
+
+    /// Takes in that an entry was removed from the list.
+    pub fn removed(&mut self, id: &str, now: Mono) -> Vec<Change> {
+        let in_shadow = self
+            .outage_end
+            .is_some_and(|end| now.saturating_sub(end) < OUTAGE_SHADOW);
+        let Some(server) = self.by_id.get_mut(id) else {
+            return Vec::new();
+        };
+        if in_shadow && server.takes_new() {
+            if server.missing.is_some() {
+                return Vec::new();
+            }
+            server.missing = Some(now);
+            return vec![Change::Missing(id.to_owned())];
+        }
+        self.by_id.remove(id);
+        vec![Change::Gone(id.to_owned())]
+    }
+
+    /// Takes in the whole list.
+    pub fn replace(&mut self, entries: Vec<ServerEntry>, now: Mono) -> Vec<Change> {
+        let gone: Vec<ServerId> = self
+            .by_id
+            .keys()
+            .filter(|id| !entries.iter().any(|entry| entry.id == **id))
+            .cloned()
+            .collect();
+        let mut changes = Vec::new();
+        for id in gone {
+            changes.extend(self.removed(&id, now));
+        }
+        for entry in entries {
+            changes.extend(self.seen(entry, now));
+        }
+        changes
+    }
+
+    /// Takes in that the platform answers again after an outage.
+    pub fn outage_ended(&mut self, now: Mono) {
+        self.outage_end = Some(now);
+    }
+
+    /// Takes in leaving marks of another gateway.
+    pub fn merge_marks(&mut self, marks: &[(ShortId, u64)], now: Mono) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for mark in marks {
+            if self.marks.contains_key(mark) {
+                continue;
+            }
+            self.marks.insert(*mark, now);
+            let marked = self.by_id.values_mut().find(|server| {
+                server.short == mark.0 && server.entry.born_ms == mark.1 && server.takes_new()
+            });
+            if let Some(server) = marked {
+                server.entry.leaving = true;
+                changes.push(Change::Leaving(server.entry.id.clone()));
+            }
+        }
+        changes
+    }
+
+    /// Leaving marks to tell.
+    pub fn marks(&self, now: Mono) -> Vec<(ShortId, u64)> {
+        let fresh = |since: &Mono| now.saturating_sub(*since) < MARK_TOLD;
+        let told = self.marks.iter().filter(|(_, since)| fresh(since));
+        told.map(|(mark, _)| *mark).take(MARKS_TOLD).collect()
+    }
+
+    /// Drops servers that stayed missing.
+    pub fn expire(&mut self, now: Mono) -> Vec<Change> {
+        let late = |server: &Server| {
+            let since = server.missing;
+            since.is_some_and(|since| now.saturating_sub(since) >= RETURN_TIME)
+        };
+        let gone = self.by_id.values().filter(|server| late(server));
+        let gone: Vec<ServerId> = gone.map(|server| server.entry.id.clone()).collect();
+        for id in &gone {
+            self.by_id.remove(id);
+        }
+        gone.into_iter().map(Change::Gone).collect()
+    }
+
+    /// A server by its name.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Server> {
+        self.by_id.get_mut(id)
+    }
+
+    /// All servers.
+    pub fn iter(&self) -> impl Iterator<Item = &Server> {
+        self.by_id.values()
+    }
+
+    /// All servers.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Server> {
+        self.by_id.values_mut()
+    }
+
+    /// Whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
+    /// Drops a server whose address another one has taken over.
+    fn drop_reused(&mut self, entry: &ServerEntry) -> Vec<Change> {
+        let same = |addr: SocketAddr| addr == entry.addr;
+        let old = self
+            .by_id
+            .values()
+            .find(|server| same(server.entry.addr) && server.entry.id != entry.id)
+            // Between two living entries the later start holds the address.
+            .filter(|server| server.entry.born_ms < entry.born_ms)
+            .map(|server| server.entry.id.clone());
+        let Some(id) = old else {
+            return Vec::new();
+        };
+        self.by_id.remove(&id);
+        vec![Change::Gone(id)]
+    }
+}
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -30,8 +30,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
-use crate::connections::Connections;
-use crate::connections::SendError;
+use primrose_conn::Connections;
+use primrose_conn::SendError;
 
 /// Header that names the attempt towards a backend server.
 pub const ATTEMPT_ID: &str = "x-attempt-id";
@@ -193,7 +193,7 @@
     }
     let answer = connections.send(call.addr, sender, request).await?;
     read(call, answer.response, reporter).await?;
-    connections.keep(call.addr, answer.sender);
+    connections.keep(call.addr, answer.sender, None);
     Ok(())
 }
 
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -14,13 +14,13 @@
 use tokio::sync::watch;
 
 use crate::broker::Broker;
-use crate::connections::Connections;
 use crate::limits::Limits;
 use crate::listen;
 use crate::pass::PassKey;
 use crate::serve::Service;
 use crate::shared::Active;
 use crate::shared::Shared;
+use primrose_conn::Connections;
 
 /// Longest pause between looks at the requests in flight while the front drains.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
@@ -90,7 +90,7 @@
         let shared = Arc::new(Shared {
             broker,
             clock: Arc::clone(&clock),
-            connections: Arc::new(Connections::new(limits.connect_time)),
+            connections: Arc::new(Connections::new(limits.connect_time, Arc::clone(&clock))),
             limits: Arc::clone(&limits),
             active: Arc::clone(&active),
             passes,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -20,7 +20,6 @@
 pub mod attempt;
 pub mod broker;
 mod caller;
-mod connections;
 mod drive;
 mod end;
 mod finish;
--- a/crates/front/src/shared.rs
+++ b/crates/front/src/shared.rs
@@ -12,9 +12,9 @@
 use tokio::sync::watch;
 
 use crate::broker::Broker;
-use crate::connections::Connections;
 use crate::limits::Limits;
 use crate::pass::PassKey;
+use primrose_conn::Connections;
 
 /// Handles that every request needs.
 pub(crate) struct Shared {
--- /dev/null
+++ b/crates/gateway/src/control.rs
@@ -0,0 +1,120 @@
+//! The control listener: readiness, metrics, and a snapshot for gateways that lack one.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use crate::run::Render;
+use crate::shared::Shared;
+
+/// Where a gateway gives its snapshot.
+pub(crate) const SNAPSHOT_PATH: &str = "/fleet/snapshot";
+/// Where a gateway gives its metrics.
+const METRICS_PATH: &str = "/metrics";
+/// Where a gateway says what it believes.
+const STATUS_PATH: &str = "/status";
+
+/// What a listener is for.
+#[derive(Clone)]
+pub(crate) enum Duty {
+    /// Says whether the gateway takes new connections, whatever the path.
+    Ready,
+    /// Serves operators and other gateways.
+    Control(Option<Render>),
+}
+
+/// Accepts connections until the process ends.
+pub(crate) async fn listen(shared: Rc<Shared>, listener: TcpListener, duty: Duty) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                ::log::warn!("failed to accept a control connection: {error}");
+                tokio::task::yield_now().await;
+                continue;
+            }
+        };
+        let shared = Rc::clone(&shared);
+        let duty = duty.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| {
+                let response = answer(&shared, &duty, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                ::log::debug!("a control connection ended: {error}");
+            }
+        });
+    }
+}
+
+fn answer(shared: &Shared, duty: &Duty, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    if request.method() != Method::GET {
+        return reply(StatusCode::METHOD_NOT_ALLOWED, "only GET is served here");
+    }
+    let render = match duty {
+        Duty::Ready if shared.is_ready() => return reply(StatusCode::OK, "ready"),
+        Duty::Ready => return reply(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+        Duty::Control(render) => render,
+    };
+    match request.uri().path() {
+        SNAPSHOT_PATH => match shared.fleet.borrow().snapshot().encode() {
+            Ok(bytes) => reply(StatusCode::OK, bytes),
+            Err(error) => reply(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        },
+        METRICS_PATH => {
+            gauges(shared);
+            let text = render.as_ref().map(|render| render());
+            reply(StatusCode::OK, text.unwrap_or_default())
+        }
+        STATUS_PATH => reply(StatusCode::OK, status(shared)),
+        _ => reply(StatusCode::NOT_FOUND, "no such page"),
+    }
+}
+
+fn reply(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    response
+}
+
+fn gauges(shared: &Shared) {
+    let fleet = shared.fleet.borrow();
+    metrics::gauge!("requests_running").set(shared.running.get() as f64);
+    metrics::gauge!("callers_connected").set(shared.callers.get() as f64);
+    metrics::gauge!("gateways_heard").set(fleet.size() as f64);
+    metrics::gauge!("tables_generation").set(fleet.generation() as f64);
+    metrics::gauge!("server_list_version").set(fleet.list_version() as f64);
+    let lost = shared.list_lost.get();
+    let age = lost.map_or(0.0, |since| {
+        shared.now().saturating_sub(since).as_secs_f64()
+    });
+    metrics::gauge!("server_list_lost_seconds").set(age);
+}
+
+fn status(shared: &Shared) -> String {
+    let fleet = shared.fleet.borrow();
+    json!({
+        "ready": shared.is_ready(),
+        "draining": shared.draining.get(),
+        "generation": fleet.generation(),
+        "list_version": fleet.list_version(),
+        "gateways": fleet.size(),
+        "running": shared.running.get(),
+        "servers": fleet.status(),
+    })
+    .to_string()
+}
--- /dev/null
+++ b/crates/gateway/src/feed.rs
@@ -0,0 +1,237 @@
+//! Following the platform: tables, servers, gateways.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use primrose_core::clock::Mono;
+use primrose_fleet::entry::ServerEntry;
+use tokio::time::timeout;
+
+use crate::border::Batch;
+use crate::border::Feed;
+use crate::border::News;
+use crate::border::PlatformError;
+use crate::border::Version;
+use crate::event::Event;
+use crate::shared::millis;
+use crate::shared::Shared;
+
+/// How long a watch waits at the platform. A connection that went silent is noticed after this
+/// and the grace, which has to stay below the time in which tables must be in force.
+const WATCH_TIME: Duration = Duration::from_millis(900);
+/// How long the platform may take beyond that, or for a list.
+const ANSWER_GRACE: Duration = Duration::from_millis(800);
+/// Pause after servers changed. Each of them writes about once a second, so that watches without
+/// a pause would be a call for each write at each gateway.
+const SERVERS_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after tables changed.
+const TABLES_PAUSE: Duration = Duration::from_millis(40);
+/// First and longest pause after a failure.
+const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(80), Duration::from_millis(700));
+/// Failures in a row that count as a lost dependency.
+const LOST_FAILURES: u32 = 2;
+/// How long the gateways' list holds; peers name one another in the meantime.
+const GATEWAYS_PAUSE: Duration = Duration::from_secs(6);
+/// Lease of this gateway's own entry: a few renewals may fail.
+const LEASE_TIME: Duration = Duration::from_secs(12);
+/// How often the lease is renewed.
+const RENEW_PAUSE: Duration = Duration::from_secs(4);
+
+/// Where a feed stands.
+struct Position {
+    feed: Feed,
+    after: Option<Version>,
+    failures: u32,
+    lost: Option<Mono>,
+}
+
+/// Follows tables or servers until the process ends.
+pub(crate) async fn follow(shared: Rc<Shared>, feed: Feed) {
+    let mut position = Position {
+        feed,
+        after: None,
+        failures: 0,
+        lost: None,
+    };
+    loop {
+        let listing = position.after.is_none();
+        match read(&shared, &position).await {
+            Ok(batch) => {
+                regained(&shared, &mut position);
+                let quiet = batch.news.is_empty();
+                position.after = Some(batch.version);
+                apply(&shared, feed, batch, listing);
+                if !quiet && !listing {
+                    tokio::time::sleep(pause(feed)).await;
+                }
+            }
+            Err(PlatformError::Forgotten) => position.after = None,
+            Err(error) => {
+                lost(&shared, &mut position, &error);
+                tokio::time::sleep(retry_pause(position.failures)).await;
+            }
+        }
+    }
+}
+
+async fn read(shared: &Shared, position: &Position) -> Result<Batch, PlatformError> {
+    let (limit, call) = match position.after {
+        None => (ANSWER_GRACE, shared.platform.list(position.feed)),
+        Some(after) => (
+            WATCH_TIME + ANSWER_GRACE,
+            shared.platform.watch(position.feed, after, WATCH_TIME),
+        ),
+    };
+    match timeout(limit, call).await {
+        Ok(read) => read,
+        Err(_) => Err(PlatformError::Unreachable {
+            reason: "no answer in time".to_owned(),
+        }),
+    }
+}
+
+fn pause(feed: Feed) -> Duration {
+    match feed {
+        Feed::Tables => TABLES_PAUSE,
+        Feed::Servers | Feed::Gateways => SERVERS_PAUSE,
+    }
+}
+
+fn retry_pause(failures: u32) -> Duration {
+    let pause = RETRY_PAUSE.0 * (1 << failures.min(5));
+    let pause = pause.min(RETRY_PAUSE.1);
+    // Gateways that failed together do not come back together.
+    pause.mul_f64(rand::random_range(0.6..1.2))
+}
+
+fn lost(shared: &Shared, position: &mut Position, error: &PlatformError) {
+    position.failures += 1;
+    metrics::counter!("platform_failures", "feed" => position.feed.to_string()).increment(1);
+    if position.failures < LOST_FAILURES || position.lost.is_some() {
+        return;
+    }
+    let now = shared.now();
+    position.lost = Some(now);
+    if position.feed == Feed::Servers {
+        shared.list_lost.set(Some(now));
+    }
+    shared.log.event(&Event::DependencyLost {
+        dependency: format!("platform {}", position.feed),
+        reason: error.to_string(),
+    });
+}
+
+fn regained(shared: &Shared, position: &mut Position) {
+    position.failures = 0;
+    let Some(since) = position.lost.take() else {
+        return;
+    };
+    let now = shared.now();
+    if position.feed == Feed::Servers {
+        shared.list_lost.set(None);
+        shared.fleet.borrow_mut().outage_ended(now);
+        // A peer may have told of later changes; the whole list settles what is true.
+        position.after = None;
+    }
+    shared.log.event(&Event::DependencyRegained {
+        dependency: format!("platform {}", position.feed),
+        lost_ms: millis(now.saturating_sub(since)),
+    });
+}
+
+fn apply(shared: &Shared, feed: Feed, batch: Batch, listing: bool) {
+    let now = shared.now();
+    let mut listed: Vec<ServerEntry> = Vec::new();
+    for news in batch.news {
+        match news {
+            News::Tables(tables) => adopt_tables(shared, *tables, "platform"),
+            News::Server(entry) if listing => listed.push(entry),
+            News::Server(entry) => {
+                let changes = shared.fleet.borrow_mut().server_seen(entry, now);
+                shared.log_changes(&changes, "platform");
+            }
+            News::ServerGone(id) => {
+                let changes = shared.fleet.borrow_mut().server_removed(&id, now);
+                shared.log_changes(&changes, "platform");
+            }
+            News::Gateway(ip) => shared.fleet.borrow_mut().contact(ip, now),
+            News::Unusable { name, reason } => {
+                shared.log.event(&Event::EntryUnusable { name, reason });
+            }
+        }
+    }
+    if feed != Feed::Servers {
+        return;
+    }
+    shared.fleet.borrow_mut().list_reached(batch.version);
+    if listing {
+        let changes = shared.fleet.borrow_mut().servers_listed(listed, now);
+        shared.log_changes(&changes, "platform");
+    }
+}
+
+/// Puts tables into force if they are newer, and logs it.
+pub(crate) fn adopt_tables(shared: &Shared, tables: primrose_fleet::catalog::Tables, source: &str) {
+    let generation = tables.generation;
+    let before = shared.fleet.borrow_mut().adopt_tables(tables);
+    if let Some(before) = before {
+        shared.log.event(&Event::TablesInForce {
+            generation,
+            before,
+            source: source.to_owned(),
+        });
+    }
+}
+
+/// Keeps this gateway listed, and reads who else is, until the process ends.
+pub(crate) async fn enrol(shared: Rc<Shared>, lease: Rc<std::cell::Cell<Option<u64>>>) {
+    let mut failures = 0;
+    let mut listed: Option<Mono> = None;
+    loop {
+        match keep_listed(&shared, &lease, &mut listed).await {
+            Ok(()) => {
+                failures = 0;
+                tokio::time::sleep(RENEW_PAUSE).await;
+            }
+            Err(error) => {
+                failures += 1;
+                ::log::debug!("failed to keep this gateway listed: {error}");
+                metrics::counter!("platform_failures", "feed" => "gateways").increment(1);
+                tokio::time::sleep(retry_pause(failures)).await;
+            }
+        }
+    }
+}
+
+async fn keep_listed(
+    shared: &Shared,
+    lease: &std::cell::Cell<Option<u64>>,
+    listed: &mut Option<Mono>,
+) -> Result<(), PlatformError> {
+    let platform = &shared.platform;
+    match lease.get() {
+        Some(held) => match limited(platform.renew(held)).await {
+            Err(PlatformError::LeaseEnded) => lease.set(None),
+            other => other?,
+        },
+        None => lease.set(Some(limited(platform.enrol(LEASE_TIME)).await?)),
+    }
+    let now = shared.now();
+    if listed.is_none_or(|at| now.saturating_sub(at) >= GATEWAYS_PAUSE) {
+        let batch = limited(platform.list(Feed::Gateways)).await?;
+        apply(shared, Feed::Gateways, batch, true);
+        *listed = Some(now);
+    }
+    Ok(())
+}
+
+async fn limited<T>(
+    call: crate::border::Task<'_, Result<T, PlatformError>>,
+) -> Result<T, PlatformError> {
+    match timeout(ANSWER_GRACE, call).await {
+        Ok(done) => done,
+        Err(_) => Err(PlatformError::Unreachable {
+            reason: "no answer in time".to_owned(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ingress.rs
@@ -0,0 +1,97 @@
+//! The callers' listener.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::serve::serve;
+use crate::shared::Shared;
+
+/// Bytes of a request's head before tables are known.
+const HEAD_BYTES: usize = 16 << 10;
+/// Time for a head, and between two requests, before tables are known.
+const IDLE_TIME: Duration = Duration::from_secs(15);
+/// Pause after a connection could not be accepted, as when no descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Least buffer that the HTTP library takes.
+const LEAST_BUFFER: usize = 8 << 10;
+
+/// Accepts callers' connections until the process ends.
+pub(crate) async fn listen(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(Rc::clone(&shared), stream));
+            }
+            Err(error) => {
+                ::log::warn!("failed to accept a caller's connection: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Counts an open connection for as long as it lives.
+struct Open(Rc<Shared>);
+
+impl Open {
+    fn new(shared: &Rc<Shared>) -> Self {
+        shared.callers.set(shared.callers.get() + 1);
+        Self(Rc::clone(shared))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.callers.set(self.0.callers.get().saturating_sub(1));
+    }
+}
+
+async fn connection(shared: Rc<Shared>, stream: TcpStream) {
+    let _open = Open::new(&shared);
+    // Events are small; waiting to fill a segment would hold them back.
+    let _ = stream.set_nodelay(true);
+    let (head_bytes, idle_time) = match shared.fleet.borrow().catalog() {
+        Some(catalog) => {
+            let limits = &catalog.tables().limits;
+            (limits.head_bytes, limits.idle_time)
+        }
+        None => (HEAD_BYTES, IDLE_TIME),
+    };
+    let service = {
+        let shared = Rc::clone(&shared);
+        service_fn(move |request| {
+            let shared = Rc::clone(&shared);
+            async move { Ok::<_, Infallible>(serve(shared, request).await) }
+        })
+    };
+    let mut connection = pin!(http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle_time)
+        .max_buf_size(head_bytes.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service));
+    let closing = shared.closing.notified();
+    let ended = if shared.is_closing.get() {
+        connection.as_mut().graceful_shutdown();
+        connection.await
+    } else {
+        tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = closing => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        }
+    };
+    if let Err(error) = ended {
+        ::log::debug!("a caller's connection ended: {error}");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,32 @@
+//! The data path of a router whose fleet shares beliefs in place of a dispatcher.
+//!
+//! One thread runs everything: callers' connections, servers' connections, the platform's feeds,
+//! datagrams to the other gateways and the control listener. [`primrose_fleet`] decides; this crate
+//! moves bytes and tells it what happened. What callers, servers and the platform speak is behind
+//! the traits of [`border`], so that no name of a platform occurs here.
+
+mod attempt;
+mod body;
+pub mod border;
+mod control;
+pub mod event;
+mod feed;
+mod gossip;
+mod hold;
+mod ingress;
+mod job;
+pub mod log;
+mod reply;
+pub mod run;
+mod serve;
+mod shared;
+pub mod split;
+mod stream;
+mod watch;
+
+pub use border::Dialect;
+pub use border::Platform;
+pub use run::run;
+pub use run::Config;
+pub use run::Ended;
+pub use run::StartError;
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,100 @@
+//! What all tasks of a gateway share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrose_conn::Connections;
+use primrose_core::clock::Clock;
+use primrose_core::clock::Mono;
+use primrose_fleet::server::Change;
+use primrose_fleet::Fleet;
+use tokio::sync::Notify;
+
+use crate::border::Dialect;
+use crate::border::Platform;
+use crate::event::Event;
+use crate::log::Log;
+
+/// What all tasks of a gateway share; they run on one thread.
+pub(crate) struct Shared {
+    pub(crate) fleet: RefCell<Fleet>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) dialect: Box<dyn Dialect>,
+    pub(crate) platform: Box<dyn Platform>,
+    pub(crate) servers: Connections,
+    /// Connections to other gateways' control listeners.
+    pub(crate) peers: Connections,
+    pub(crate) control_port: u16,
+    pub(crate) log: Log,
+    /// Requests in progress.
+    pub(crate) running: Cell<usize>,
+    /// Whether shutdown was asked for.
+    pub(crate) draining: Cell<bool>,
+    /// Wakes connections to close.
+    pub(crate) closing: Notify,
+    pub(crate) is_closing: Cell<bool>,
+    /// Open connections of callers.
+    pub(crate) callers: Cell<usize>,
+    /// Since when the list of servers cannot be followed.
+    pub(crate) list_lost: Cell<Option<Mono>>,
+}
+
+impl Shared {
+    pub(crate) fn now(&self) -> Mono {
+        self.clock.now()
+    }
+
+    /// Whether the gateway takes new connections.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.draining.get() && self.fleet.borrow().is_ready()
+    }
+
+    /// Control listener of another gateway.
+    pub(crate) fn control_of(&self, ip: std::net::IpAddr) -> SocketAddr {
+        SocketAddr::new(ip, self.control_port)
+    }
+
+    /// Logs changes of belief about servers.
+    pub(crate) fn log_changes(&self, changes: &[Change], source: &str) {
+        let list_version = self.fleet.borrow().list_version();
+        for change in changes {
+            let (server, change) = match change {
+                Change::Joined(id) => (id, "joined"),
+                Change::Leaving(id) => (id, "leaving"),
+                Change::Missing(id) => (id, "missing"),
+                Change::Gone(id) => (id, "gone"),
+            };
+            self.log.event(&Event::Server {
+                server: server.clone(),
+                change,
+                list_version,
+                source: source.to_owned(),
+            });
+        }
+    }
+}
+
+/// Counts a request in progress for as long as it lives.
+pub(crate) struct Running(Rc<Shared>);
+
+impl Running {
+    pub(crate) fn new(shared: &Rc<Shared>) -> Self {
+        shared.running.set(shared.running.get() + 1);
+        Self(Rc::clone(shared))
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get().saturating_sub(1));
+    }
+}
+
+/// Whole milliseconds, for logs.
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/gateway/src/split.rs
@@ -0,0 +1,79 @@
+//! Splits a stream into whole events.
+//!
+//! A server may stop in the middle of an event. Only whole events are passed on, so that another
+//! server can go on after the last one and nothing is joined from two runs.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+use crate::border::EventId;
+
+/// Most bytes of one event; more is no event stream.
+const MOST_BYTES: usize = 1 << 20;
+
+/// Collects bytes and gives whole events back.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    rest: BytesMut,
+    last: Option<EventId>,
+}
+
+impl Splitter {
+    /// Starts after an event that the caller has already.
+    pub fn after(last: Option<EventId>) -> Self {
+        Self {
+            rest: BytesMut::new(),
+            last,
+        }
+    }
+
+    /// Takes bytes in; returns all whole events that are complete by now.
+    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        self.rest.extend_from_slice(bytes);
+        let end = whole_length(&self.rest);
+        if end == 0 {
+            return None;
+        }
+        let whole = self.rest.split_to(end).freeze();
+        if let Some(id) = last_id(&whole) {
+            self.last = Some(id);
+        }
+        Some(whole)
+    }
+
+    /// Id of the last whole event.
+    pub fn last(&self) -> Option<EventId> {
+        self.last
+    }
+
+    /// Whether an event has begun that is not whole.
+    pub fn is_within(&self) -> bool {
+        !self.rest.is_empty()
+    }
+
+    /// Whether the event that has begun is too long to be one.
+    pub fn is_overlong(&self) -> bool {
+        self.rest.len() > MOST_BYTES
+    }
+}
+
+/// Length up to and including the last blank line.
+fn whole_length(bytes: &[u8]) -> usize {
+    let mut from = bytes.len();
+    while let Some(at) = bytes[..from].iter().rposition(|byte| *byte == b'\n') {
+        let before = &bytes[..at];
+        let line = before.strip_suffix(b"\r").unwrap_or(before);
+        if line.ends_with(b"\n") {
+            return at + 1;
+        }
+        from = at;
+    }
+    0
+}
+
+fn last_id(events: &[u8]) -> Option<EventId> {
+    let lines = events.rsplit(|byte| *byte == b'\n');
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let id = std::str::from_utf8(ids.next()?).ok()?;
+    id.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/watch.rs
@@ -0,0 +1,44 @@
+//! Noticing that the settings changed: by signal, or by looking at the file.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::signal::unix::signal;
+use tokio::signal::unix::SignalKind;
+
+use crate::event::Event;
+use crate::run::Reload;
+use crate::shared::Shared;
+
+/// How often the settings file is looked at; it may change without a signal.
+const LOOK_PAUSE: Duration = Duration::from_secs(2);
+
+/// Reads the settings again whenever they may have changed, until the process ends.
+pub(crate) async fn settings(shared: Rc<Shared>, mut reload: Reload) {
+    let mut hangups = match signal(SignalKind::hangup()) {
+        Ok(signals) => signals,
+        Err(error) => {
+            ::log::error!("failed to handle the reload signal: {error}");
+            return;
+        }
+    };
+    loop {
+        let asked = tokio::select! {
+            _ = hangups.recv() => true,
+            () = tokio::time::sleep(LOOK_PAUSE) => false,
+        };
+        let now = shared.now();
+        match reload(asked) {
+            Ok(None) => {}
+            Ok(Some(seeds)) => {
+                let mut fleet = shared.fleet.borrow_mut();
+                for ip in seeds {
+                    fleet.contact(ip, now);
+                }
+                drop(fleet);
+                shared.log.event(&Event::Reloaded { error: None });
+            }
+            Err(error) => shared.log.event(&Event::Reloaded { error: Some(error) }),
+        }
+    }
+}
--- a/crates/local/src/cut.rs
+++ b/crates/local/src/cut.rs
@@ -8,17 +8,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use primrose_platform::hosts::HostIndex;
-use primrose_platform::hosts::HostList;
-use primrose_platform::hosts::HostSnapshot;
-use primrose_platform::store::CommitResult;
-use primrose_platform::store::Entry;
-use primrose_platform::store::LeaseId;
-use primrose_platform::store::Op;
-use primrose_platform::store::Result;
-use primrose_platform::store::Store;
-use primrose_platform::store::StoreError;
-use primrose_platform::store::Version;
+use primrose_store::hosts::HostIndex;
+use primrose_store::hosts::HostList;
+use primrose_store::hosts::HostSnapshot;
+use primrose_store::store::CommitResult;
+use primrose_store::store::Entry;
+use primrose_store::store::LeaseId;
+use primrose_store::store::Op;
+use primrose_store::store::Result;
+use primrose_store::store::Store;
+use primrose_store::store::StoreError;
+use primrose_store::store::Version;
 
 /// A cable between a router and the platform; clones are the same cable.
 #[derive(Debug, Clone, Default)]
--- a/crates/local/src/deployment/operate.rs
+++ b/crates/local/src/deployment/operate.rs
@@ -2,8 +2,8 @@
 
 use primrose_core::id::Generation;
 use primrose_core::id::ZoneId;
-use primrose_platform::store::Op;
-use primrose_platform::store::Store;
+use primrose_store::store::Op;
+use primrose_store::store::Store;
 use primrosed::router::Sharing;
 use snafu::ResultExt;
 
--- a/crates/local/src/deployment/process.rs
+++ b/crates/local/src/deployment/process.rs
@@ -7,9 +7,6 @@
 
 use primrose_link::Key;
 use primrose_link::Keys;
-use primrose_platform::consul::ConsulConfig;
-use primrose_platform::consul::ConsulHosts;
-use primrose_platform::consul::ConsulStore;
 use primrose_settings::Day;
 use primrose_settings::Limits;
 use primrose_settings::Listen;
@@ -18,6 +15,9 @@
 use primrose_settings::Router as RouterSettings;
 use primrose_settings::Security;
 use primrose_settings::Settings;
+use primrose_store::consul::ConsulConfig;
+use primrose_store::consul::ConsulHosts;
+use primrose_store::consul::ConsulStore;
 use primrosed::router::Parts;
 use primrosed::router::Sharing;
 
--- a/crates/local/src/measure/control/point.rs
+++ b/crates/local/src/measure/control/point.rs
@@ -10,7 +10,7 @@
 use primrose_core::clock::Mono;
 use primrose_core::host::Host;
 use primrose_core::host::HostState;
-use primrose_platform::memory::Calls;
+use primrose_store::memory::Calls;
 
 use crate::deployment::Deployment;
 use crate::measure::control::callers::Callers;
--- a/crates/local/tests/testsuite/cut_off.rs
+++ b/crates/local/tests/testsuite/cut_off.rs
@@ -1,7 +1,7 @@
 //! One router that is cut off from the platform while its zone is not.
 
 use primrose_local::PREFIX;
-use primrose_platform::store::Store;
+use primrose_store::store::Store;
 
 use crate::fixture;
 
--- a/crates/local/tests/testsuite/documents.rs
+++ b/crates/local/tests/testsuite/documents.rs
@@ -1,8 +1,8 @@
 //! The tables in force: forward only, everywhere, through outages.
 
 use primrose_local::TABLES_KEY;
-use primrose_platform::store::Op;
-use primrose_platform::store::Store;
+use primrose_store::store::Op;
+use primrose_store::store::Store;
 
 use crate::fixture;
 
--- a/crates/local/tests/testsuite/orders_to_servers.rs
+++ b/crates/local/tests/testsuite/orders_to_servers.rs
@@ -7,10 +7,10 @@
 use primrose_local::Deployment;
 use primrose_local::Shape;
 use primrose_local::PREFIX;
-use primrose_platform::store::Entry;
-use primrose_platform::store::Store;
 use primrose_standin::engine::Engine;
 use primrose_standin::engine::Order;
+use primrose_store::store::Entry;
+use primrose_store::store::Store;
 
 use crate::fixture;
 
--- a/crates/matrix/tests/testsuite/order_faults.rs
+++ b/crates/matrix/tests/testsuite/order_faults.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use primrose_platform::memory::Fault as StoreFault;
-use primrose_platform::store::Result as StoreResult;
-use primrose_platform::store::Store;
-use primrose_platform::store::StoreError;
+use primrose_store::memory::Fault as StoreFault;
+use primrose_store::store::Result as StoreResult;
+use primrose_store::store::Store;
+use primrose_store::store::StoreError;
 
 use crate::orders::World;
 use crate::orders::END;
--- a/crates/matrix/tests/testsuite/orders.rs
+++ b/crates/matrix/tests/testsuite/orders.rs
@@ -16,10 +16,10 @@
 use primrose_order::SendResult;
 use primrose_order::Target;
 use primrose_order::Writer;
-use primrose_platform::memory::MemoryStore;
-use primrose_platform::store::Result as StoreResult;
-use primrose_platform::store::Store;
-use primrose_platform::store::StoreError;
+use primrose_store::memory::MemoryStore;
+use primrose_store::store::Result as StoreResult;
+use primrose_store::store::Store;
+use primrose_store::store::StoreError;
 use primrose_support::clock::FakeClock;
 
 use crate::order_servers::Received;
--- a/crates/matrix/tests/testsuite/sim/fault.rs
+++ b/crates/matrix/tests/testsuite/sim/fault.rs
@@ -1,8 +1,8 @@
 //! The faults, and how each strikes at a step.
 
 use primrose_core::clock::Mono;
-use primrose_platform::memory::Fault as StoreFault;
-use primrose_platform::store::StoreError;
+use primrose_store::memory::Fault as StoreFault;
+use primrose_store::store::StoreError;
 
 use primrose_claim::Call;
 use primrose_claim::CallResult;
--- a/crates/matrix/tests/testsuite/sim/wire.rs
+++ b/crates/matrix/tests/testsuite/sim/wire.rs
@@ -9,9 +9,9 @@
 use primrose_dispatch::dispatcher;
 use primrose_dispatch::message::Duty;
 use primrose_dispatch::requester;
-use primrose_platform::store::Store;
-use primrose_platform::store::StoreError;
 use primrose_request::ConnId;
+use primrose_store::store::Store;
+use primrose_store::store::StoreError;
 
 use super::item::Item;
 use super::item::Peer;
--- a/crates/matrix/tests/testsuite/steps.rs
+++ b/crates/matrix/tests/testsuite/steps.rs
@@ -2,8 +2,8 @@
 
 use primrose_core::id::RequestId;
 use primrose_dispatch::message::Body;
-use primrose_platform::store::Op;
 use primrose_request::ConnEvent;
+use primrose_store::store::Op;
 
 use primrose_claim::Call;
 
--- a/crates/order/examples/rollout.rs
+++ b/crates/order/examples/rollout.rs
@@ -23,7 +23,7 @@
 use primrose_order::Target;
 use primrose_order::Unreachable;
 use primrose_order::Writer;
-use primrose_platform::memory::MemoryStore;
+use primrose_store::memory::MemoryStore;
 use primrose_support::clock::FakeClock;
 
 /// Servers of one pool in the plan: a fifth of 4 700.
--- a/crates/order/src/execute.rs
+++ b/crates/order/src/execute.rs
@@ -5,7 +5,7 @@
 
 use primrose_core::clock::Clock;
 use primrose_core::clock::Mono;
-use primrose_platform::store::Store;
+use primrose_store::store::Store;
 
 use crate::desired::Observed;
 use crate::message::Action;
--- a/crates/order/src/lease.rs
+++ b/crates/order/src/lease.rs
@@ -5,10 +5,10 @@
 //! process that was paused finds its lease lapsed before it hears so from the service.
 
 use primrose_core::clock::Mono;
-use primrose_platform::store::LeaseId;
-use primrose_platform::store::Result as StoreResult;
-use primrose_platform::store::StoreError;
 use primrose_retry::Backoff;
+use primrose_store::store::LeaseId;
+use primrose_store::store::Result as StoreResult;
+use primrose_store::store::StoreError;
 use rand::rngs::StdRng;
 
 use crate::config::OrderConfig;
--- a/crates/order/src/mark.rs
+++ b/crates/order/src/mark.rs
@@ -5,7 +5,7 @@
 
 use primrose_core::id::Fence;
 use primrose_core::id::ServerId;
-use primrose_platform::store::Key;
+use primrose_store::store::Key;
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde::Serialize;
--- a/crates/order/src/message.rs
+++ b/crates/order/src/message.rs
@@ -6,12 +6,12 @@
 use primrose_core::clock::Mono;
 use primrose_core::id::Fence;
 use primrose_core::id::ServerId;
-use primrose_platform::store::CommitResult;
-use primrose_platform::store::Entry;
-use primrose_platform::store::Key;
-use primrose_platform::store::LeaseId;
-use primrose_platform::store::Op;
-use primrose_platform::store::Result as StoreResult;
+use primrose_store::store::CommitResult;
+use primrose_store::store::Entry;
+use primrose_store::store::Key;
+use primrose_store::store::LeaseId;
+use primrose_store::store::Op;
+use primrose_store::store::Result as StoreResult;
 use serde::Serialize;
 
 use crate::desired::Observed;
--- a/crates/order/src/permit.rs
+++ b/crates/order/src/permit.rs
@@ -9,11 +9,11 @@
 use std::net::SocketAddr;
 
 use primrose_core::clock::Mono;
-use primrose_platform::store::CommitResult;
-use primrose_platform::store::Entry;
-use primrose_platform::store::Op;
-use primrose_platform::store::Result as StoreResult;
-use primrose_platform::store::Version;
+use primrose_store::store::CommitResult;
+use primrose_store::store::Entry;
+use primrose_store::store::Op;
+use primrose_store::store::Result as StoreResult;
+use primrose_store::store::Version;
 use rand::Rng;
 
 use crate::config::OrderConfig;
--- a/crates/order/src/slot/key.rs
+++ b/crates/order/src/slot/key.rs
@@ -4,10 +4,10 @@
 
 use primrose_core::clock::Mono;
 use primrose_core::id::Fence;
-use primrose_platform::store::CommitResult;
-use primrose_platform::store::Entry;
-use primrose_platform::store::Result as StoreResult;
-use primrose_platform::store::StoreError;
+use primrose_store::store::CommitResult;
+use primrose_store::store::Entry;
+use primrose_store::store::Result as StoreResult;
+use primrose_store::store::StoreError;
 
 use super::raised_base;
 use super::Context;
--- a/crates/order/src/slot/mod.rs
+++ b/crates/order/src/slot/mod.rs
@@ -5,9 +5,9 @@
 
 use primrose_core::clock::Mono;
 use primrose_core::id::Fence;
-use primrose_platform::store::Op;
-use primrose_platform::store::Version;
 use primrose_retry::Backoff;
+use primrose_store::store::Op;
+use primrose_store::store::Version;
 use rand::rngs::StdRng;
 
 use crate::config::OrderConfig;
--- a/crates/order/tests/testsuite/faults.rs
+++ b/crates/order/tests/testsuite/faults.rs
@@ -5,8 +5,8 @@
 use primrose_core::clock::Clock;
 use primrose_order::Action;
 use primrose_order::OrderConfig;
-use primrose_platform::memory::Fault;
-use primrose_platform::store::Store;
+use primrose_store::memory::Fault;
+use primrose_store::store::Store;
 
 use crate::fleet::is_commit;
 use crate::fleet::is_send;
--- a/crates/order/tests/testsuite/fleet.rs
+++ b/crates/order/tests/testsuite/fleet.rs
@@ -10,7 +10,7 @@
 use primrose_order::OrderConfig;
 use primrose_order::Target;
 use primrose_order::Writer;
-use primrose_platform::memory::MemoryStore;
+use primrose_store::memory::MemoryStore;
 use primrose_support::clock::FakeClock;
 
 use crate::servers::FakeServers;
--- a/crates/order/tests/testsuite/http.rs
+++ b/crates/order/tests/testsuite/http.rs
@@ -13,13 +13,13 @@
 use primrose_order::Servers;
 use primrose_order::Target;
 use primrose_order::Writer;
-use primrose_platform::consul::ConsulConfig;
-use primrose_platform::consul::ConsulStore;
 use primrose_standin::engine::Engine;
 use primrose_standin::engine::EngineConfig;
 use primrose_standin::kv::Kv;
 use primrose_standin::kv::KvConfig;
 use primrose_standin::runtime::Runtime;
+use primrose_store::consul::ConsulConfig;
+use primrose_store::consul::ConsulStore;
 use primrose_support::clock::FakeClock;
 
 /// Longest wait for an event that must come.
--- a/crates/order/tests/testsuite/resign.rs
+++ b/crates/order/tests/testsuite/resign.rs
@@ -4,7 +4,7 @@
 
 use primrose_core::clock::Clock;
 use primrose_order::Action;
-use primrose_platform::store::Store;
+use primrose_store::store::Store;
 
 use crate::fleet::Fleet;
 use crate::servers::violations;
--- a/crates/order/tests/testsuite/slow.rs
+++ b/crates/order/tests/testsuite/slow.rs
@@ -4,14 +4,14 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use primrose_platform::memory::MemoryStore;
-use primrose_platform::store::CommitResult;
-use primrose_platform::store::Entry;
-use primrose_platform::store::LeaseId;
-use primrose_platform::store::Op;
-use primrose_platform::store::Result;
-use primrose_platform::store::Store;
-use primrose_platform::store::Version;
+use primrose_store::memory::MemoryStore;
+use primrose_store::store::CommitResult;
+use primrose_store::store::Entry;
+use primrose_store::store::LeaseId;
+use primrose_store::store::Op;
+use primrose_store::store::Result;
+use primrose_store::store::Store;
+use primrose_store::store::Version;
 use primrose_support::clock::FakeClock;
 
 /// Passes calls on; the clock moves on between a chosen call's effect and its reply.
--- a/crates/order/tests/testsuite/steps.rs
+++ b/crates/order/tests/testsuite/steps.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use primrose_platform::memory::Fault;
+use primrose_store::memory::Fault;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 
--- a/crates/primrosectl/src/context.rs
+++ b/crates/primrosectl/src/context.rs
@@ -8,10 +8,10 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
-use primrose_platform::consul::ConsulConfig;
-use primrose_platform::consul::ConsulStore;
-use primrose_platform::store::Store;
 use primrose_settings::operator::Operator;
+use primrose_store::consul::ConsulConfig;
+use primrose_store::consul::ConsulStore;
+use primrose_store::store::Store;
 
 use crate::exit::Failure;
 use crate::ops::fleet::Fleet;
--- a/crates/primrosectl/src/ops/accounts.rs
+++ b/crates/primrosectl/src/ops/accounts.rs
@@ -4,8 +4,8 @@
 //! a race, the document is read anew and the change is made on that.
 
 use primrose_core::id::AccountId;
-use primrose_platform::store::Store;
-use primrose_platform::store::StoreError;
+use primrose_store::store::Store;
+use primrose_store::store::StoreError;
 use primrose_table::accounts::Accounts;
 use primrose_table::accounts::KeyHash;
 use primrose_table::accounts::Label;
--- a/crates/primrosectl/src/ops/apply.rs
+++ b/crates/primrosectl/src/ops/apply.rs
@@ -5,8 +5,8 @@
 //! changed, and nothing is written. An edit never overwrites another in silence.
 
 use primrose_core::id::Generation;
-use primrose_platform::store::Store;
-use primrose_platform::store::StoreError;
+use primrose_store::store::Store;
+use primrose_store::store::StoreError;
 use primrose_table::diff::diff;
 use primrose_table::diff::Change;
 use primrose_table::document::Document;
--- a/crates/primrosectl/src/ops/keys.rs
+++ b/crates/primrosectl/src/ops/keys.rs
@@ -1,7 +1,7 @@
 //! Names of the documents in the key-value service.
 
 use primrose_core::id::Generation;
-use primrose_platform::store::Key;
+use primrose_store::store::Key;
 
 /// How many past generations of a document the service keeps.
 const PAST: Generation = 16;
--- a/crates/primrosectl/src/ops/mod.rs
+++ b/crates/primrosectl/src/ops/mod.rs
@@ -1,7 +1,7 @@
 //! The work of the commands, usable without the command line.
 //!
 //! The platform's key-value service and the routers are reached through trait objects, the
-//! [`Store`](primrose_platform::store::Store) and the [`Fleet`](fleet::Fleet), and time passes
+//! [`Store`](primrose_store::store::Store) and the [`Fleet`](fleet::Fleet), and time passes
 //! through a [`Pause`](pause::Pause). So every fault of theirs can be caused in a test.
 
 pub mod accounts;
--- a/crates/primrosectl/src/ops/restore.rs
+++ b/crates/primrosectl/src/ops/restore.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use primrose_platform::store::Store;
-use primrose_platform::store::StoreError;
+use primrose_store::store::Store;
+use primrose_store::store::StoreError;
 use primrose_table::document::Document;
 use primrose_table::header::Header;
 use primrose_table::ini::Faults;
--- a/crates/primrosectl/src/ops/swap.rs
+++ b/crates/primrosectl/src/ops/swap.rs
@@ -16,12 +16,12 @@
 
 use std::time::Duration;
 
-use primrose_platform::store::CommitResult;
-use primrose_platform::store::Entry;
-use primrose_platform::store::Op;
-use primrose_platform::store::Store;
-use primrose_platform::store::StoreError;
-use primrose_platform::store::Version;
+use primrose_store::store::CommitResult;
+use primrose_store::store::Entry;
+use primrose_store::store::Op;
+use primrose_store::store::Store;
+use primrose_store::store::StoreError;
+use primrose_store::store::Version;
 use primrose_table::header::peek;
 use primrose_table::header::ChangeId;
 use primrose_table::header::Header;
--- a/crates/primrosectl/src/ops/tables.rs
+++ b/crates/primrosectl/src/ops/tables.rs
@@ -1,8 +1,8 @@
 //! Reading and comparing the two tables.
 
 use primrose_core::table::Table;
-use primrose_platform::store::Store;
-use primrose_platform::store::StoreError;
+use primrose_store::store::Store;
+use primrose_store::store::StoreError;
 use primrose_table::diff::diff;
 use primrose_table::diff::Change;
 use primrose_table::document::Document;
--- a/crates/primrosectl/tests/testsuite/accounts.rs
+++ b/crates/primrosectl/tests/testsuite/accounts.rs
@@ -1,6 +1,6 @@
 //! Keys of accounts are added and removed once, also when others change accounts at the same time.
 
-use primrose_platform::memory::Fault;
+use primrose_store::memory::Fault;
 use primrose_table::accounts::KeyHash;
 use primrosectl::ops::accounts::edit;
 use primrosectl::ops::accounts::list;
--- a/crates/primrosectl/tests/testsuite/apply.rs
+++ b/crates/primrosectl/tests/testsuite/apply.rs
@@ -1,8 +1,8 @@
 //! What an operator is told is what happened, under every fault of the service.
 
-use primrose_platform::memory::Fault;
-use primrose_platform::store::Op;
-use primrose_platform::store::Store;
+use primrose_store::memory::Fault;
+use primrose_store::store::Op;
+use primrose_store::store::Store;
 use primrose_table::header::Header;
 use primrosectl::ops::apply::apply;
 use primrosectl::ops::apply::Applied;
--- a/crates/primrosectl/tests/testsuite/commands.rs
+++ b/crates/primrosectl/tests/testsuite/commands.rs
@@ -7,10 +7,10 @@
 use std::sync::Mutex;
 
 use bpaf::Args;
-use primrose_platform::memory::Fault;
-use primrose_platform::memory::MemoryStore;
-use primrose_platform::store::Op;
-use primrose_platform::store::Store;
+use primrose_store::memory::Fault;
+use primrose_store::memory::MemoryStore;
+use primrose_store::store::Op;
+use primrose_store::store::Store;
 use primrose_support::clock::FakeClock;
 use primrose_table::header::Header;
 use primrosectl::commands;
--- a/crates/primrosectl/tests/testsuite/consul.rs
+++ b/crates/primrosectl/tests/testsuite/consul.rs
@@ -1,11 +1,11 @@
 //! The whole way to a key-value service that speaks HTTP.
 
-use primrose_platform::consul::ConsulConfig;
-use primrose_platform::consul::ConsulStore;
-use primrose_platform::memory::Fault;
 use primrose_standin::kv::Kv;
 use primrose_standin::kv::KvConfig;
 use primrose_standin::runtime::Runtime;
+use primrose_store::consul::ConsulConfig;
+use primrose_store::consul::ConsulStore;
+use primrose_store::memory::Fault;
 use primrosectl::ops::apply::ApplyError;
 
 use crate::support::apply_file;
--- a/crates/primrosectl/tests/testsuite/races.rs
+++ b/crates/primrosectl/tests/testsuite/races.rs
@@ -1,6 +1,6 @@
 //! Operators who race under random faults: generations rise one by one, and none is overwritten.
 
-use primrose_platform::memory::Fault;
+use primrose_store::memory::Fault;
 use primrose_support::seeded::checker;
 use primrose_table::header::peek;
 use primrose_table::header::Header;
--- a/crates/primrosed/src/duty/claims.rs
+++ b/crates/primrosed/src/duty/claims.rs
@@ -21,10 +21,10 @@
 use primrose_front::broker::Inbox;
 use primrose_front::broker::StoredAnswer;
 use primrose_front::broker::Told;
-use primrose_platform::store::Store;
 use primrose_request::ClaimReply;
 use primrose_request::Event;
 use primrose_request::Settlement;
+use primrose_store::store::Store;
 
 /// Asks that may wait for the claims thread.
 pub(crate) const RING: usize = 1024;
--- a/crates/primrosed/src/duty/hosts.rs
+++ b/crates/primrosed/src/duty/hosts.rs
@@ -9,9 +9,9 @@
 
 use crossbeam_channel::Sender;
 use primrose_core::table::Selector;
-use primrose_platform::hosts::HostList;
 use primrose_retry::Backoff;
 use primrose_retry::BackoffConfig;
+use primrose_store::hosts::HostList;
 
 use crate::decide::ROUTER_SERVICE;
 use crate::duty::Stop;
--- a/crates/primrosed/src/duty/page.rs
+++ b/crates/primrosed/src/duty/page.rs
@@ -15,7 +15,6 @@
 use primrose_dispatch::policy::SPILL_THRESHOLD_UNITS;
 use primrose_dispatch::timing::DIGEST_EVERY;
 use primrose_dispatch::timing::RENEW_EVERY;
-use primrose_platform::store::Store;
 use primrose_report::calendar::Calendar;
 use primrose_report::calendar::CalendarError;
 use primrose_report::gather;
@@ -24,6 +23,7 @@
 use primrose_report::target::Targets;
 use primrose_report::total::Total;
 use primrose_share::Bound;
+use primrose_store::store::Store;
 use snafu::Snafu;
 
 use crate::published::Published;
--- a/crates/primrosed/src/duty/sweep.rs
+++ b/crates/primrosed/src/duty/sweep.rs
@@ -12,10 +12,10 @@
 use primrose_core::clock::Clock;
 use primrose_core::clock::Mono;
 use primrose_core::id::AccountId;
-use primrose_platform::store::CommitResult;
-use primrose_platform::store::Op;
-use primrose_platform::store::Result;
-use primrose_platform::store::Store;
+use primrose_store::store::CommitResult;
+use primrose_store::store::Op;
+use primrose_store::store::Result;
+use primrose_store::store::Store;
 
 use crate::duty::Stop;
 use crate::published::Published;
--- a/crates/primrosed/src/duty/watch.rs
+++ b/crates/primrosed/src/duty/watch.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use crossbeam_channel::Sender;
-use primrose_platform::store::Store;
-use primrose_platform::store::Version;
 use primrose_retry::Backoff;
 use primrose_retry::BackoffConfig;
+use primrose_store::store::Store;
+use primrose_store::store::Version;
 
 use crate::duty::Stop;
 use crate::input::Input;
@@ -66,7 +66,7 @@
     }
 
     /// Reads the document, or waits for a change of the version that is known.
-    fn look(&self, known: Option<Version>) -> primrose_platform::store::Result<Version> {
+    fn look(&self, known: Option<Version>) -> primrose_store::store::Result<Version> {
         let asked = self.published.generation(self.kind);
         let entry = match known {
             Some(version) if self.published.watching() => {
--- a/crates/primrosed/src/main.rs
+++ b/crates/primrosed/src/main.rs
@@ -17,11 +17,7 @@
             return ExitCode::from(if bad { USAGE } else { 0 });
         }
     };
-    let ended = if options.check {
-        ops::check::check(&options.settings)
-    } else {
-        ops::run::run(&options.settings)
-    };
+    let ended = ops::start(&options);
     match ended {
         Ok(code) => ExitCode::from(code),
         Err(error) => {
--- a/crates/primrosed/src/ops/error.rs
+++ b/crates/primrosed/src/ops/error.rs
@@ -2,7 +2,9 @@
 
 use std::path::PathBuf;
 
+use primrose_gateway::StartError;
 use primrose_link::KeyError;
+use primrose_platform::settings::SettingsError;
 use primrose_table::ini::Faults;
 use snafu::Snafu;
 
@@ -25,6 +27,26 @@
         /// The cause.
         source: std::io::Error,
     },
+    /// The environment does not name a settings file.
+    #[snafu(display("failed to find the settings: the environment variable {name} is not set"))]
+    Variable {
+        /// The variable.
+        name: String,
+    },
+    /// The platform's settings cannot be used.
+    #[snafu(display("failed to use {}", path.display()))]
+    PlatformSettings {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: SettingsError,
+    },
+    /// The gateway could not start.
+    #[snafu(display("failed to start the gateway"))]
+    Gateway {
+        /// The cause.
+        source: StartError,
+    },
     /// The settings have faults.
     #[snafu(display("failed to read the settings\n{faults}"))]
     Settings {
@@ -57,8 +79,12 @@
     /// Exit code that goes with the error.
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::Read { .. } | Self::Settings { .. } | Self::PeerKey { .. } => BAD_SETTINGS,
-            Self::Start { .. } | Self::Signals { .. } => FAILED,
+            Self::Read { .. }
+            | Self::Variable { .. }
+            | Self::PlatformSettings { .. }
+            | Self::Settings { .. }
+            | Self::PeerKey { .. } => BAD_SETTINGS,
+            Self::Start { .. } | Self::Gateway { .. } | Self::Signals { .. } => FAILED,
         }
     }
 }
--- /dev/null
+++ b/crates/primrosed/src/ops/gateway.rs
@@ -0,0 +1,111 @@
+//! Running a gateway by the settings that the platform gives.
+
+use std::cell::Cell;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use metrics_exporter_prometheus::PrometheusBuilder;
+use primrose_core::clock::Clock;
+use primrose_fleet::FleetConfig;
+use primrose_gateway::run::Config;
+use primrose_gateway::run::Reload;
+use primrose_gateway::run::Render;
+use primrose_platform::HttpDialect;
+use primrose_platform::Settings;
+use primrose_platform::StoreClient;
+use primrose_util::clock::SystemClock;
+use snafu::ResultExt;
+
+use crate::ops::error::GatewaySnafu;
+use crate::ops::error::PlatformSettingsSnafu;
+use crate::ops::error::ProgramError;
+use crate::ops::run::incarnation;
+use crate::ops::run::CUT;
+
+/// Upper bounds of the latency histograms in seconds: from below a step of an engine to the
+/// longest time limits.
+const BUCKETS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.5, 5.0, 10.0,
+];
+
+/// Runs a gateway until a signal ends it.
+pub fn run(path: &Path, metrics_port: Option<u16>) -> Result<u8, ProgramError> {
+    let settings = Settings::read(path).context(PlatformSettingsSnafu { path })?;
+    primrose_util::logger::init(log::LevelFilter::Warn);
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
+    let store = Rc::new(Cell::new(settings.store));
+    let client = StoreClient::new(
+        Rc::clone(&store),
+        settings.host.clone(),
+        settings.ip,
+        Arc::clone(&clock),
+    );
+    let config = Config {
+        host: settings.host.clone(),
+        fleet: FleetConfig {
+            me: incarnation(&*clock),
+            zone: settings.zone.clone(),
+            ip: settings.ip,
+            retry_permille: settings.retry_permille,
+            retry_slack: settings.retry_slack,
+        },
+        front: settings.front,
+        ready: settings.ready,
+        control: settings.control,
+        metrics: metrics_port.map(|port| SocketAddr::new(settings.ip, port)),
+        digest_port: settings.peer_port,
+        seeds: settings.seeds.clone(),
+        grace: settings.grace,
+        dialect: Box::new(HttpDialect),
+        platform: Box::new(client),
+        clock,
+        render: recorder(),
+        reload: reload(path.to_owned(), settings, store),
+    };
+    let ended = primrose_gateway::run(config).context(GatewaySnafu)?;
+    Ok(if ended.cut == 0 { 0 } else { CUT })
+}
+
+/// Checks the platform's settings and says so.
+pub fn check(path: &Path) -> Result<u8, ProgramError> {
+    let settings = Settings::read(path).context(PlatformSettingsSnafu { path })?;
+    println!(
+        "Checked {}: gateway {} in availability zone {}",
+        path.display(),
+        settings.host,
+        settings.zone
+    );
+    Ok(0)
+}
+
+fn recorder() -> Option<Render> {
+    let builder = PrometheusBuilder::new().set_buckets(&BUCKETS);
+    let installed = builder.and_then(PrometheusBuilder::install_recorder);
+    match installed {
+        Ok(handle) => Some(Arc::new(move || handle.render())),
+        Err(error) => {
+            log::error!("failed to install the metrics recorder: {error}");
+            None
+        }
+    }
+}
+
+/// Reads the settings again; what can change in a running process is where the store and the
+/// seeds are. The listeners stay where they are.
+fn reload(path: PathBuf, settings: Settings, store: Rc<Cell<SocketAddr>>) -> Reload {
+    let mut in_force = settings;
+    Box::new(move |asked| -> Result<Option<Vec<IpAddr>>, String> {
+        let read = Settings::read(&path);
+        let read = read.map_err(|error| snafu::Report::from_error(error).to_string())?;
+        if read == in_force && !asked {
+            return Ok(None);
+        }
+        store.set(read.store);
+        in_force = read;
+        Ok(Some(in_force.seeds.clone()))
+    })
+}
--- a/crates/primrosed/src/ops/run.rs
+++ b/crates/primrosed/src/ops/run.rs
@@ -11,11 +11,11 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use primrose_core::clock::Clock;
 use primrose_core::id::Incarnation;
-use primrose_platform::consul::ConsulConfig;
-use primrose_platform::consul::ConsulHosts;
-use primrose_platform::consul::ConsulStore;
-use primrose_platform::hosts::HostList;
 use primrose_settings::Settings;
+use primrose_store::consul::ConsulConfig;
+use primrose_store::consul::ConsulHosts;
+use primrose_store::consul::ConsulStore;
+use primrose_store::hosts::HostList;
 use primrose_util::clock::SystemClock;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
@@ -32,7 +32,7 @@
 use crate::router::Sharing;
 
 /// Exit code of a shutdown that cut requests off.
-const CUT: u8 = 3;
+pub(crate) const CUT: u8 = 3;
 /// Signals that may wait to be seen.
 const SIGNALS: usize = 4;
 
@@ -75,7 +75,7 @@
 }
 
 /// Number of this run: the wall clock, which a restarted host has moved on.
-fn incarnation(clock: &dyn Clock) -> Incarnation {
+pub(crate) fn incarnation(clock: &dyn Clock) -> Incarnation {
     let since = clock.wall().duration_since(UNIX_EPOCH);
     let millis = since.unwrap_or(Duration::ZERO).as_millis();
     Incarnation::try_from(millis).unwrap_or(Incarnation::MAX)
--- a/crates/primrosed/src/router/parts.rs
+++ b/crates/primrosed/src/router/parts.rs
@@ -6,8 +6,8 @@
 use primrose_core::clock::Clock;
 use primrose_core::id::Incarnation;
 use primrose_link::Keys;
-use primrose_platform::hosts::HostList;
-use primrose_platform::store::Store;
+use primrose_store::hosts::HostList;
+use primrose_store::store::Store;
 
 /// Gives the host list of one service.
 pub type HostLists = Arc<dyn Fn(&str) -> Arc<dyn HostList> + Send + Sync>;
--- a/crates/primrosed/tests/testsuite/world.rs
+++ b/crates/primrosed/tests/testsuite/world.rs
@@ -13,14 +13,14 @@
 use primrose_core::clock::Clock;
 use primrose_core::host::Host;
 use primrose_core::host::HostState;
-use primrose_platform::store::Op;
-use primrose_platform::store::Store;
 use primrose_standin::engine::Engine;
 use primrose_standin::engine::EngineConfig;
 use primrose_standin::hosts::HostBoard;
 use primrose_standin::kv::Kv;
 use primrose_standin::kv::KvConfig;
 use primrose_standin::runtime::Runtime;
+use primrose_store::store::Op;
+use primrose_store::store::Store;
 use primrose_table::accounts::KeyHash;
 use primrose_util::clock::SystemClock;
 
--- a/crates/retry/src/budget.rs
+++ b/crates/retry/src/budget.rs
@@ -60,6 +60,12 @@
         true
     }
 
+    /// Changes the bounds; what has been saved up beyond them is lost.
+    pub fn resize(&mut self, config: BudgetConfig) {
+        self.config = config;
+        self.tokens = self.tokens.min(u64::from(config.burst) * RETRY_TOKENS);
+    }
+
     /// Returns how many retries are allowed at this moment.
     pub fn available(&self) -> u64 {
         self.tokens / RETRY_TOKENS
--- a/crates/standin/src/kv/mod.rs
+++ b/crates/standin/src/kv/mod.rs
@@ -1,10 +1,10 @@
 //! A key-value service that speaks Consul's HTTP protocol.
 //!
-//! Its state, its counters and its faults are those of the in-memory store of `primrose-platform`,
+//! Its state, its counters and its faults are those of the in-memory store of `primrose-store`,
 //! which a test reaches through [`Kv::store`]. A planned [`Fault::Refused`] shows as status 429, a
 //! lost reply as a connection cut before the answer; an outage closes the listener.
 //!
-//! [`Fault::Refused`]: primrose_platform::memory::Fault::Refused
+//! [`Fault::Refused`]: primrose_store::memory::Fault::Refused
 //!
 //! # HTTP interface
 //!
@@ -28,7 +28,7 @@
 use std::time::Duration;
 
 use primrose_core::clock::Clock;
-use primrose_platform::memory::MemoryStore;
+use primrose_store::memory::MemoryStore;
 use primrose_util::clock::SystemClock;
 
 use crate::hosts::HostBoard;
--- a/crates/standin/src/kv/progress.rs
+++ b/crates/standin/src/kv/progress.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use primrose_platform::memory::Progress;
+use primrose_store::memory::Progress;
 use tokio::sync::watch;
 
 use super::serve::Core;
--- a/crates/standin/src/kv/wire.rs
+++ b/crates/standin/src/kv/wire.rs
@@ -2,10 +2,10 @@
 
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
-use primrose_platform::store::Conflict;
-use primrose_platform::store::Entry;
-use primrose_platform::store::Op;
-use primrose_platform::store::Written;
+use primrose_store::store::Conflict;
+use primrose_store::store::Entry;
+use primrose_store::store::Op;
+use primrose_store::store::Written;
 use serde::Deserialize;
 use serde::Serialize;
 
--- a/crates/platform/examples/calls.rs
+++ b/crates/store/examples/calls.rs
@@ -3,7 +3,7 @@
 //! The stand-in service answers on the loopback address, so the times are those of the adapter and
 //! the stand-in together, without a network. The bytes are counted by a relay between the two.
 //!
-//! Run with `cargo run --release -p primrose-platform --example calls`.
+//! Run with `cargo run --release -p primrose-store --example calls`.
 
 use std::error::Error;
 use std::io;
@@ -22,17 +22,17 @@
 
 use primrose_core::host::Host;
 use primrose_core::host::HostState;
-use primrose_platform::consul::ConsulConfig;
-use primrose_platform::consul::ConsulHosts;
-use primrose_platform::consul::ConsulStore;
-use primrose_platform::hosts::HostList;
-use primrose_platform::store::Op;
-use primrose_platform::store::Store;
-use primrose_platform::store::StoreError;
 use primrose_standin::hosts::HostBoard;
 use primrose_standin::kv::Kv;
 use primrose_standin::kv::KvConfig;
 use primrose_standin::runtime::Runtime;
+use primrose_store::consul::ConsulConfig;
+use primrose_store::consul::ConsulHosts;
+use primrose_store::consul::ConsulStore;
+use primrose_store::hosts::HostList;
+use primrose_store::store::Op;
+use primrose_store::store::Store;
+use primrose_store::store::StoreError;
 use primrose_support::clock::FakeClock;
 
 /// Calls of each kind.
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -14,14 +14,14 @@
 //! use std::sync::Arc;
 //! use std::time::Duration;
 //!
-//! use primrose_platform::memory::MemoryStore;
-//! use primrose_platform::store::{CommitResult, Op, Store};
+//! use primrose_store::memory::MemoryStore;
+//! use primrose_store::store::{CommitResult, Op, Store};
 //! # struct Still;
 //! # impl primrose_core::clock::Clock for Still {
 //! #     fn now(&self) -> Duration { Duration::from_secs(1) }
 //! #     fn wall(&self) -> std::time::SystemTime { std::time::UNIX_EPOCH }
 //! # }
-//! # fn main() -> Result<(), primrose_platform::store::StoreError> {
+//! # fn main() -> Result<(), primrose_store::store::StoreError> {
 //! # let clock = Still;
 //! let store = MemoryStore::new(Arc::new(clock));
 //! let create = Op::create("claims/a", b"first".to_vec());
--- a/crates/platform/tests/testsuite/consul_faults.rs
+++ b/crates/store/tests/testsuite/consul_faults.rs
@@ -8,16 +8,16 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use primrose_platform::consul::ConsulConfig;
-use primrose_platform::consul::ConsulStore;
-use primrose_platform::memory::Fault;
-use primrose_platform::store::CommitResult;
-use primrose_platform::store::Op;
-use primrose_platform::store::Store;
-use primrose_platform::store::StoreError;
 use primrose_standin::kv::Kv;
 use primrose_standin::kv::KvConfig;
 use primrose_standin::runtime::Runtime;
+use primrose_store::consul::ConsulConfig;
+use primrose_store::consul::ConsulStore;
+use primrose_store::memory::Fault;
+use primrose_store::store::CommitResult;
+use primrose_store::store::Op;
+use primrose_store::store::Store;
+use primrose_store::store::StoreError;
 
 use crate::consul::adapter;
 
--- a/crates/platform/tests/testsuite/decoders.rs
+++ b/crates/store/tests/testsuite/decoders.rs
@@ -1,10 +1,10 @@
 //! Decoders never panic, whatever the service sends.
 
 use primrose_core::host::HostState;
-use primrose_platform::consul::decode_entries;
-use primrose_platform::consul::decode_hosts;
-use primrose_platform::consul::decode_lease;
-use primrose_platform::consul::decode_txn;
+use primrose_store::consul::decode_entries;
+use primrose_store::consul::decode_hosts;
+use primrose_store::consul::decode_lease;
+use primrose_store::consul::decode_txn;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 
--- a/crates/platform/tests/testsuite/hosts.rs
+++ b/crates/store/tests/testsuite/hosts.rs
@@ -6,16 +6,16 @@
 
 use primrose_core::host::Host;
 use primrose_core::host::HostState;
-use primrose_platform::consul::ConsulConfig;
-use primrose_platform::consul::ConsulHosts;
-use primrose_platform::hosts::HostList;
-use primrose_platform::memory::MemoryHosts;
-use primrose_platform::store::StoreError;
 use primrose_standin::hosts::HostBoard;
 use primrose_standin::hosts::Hosts;
 use primrose_standin::kv::Kv;
 use primrose_standin::kv::KvConfig;
 use primrose_standin::runtime::Runtime;
+use primrose_store::consul::ConsulConfig;
+use primrose_store::consul::ConsulHosts;
+use primrose_store::hosts::HostList;
+use primrose_store::memory::MemoryHosts;
+use primrose_store::store::StoreError;
 use primrose_support::clock::FakeClock;
 
 const LAG: Duration = Duration::from_secs(5);
--- a/crates/platform/tests/testsuite/memory.rs
+++ b/crates/store/tests/testsuite/memory.rs
@@ -4,13 +4,13 @@
 use std::thread;
 use std::time::Duration;
 
-use primrose_platform::memory::Fault;
-use primrose_platform::memory::MemoryStore;
-use primrose_platform::memory::Rates;
-use primrose_platform::store::CommitResult;
-use primrose_platform::store::Op;
-use primrose_platform::store::Store;
-use primrose_platform::store::StoreError;
+use primrose_store::memory::Fault;
+use primrose_store::memory::MemoryStore;
+use primrose_store::memory::Rates;
+use primrose_store::store::CommitResult;
+use primrose_store::store::Op;
+use primrose_store::store::Store;
+use primrose_store::store::StoreError;
 use primrose_support::clock::FakeClock;
 
 const TTL: Duration = Duration::from_secs(10);
