Share what servers manage max-min, and end drains without cutting streams

Change: shares by three tiers; start numbers carry the host; streams are not begun after two fifths of the grace; a missing server is gone two seconds after the outage's end.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -1,8 +1,10 @@
 //! How many tokens each client account asked for and was granted, over the whole fleet.
 //!
 //! Each gateway counts its own requests over a window of a few seconds and tells the sums in its
-//! digests. The share of an account is the max-min share of the tables' token rate: accounts that
-//! ask for less than an even part get all they ask, and the others get the same amount each.
+//! digests. Shares are max-min: accounts that ask for less than an even part get all they ask, and
+//! the others get the same amount each. There are two: of the token rate that the operators share
+//! out, and of what servers really manage, which may be more. An account beyond the first is not
+//! owed more; one beyond the second has had more than others who want it too.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -110,14 +112,35 @@
         totals
     }
 
-    /// Max-min share of one account in tokens over the span, given the rate that all share.
-    pub fn share(&mut self, rate: u64, now: Mono) -> u64 {
+    /// Where an account stands that wants `more` tokens, given the rate that all share.
+    pub fn standing(&mut self, account: ShortId, more: u64, rate: u64, now: Mono) -> Standing {
         let totals = self.totals(now);
-        let asked = totals.values().map(|sums| sums.asked).collect();
-        max_min(rate * SPAN.as_secs(), asked)
+        let asked: Vec<u64> = totals.values().map(|sums| sums.asked).collect();
+        let had = totals.get(&account).map_or(0, |sums| sums.granted) + more;
+        let owed = rate * SPAN.as_secs();
+        if had <= max_min(owed, asked.clone()) {
+            return Standing::Within;
+        }
+        let granted: u64 = totals.values().map(|sums| sums.granted).sum();
+        if had <= max_min(granted.max(owed), asked) {
+            Standing::Even
+        } else {
+            Standing::Beyond
+        }
     }
 }
 
+/// What an account has had, against the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Less than its share of the operators' rate.
+    Within,
+    /// More than that, but no more than its share of what servers manage.
+    Even,
+    /// More than others who want it too.
+    Beyond,
+}
+
 /// Returns the most that one asker gets when an amount is shared max-min.
 pub fn max_min(amount: u64, mut asked: Vec<u64>) -> u64 {
     asked.sort_unstable();
--- a/crates/fleet/src/fleet/intake.rs
+++ b/crates/fleet/src/fleet/intake.rs
@@ -11,6 +11,7 @@
 use super::Reason;
 use super::Refusal;
 use super::Work;
+use crate::demand::Standing;
 use crate::entry::short;
 use crate::entry::ShortId;
 use crate::place;
@@ -25,9 +26,11 @@
 /// Part of the objective that the wait of an account within its share may take. The rest covers
 /// what arrives at the server from other gateways before it is told.
 const WAIT_SHARE: f64 = 0.85;
-/// The same for an account beyond its share: it is served while servers have room, and leaves
-/// the rest of the wait to the others.
-const WAIT_SHARE_BEYOND: f64 = 0.35;
+/// The same for an account that is owed no more: it leaves the rest of the wait to the others.
+const WAIT_SHARE_EVEN: f64 = 0.6;
+/// The same for an account that has had more than others who want it too: it is served while
+/// servers have room.
+const WAIT_SHARE_BEYOND: f64 = 0.3;
 /// Part of the time left that a request which is late already may wait.
 const WAIT_SHARE_LATE: f64 = 0.4;
 /// Longest wait for a plain call, as part of the time left: a late answer is still worth having.
@@ -228,26 +231,23 @@
             let allowed = left.mul_f64(WAIT_SHARE_LATE);
             return too_long(Reason::Overload, choice.wait, allowed);
         }
-        let beyond = account.is_some_and(|account| self.is_beyond_share(account, service, now));
-        if beyond {
-            let allowed = objective.mul_f64(WAIT_SHARE_BEYOND);
-            return too_long(Reason::OverShare, choice.wait, allowed);
-        }
-        too_long(Reason::Overload, choice.wait, objective.mul_f64(WAIT_SHARE))
+        let standing = account.map_or(Standing::Within, |account| {
+            self.standing(account, service, now)
+        });
+        let (reason, share) = match standing {
+            Standing::Within => (Reason::Overload, WAIT_SHARE),
+            Standing::Even => (Reason::Overload, WAIT_SHARE_EVEN),
+            Standing::Beyond => (Reason::OverShare, WAIT_SHARE_BEYOND),
+        };
+        too_long(reason, choice.wait, objective.mul_f64(share))
     }
 
-    fn is_beyond_share(&mut self, account: ShortId, service: u64, now: Mono) -> bool {
-        let rate = self
-            .catalog
-            .as_ref()
-            .and_then(|catalog| catalog.tables().limits.token_rate);
-        let Some(rate) = rate else {
-            return false;
-        };
-        let share = self.demand.share(rate, now);
-        let totals = self.demand.totals(now);
-        let granted = totals.get(&account).map_or(0, |sums| sums.granted);
-        granted + service > share
+    fn standing(&mut self, account: ShortId, service: u64, now: Mono) -> Standing {
+        let catalog = self.catalog.as_ref();
+        match catalog.and_then(|catalog| catalog.tables().limits.token_rate) {
+            Some(rate) => self.demand.standing(account, service, rate, now),
+            None => Standing::Within,
+        }
     }
 
     fn charge(
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -20,11 +20,9 @@
 use crate::health::Health;
 use crate::pace::Slowness;
 
-/// How long a server may be missing after an outage of the platform before it counts as gone:
-/// living servers are back in the list within about two seconds of its return.
+/// How long after an outage of the platform a missing entry may be one that lapsed: living
+/// servers are back in the list within about two seconds of its return.
 const RETURN_TIME: Duration = Duration::from_millis(2_000);
-/// How long after an outage a missing entry may be one that lapsed.
-const OUTAGE_SHADOW: Duration = Duration::from_millis(2_500);
 /// How long a leaving mark is told to other gateways; the platform's list has it by then.
 const MARK_TOLD: Duration = Duration::from_secs(10);
 /// Marks that a digest names.
@@ -72,8 +70,8 @@
     pub slowness: Slowness,
     /// When anything was last read from it.
     pub heard: Option<Mono>,
-    /// Since when the platform's list lacks it.
-    missing: Option<Mono>,
+    /// Whether the platform's list lacks it.
+    missing: bool,
 }
 
 impl Server {
@@ -85,7 +83,7 @@
             health: Health::default(),
             slowness: Slowness::default(),
             heard: None,
-            missing: None,
+            missing: false,
         }
     }
 
@@ -129,7 +127,7 @@
         let change = match known {
             Some(server) if server.entry.born_ms == entry.born_ms => {
                 let began = entry.leaving && !server.entry.leaving;
-                server.missing = None;
+                server.missing = false;
                 server.entry = entry;
                 began.then(|| Change::Leaving(server.entry.id.clone()))
             }
@@ -150,18 +148,14 @@
 
     /// Takes in that an entry was removed from the list.
     pub fn removed(&mut self, id: &str, now: Mono) -> Vec<Change> {
-        let in_shadow = self
-            .outage_end
-            .is_some_and(|end| now.saturating_sub(end) < OUTAGE_SHADOW);
+        let may_return = self.may_return(now);
         let Some(server) = self.by_id.get_mut(id) else {
             return Vec::new();
         };
-        if in_shadow && server.takes_new() {
-            if server.missing.is_some() {
-                return Vec::new();
-            }
-            server.missing = Some(now);
-            return vec![Change::Missing(id.to_owned())];
+        if may_return && server.takes_new() {
+            let began = !std::mem::replace(&mut server.missing, true);
+            let change = began.then(|| Change::Missing(id.to_owned()));
+            return change.into_iter().collect();
         }
         self.by_id.remove(id);
         vec![Change::Gone(id.to_owned())]
@@ -218,11 +212,10 @@
 
     /// Drops servers that stayed missing.
     pub fn expire(&mut self, now: Mono) -> Vec<Change> {
-        let late = |server: &Server| {
-            let since = server.missing;
-            since.is_some_and(|since| now.saturating_sub(since) >= RETURN_TIME)
-        };
-        let gone = self.by_id.values().filter(|server| late(server));
+        if self.may_return(now) {
+            return Vec::new();
+        }
+        let gone = self.by_id.values().filter(|server| server.missing);
         let gone: Vec<ServerId> = gone.map(|server| server.entry.id.clone()).collect();
         for id in &gone {
             self.by_id.remove(id);
@@ -250,6 +243,12 @@
         self.by_id.is_empty()
     }
 
+    /// Whether an entry that is missing now may have lapsed during an outage.
+    fn may_return(&self, now: Mono) -> bool {
+        let end = self.outage_end;
+        end.is_some_and(|end| now.saturating_sub(end) < RETURN_TIME)
+    }
+
     /// Drops a server whose address another one has taken over.
     fn drop_reused(&mut self, entry: &ServerEntry) -> Vec<Change> {
         let same = |addr: SocketAddr| addr == entry.addr;
--- /dev/null
+++ b/crates/fleet/tests/testsuite/build.rs
@@ -0,0 +1,141 @@
+//! Builders of tables, servers and requests.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrose_core::clock::Mono;
+use primrose_fleet::catalog::Engine;
+use primrose_fleet::catalog::Kind;
+use primrose_fleet::catalog::Limits;
+use primrose_fleet::catalog::Pool;
+use primrose_fleet::catalog::Route;
+use primrose_fleet::catalog::Tables;
+use primrose_fleet::catalog::Target;
+use primrose_fleet::entry::ServerEntry;
+use primrose_fleet::place::Prompt;
+use primrose_fleet::Ask;
+use primrose_fleet::Fleet;
+use primrose_fleet::FleetConfig;
+
+/// Pool of model engines.
+pub(crate) const MODELS: &str = "models";
+/// Pool of plain services.
+pub(crate) const PLAIN: &str = "plain";
+
+pub(crate) fn ms(millis: u64) -> Mono {
+    Duration::from_millis(millis)
+}
+
+pub(crate) fn ip(host: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(10, 0, 0, host))
+}
+
+/// A server; its number is its address.
+pub(crate) fn server(id: &str, pool: &str, number: u8) -> ServerEntry {
+    ServerEntry {
+        id: id.to_owned(),
+        pool: pool.to_owned(),
+        addr: SocketAddr::new(ip(number), 8000),
+        zone: "a".to_owned(),
+        slots: 48,
+        leaving: false,
+        born_ms: 1_000 + u64::from(number),
+    }
+}
+
+pub(crate) fn route(kind: Kind) -> Route {
+    let prompts = kind.streams();
+    let pool = if prompts { MODELS } else { PLAIN };
+    Route {
+        name: "route".to_owned(),
+        host: "example".to_owned(),
+        prefix: "/x/".to_owned(),
+        kind,
+        time_limit: ms(8_000),
+        objective: ms(600),
+        tries: 2,
+        public: false,
+        prompts,
+        targets: vec![Target {
+            pool: pool.to_owned(),
+            weight: 1,
+        }],
+    }
+}
+
+pub(crate) fn tables(generation: u64, token_rate: Option<u64>) -> Tables {
+    let engine = Engine {
+        slots: 48,
+        memory: 444_000,
+    };
+    let pool = |engine| Pool {
+        connections: 300,
+        engine,
+    };
+    Tables {
+        generation,
+        routes: vec![route(Kind::Stream { resumable: true })],
+        pools: BTreeMap::from([
+            (MODELS.to_owned(), pool(Some(engine))),
+            (PLAIN.to_owned(), pool(None)),
+        ]),
+        keys: None,
+        limits: Limits {
+            head_bytes: 16 << 10,
+            body_bytes: 1 << 20,
+            head_time: ms(3_000),
+            idle_time: ms(15_000),
+            token_rate,
+        },
+    }
+}
+
+/// A gateway on host `host` with tables in force.
+pub(crate) fn fleet(host: u8, token_rate: Option<u64>) -> Fleet {
+    let mut fleet = Fleet::new(FleetConfig {
+        me: u64::from(host),
+        zone: "a".to_owned(),
+        ip: ip(host),
+        retry_permille: 200,
+        retry_slack: 56,
+    });
+    fleet.adopt_tables(tables(1, token_rate));
+    fleet
+}
+
+/// A gateway that knows `count` model servers, s1 and on.
+pub(crate) fn fleet_with(host: u8, count: u8, token_rate: Option<u64>) -> Fleet {
+    let mut fleet = fleet(host, token_rate);
+    for number in 1..=count {
+        fleet.server_seen(server(&format!("s{number}"), MODELS, 100 + number), ms(1));
+    }
+    fleet
+}
+
+/// A prompt with a shared part.
+pub(crate) fn prompt(shared: u64) -> Prompt {
+    Prompt {
+        shared,
+        shared_tokens: 13_300,
+        own_tokens: 3_720,
+        output_tokens: 120,
+    }
+}
+
+/// A request of an account that arrived at `now`.
+pub(crate) fn ask(account: &str, prompt: Prompt, now: Mono) -> Ask {
+    Ask {
+        route: Arc::new(route(Kind::Stream { resumable: true })),
+        pool: MODELS.to_owned(),
+        account: Some(account.to_owned()),
+        print: prompt.shared ^ now.as_nanos() as u64,
+        prompt: Some(prompt),
+        arrived: now,
+        deadline: now + ms(8_000),
+        tried: Vec::new(),
+    }
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -40,12 +40,11 @@
 const CONNECT_TIME: Duration = Duration::from_millis(300);
 /// Idle connections kept to one server; all gateways together stay below what it accepts.
 const IDLE_CONNECTIONS: usize = 8;
-/// Time before the end of the grace at which idle connections are closed.
-const CLOSE_AHEAD: Duration = Duration::from_millis(1_600);
+/// Part of the grace after which idle connections are closed and streams are not begun any more.
+/// By then the entry has long stopped sending connections, and what is left lets a stream end.
+const CLOSE_PART: f64 = 0.42;
 /// Time before the end of the grace at which the process ends.
-const END_AHEAD: Duration = Duration::from_millis(500);
-/// Shortest time from the signal to the end: the entry has stopped sending connections by then.
-const LEAST_DRAIN: Duration = Duration::from_millis(3_000);
+const END_AHEAD: Duration = Duration::from_millis(350);
 /// How often the end of a shutdown is looked for.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
 /// How long the platform may take to end the lease.
@@ -241,12 +240,12 @@
     loop {
         tokio::time::sleep(DRAIN_LOOK).await;
         let passed = shared.now().saturating_sub(began);
-        let close = passed + CLOSE_AHEAD >= grace;
+        let close = passed >= grace.mul_f64(CLOSE_PART);
         if close && !shared.is_closing.replace(true) {
             shared.closing.notify_waiters();
         }
         let idle = shared.callers.get() == 0;
-        if idle && (passed >= LEAST_DRAIN || close) || passed + END_AHEAD >= grace {
+        if close && idle || passed + END_AHEAD >= grace {
             let cut = shared.running.get();
             return Ended { cut };
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -34,6 +34,9 @@
 /// Retry-After while no tables are known: a starting gateway has them in well under a second.
 const RETRY_NO_TABLES: Duration = Duration::from_millis(500);
 
+/// Retry-After while the process is about to end: callers reach another gateway.
+const RETRY_ENDING: Duration = Duration::from_millis(50);
+
 /// Answers one request.
 pub(crate) async fn serve(shared: Rc<Shared>, request: Request<Incoming>) -> Response<OutBody> {
     let arrived = shared.now();
@@ -79,6 +82,11 @@
     let (route, account) = admit(&catalog, &head, &call).map_err(|reply| refuse(&call, reply))?;
     let limit = call.patience.unwrap_or(route.time_limit);
     let deadline = arrived + limit.min(route.time_limit);
+    if shared.is_closing.get() && route.kind.streams() {
+        // It might not end before the process does; another gateway takes it at once.
+        let reply = Reply::not_run("the gateway is about to end", RETRY_ENDING);
+        return Err(refuse(&call, reply));
+    }
     let most = catalog.tables().limits.body_bytes;
     let reading = read_body(body, most);
     let left = deadline.saturating_sub(shared.now());
--- a/crates/primrosed/src/ops/gateway.rs
+++ b/crates/primrosed/src/ops/gateway.rs
@@ -10,6 +10,8 @@
 
 use metrics_exporter_prometheus::PrometheusBuilder;
 use primrose_core::clock::Clock;
+use primrose_core::id::Incarnation;
+use primrose_fleet::entry::short;
 use primrose_fleet::FleetConfig;
 use primrose_gateway::run::Config;
 use primrose_gateway::run::Reload;
@@ -32,6 +34,9 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.5, 5.0, 10.0,
 ];
 
+/// Bits of a start number that tell hosts apart; the milliseconds above them last for centuries.
+const HOST_BITS: u32 = 20;
+
 /// Runs a gateway until a signal ends it.
 pub fn run(path: &Path, metrics_port: Option<u16>) -> Result<u8, ProgramError> {
     let settings = Settings::read(path).context(PlatformSettingsSnafu { path })?;
@@ -47,7 +52,7 @@
     let config = Config {
         host: settings.host.clone(),
         fleet: FleetConfig {
-            me: incarnation(&*clock),
+            me: writer(incarnation(&*clock), &settings.host),
             zone: settings.zone.clone(),
             ip: settings.ip,
             retry_permille: settings.retry_permille,
@@ -82,6 +87,12 @@
     Ok(0)
 }
 
+/// Number of this start that no other gateway has: hosts may start within one millisecond, so the
+/// name goes into the lower bits. A later start of the same host has a higher number.
+fn writer(started: Incarnation, host: &str) -> Incarnation {
+    started << HOST_BITS | u64::from(short(host)) >> (u32::BITS - HOST_BITS)
+}
+
 fn recorder() -> Option<Render> {
     let builder = PrometheusBuilder::new().set_buckets(&BUCKETS);
     let installed = builder.and_then(PrometheusBuilder::install_recorder);
