Test the gateway before misbehaving servers, and decisions on modelled engines

A server that sheds counts as one that failed: found by a test in which four orders in a row went to it. Ruled out for a test that failed once: the gateway (the harness took a port that another test had been given; worlds now have addresses of their own), and a race of the harness with the control listener.

--- /dev/null
+++ b/crates/emulate/src/policy.rs
@@ -0,0 +1,48 @@
+//! Who decides: the real code, or a baseline.
+
+use std::time::Duration;
+
+use primrose_core::clock::Mono;
+use primrose_fleet::Ask;
+use primrose_fleet::Decision;
+use primrose_fleet::Fleet;
+
+/// A way to decide.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// The gateways' own decisions.
+    Fleet,
+    /// First come, first served, to the server that runs least; nothing is refused, and prompts
+    /// have no homes.
+    LeastLoaded,
+}
+
+/// What becomes of a request.
+#[derive(Debug, Clone)]
+pub enum Verdict {
+    /// It goes to a server.
+    Send(Box<primrose_fleet::Work>),
+    /// It is refused; the caller may come back after a time.
+    Refuse(Duration),
+}
+
+impl Policy {
+    /// Decides on a request.
+    pub fn decide(self, fleet: &mut Fleet, ask: &Ask, now: Mono) -> Verdict {
+        let mut ask = ask.clone();
+        if self == Self::LeastLoaded {
+            // Without parts in common and without a limit on waiting, only load is left to decide.
+            if let Some(prompt) = &mut ask.prompt {
+                prompt.own_tokens += prompt.shared_tokens;
+                prompt.shared_tokens = 0;
+            }
+            let mut route = (*ask.route).clone();
+            route.objective = Duration::from_secs(3_600);
+            ask.route = route.into();
+        }
+        match fleet.decide(&ask, now) {
+            Decision::Send(work) => Verdict::Send(Box::new(work)),
+            Decision::Refuse(refusal) => Verdict::Refuse(refusal.retry_after),
+        }
+    }
+}
--- a/crates/fleet/src/fleet/intake.rs
+++ b/crates/fleet/src/fleet/intake.rs
@@ -149,7 +149,11 @@
             Ended::Good => server.health.succeeded(now),
             Ended::Failed | Ended::Broken => server.health.failed(now),
             Ended::Unreachable => server.health.unreachable(now),
-            Ended::NotRun => server.health.reached(),
+            Ended::NotRun => {
+                // A server that sheds is no place for the next request, though it can be reached.
+                server.health.failed(now);
+                server.health.reached();
+            }
             Ended::GivenUp => {}
         }
     }
--- /dev/null
+++ b/crates/primrosed/tests/testsuite/platform_world.rs
@@ -0,0 +1,429 @@
+//! A gateway process before a stand-in of the platform's store and of its servers.
+//!
+//! The stand-ins speak plain HTTP over std sockets, so that a test can also answer wrongly: cut,
+//! late, twice, or not at all.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine as _;
+use serde_json::json;
+use serde_json::Value;
+
+/// Longest wait for anything that a test expects; far above what it takes.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(10);
+
+/// A request as a stand-in read it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Seen {
+    pub(crate) line: String,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Seen {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(known, _)| known == name);
+        found.map(|(_, value)| value.as_str())
+    }
+}
+
+/// Reads a request or an answer; none at the end of the connection.
+pub(crate) fn read_message(reader: &mut BufReader<TcpStream>) -> Option<Seen> {
+    let mut seen = Seen::default();
+    reader.read_line(&mut seen.line).ok().filter(|n| *n > 0)?;
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        let Some((name, value)) = line.trim_end().split_once(':') else {
+            break;
+        };
+        let header = (name.to_ascii_lowercase(), value.trim().to_owned());
+        seen.headers.push(header);
+    }
+    let length = seen.header("content-length");
+    let length = length.and_then(|text| text.parse().ok()).unwrap_or(0);
+    seen.body = vec![0; length];
+    reader.read_exact(&mut seen.body).ok()?;
+    Some(seen)
+}
+
+type Answer = Arc<dyn Fn(&Seen, &mut TcpStream) -> bool + Send + Sync>;
+
+/// Serves connections on threads; `answer` writes and returns whether the connection stays open.
+fn serve(answer: Answer) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("its address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            let answer = Arc::clone(&answer);
+            std::thread::spawn(move || {
+                let copy = stream.try_clone().expect("a second handle");
+                let mut reader = BufReader::new(copy);
+                while let Some(seen) = read_message(&mut reader) {
+                    if !answer(&seen, &mut stream) {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Writes a whole answer.
+pub(crate) fn reply(stream: &mut TcpStream, status: &str, headers: &str, body: &str) -> bool {
+    let length = body.len();
+    let text = format!("HTTP/1.1 {status}\r\n{headers}content-length: {length}\r\n\r\n{body}");
+    stream.write_all(text.as_bytes()).is_ok()
+}
+
+/// Headers with which a server vouches for its answer to a request.
+pub(crate) fn vouched(seen: &Seen) -> String {
+    let id = seen.header("primrosehall-request-id").unwrap_or_default();
+    format!("primrosehall-request-id: {id}\r\nprimrosehall-response-signature: s\r\n")
+}
+
+/// Begins a stream.
+pub(crate) fn begin_stream(stream: &mut TcpStream, seen: &Seen) {
+    let headers = vouched(seen);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{headers}content-type: text/event-stream\r\n\
+         transfer-encoding: chunked\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("written");
+}
+
+/// Writes one chunk; an empty one ends the stream.
+pub(crate) fn chunk(stream: &mut TcpStream, text: &str) -> bool {
+    let bytes = format!("{:x}\r\n{text}\r\n", text.len());
+    stream.write_all(bytes.as_bytes()).is_ok()
+}
+
+/// A server whose answers a test decides; keeps what it saw.
+pub(crate) struct Server {
+    pub(crate) addr: SocketAddr,
+    pub(crate) seen: Arc<Mutex<Vec<Seen>>>,
+}
+
+impl Server {
+    pub(crate) fn start<F>(answer: F) -> Self
+    where
+        F: Fn(&Seen, &mut TcpStream) -> bool + Send + Sync + 'static,
+    {
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let record = Arc::clone(&seen);
+        let addr = serve(Arc::new(move |request, stream| {
+            record.lock().expect("seen").push(request.clone());
+            answer(request, stream)
+        }));
+        Self { addr, seen }
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.seen.lock().expect("seen").len()
+    }
+
+    /// Entry of this server in the store.
+    pub(crate) fn entry(&self, service: &str) -> Value {
+        json!({
+            "service": service, "address": self.addr.to_string(), "zone": "a", "version": "v1",
+            "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1,
+        })
+    }
+}
+
+/// The store's items, which tests change while it serves.
+#[derive(Default)]
+pub(crate) struct Store {
+    items: Mutex<Vec<(String, Vec<u8>, u64)>>,
+}
+
+impl Store {
+    pub(crate) fn put(&self, key: &str, value: &[u8]) {
+        let mut items = self.items.lock().expect("items");
+        let revision = items.iter().map(|item| item.2).max().unwrap_or(0) + 1;
+        items.retain(|item| item.0 != key);
+        items.push((key.to_owned(), value.to_vec(), revision));
+    }
+
+    pub(crate) fn put_json(&self, key: &str, value: &Value) {
+        self.put(key, value.to_string().as_bytes());
+    }
+
+    fn after(&self, prefix: &str, after: u64) -> (Vec<Value>, u64) {
+        let items = self.items.lock().expect("items");
+        let newest = items.iter().map(|item| item.2).max().unwrap_or(0);
+        let found = items
+            .iter()
+            .filter(|item| item.0.starts_with(prefix) && item.2 > after);
+        let rows = found.map(|(key, value, revision)| {
+            json!({
+                "key": key, "value": STANDARD.encode(value), "revision": revision,
+                "createRevision": revision, "lease": 0,
+            })
+        });
+        (rows.collect(), newest)
+    }
+
+    fn answer(&self, seen: &Seen, stream: &mut TcpStream) -> bool {
+        let path = seen.line.split(' ').nth(1).unwrap_or_default();
+        let query = |name: &str| {
+            let pairs = path.split_once('?').map_or("", |(_, query)| query);
+            let mut pairs = pairs.split('&').filter_map(|pair| pair.split_once('='));
+            let found = pairs.find(|(key, _)| *key == name);
+            found.map(|(_, value)| value.to_owned()).unwrap_or_default()
+        };
+        let prefix = query("prefix");
+        let body = if path.starts_with("/api/kv-range") {
+            let (items, newest) = self.after(&prefix, 0);
+            json!({ "items": items, "hasMore": false, "currentRev": newest })
+        } else if path.starts_with("/api/kv-watch") {
+            let after = query("after").parse().unwrap_or(0);
+            let wait = query("waitMs").parse().unwrap_or(0);
+            let (events, newest) = self.watch(&prefix, after, Duration::from_millis(wait));
+            json!({ "events": events, "currentRev": newest })
+        } else if path.starts_with("/api/kv-lease") {
+            json!({ "lease": 7, "ttlMs": 3_000 })
+        } else {
+            json!({ "revision": 1 })
+        };
+        let json = "content-type: application/json\r\n";
+        reply(stream, "200 OK", json, &body.to_string())
+    }
+
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (Vec<Value>, u64) {
+        let end = Instant::now() + wait;
+        loop {
+            let (events, newest) = self.after(prefix, after);
+            if !events.is_empty() || Instant::now() >= end {
+                return (events, newest);
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+/// A gateway and its platform.
+pub(crate) struct World {
+    pub(crate) store: Arc<Store>,
+    pub(crate) front: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) control: SocketAddr,
+    child: Child,
+    settings: std::path::PathBuf,
+}
+
+/// Worlds that this process has made.
+static WORLDS: AtomicU32 = AtomicU32::new(0);
+
+/// A loopback address that no other world has, so that ports cannot meet.
+fn own_ip() -> Ipv4Addr {
+    let number = WORLDS.fetch_add(1, Ordering::SeqCst) + 1;
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(
+        127,
+        high.max(1),
+        low,
+        u8::try_from(number).expect("few worlds"),
+    )
+}
+
+impl World {
+    /// Starts a gateway with tables in force and the given servers, named by their number.
+    pub(crate) fn start(servers: &[(&str, &Server)]) -> Self {
+        let world = Self::start_empty();
+        world.store.put_json("op/config", &config(1));
+        for (number, (service, server)) in servers.iter().enumerate() {
+            let key = format!("servers/i-{number}");
+            world.store.put_json(&key, &server.entry(service));
+        }
+        world.wait_ready(servers.len());
+        world
+    }
+
+    /// Starts a gateway before a store that holds nothing.
+    pub(crate) fn start_empty() -> Self {
+        let store = Arc::new(Store::default());
+        let serving = Arc::clone(&store);
+        let address = serve(Arc::new(move |seen, stream| serving.answer(seen, stream)));
+        let ip = own_ip();
+        let [front, ready, control] =
+            [7_001, 7_002, 7_003].map(|port| SocketAddr::from((ip, port)));
+        let text = settings(front, ready, control, address).to_string();
+        let name = format!("gateway-{ip}.json");
+        let settings = std::env::temp_dir().join(name);
+        std::fs::write(&settings, text).expect("settings written");
+        let child = Command::new(env!("CARGO_BIN_EXE_primrosed"))
+            .arg("--settings-variable")
+            .arg("PRIMROSEHALL_BOOT")
+            .env("PRIMROSEHALL_BOOT", &settings)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the gateway starts");
+        let world = Self {
+            store,
+            front,
+            ready,
+            control,
+            child,
+            settings,
+        };
+        let listens = |addr: SocketAddr| TcpStream::connect(addr).is_ok();
+        world.until("listens", || {
+            [front, ready, control].into_iter().all(listens)
+        });
+        world
+    }
+
+    fn wait_ready(&self, servers: usize) {
+        self.until("knows its servers", || {
+            let status = self.status();
+            let known = status["servers"].as_array().map_or(0, Vec::len);
+            status["ready"] == json!(true) && known == servers
+        });
+    }
+
+    /// What the gateway says of itself.
+    pub(crate) fn status(&self) -> Value {
+        let (_, body) = call(self.control, "GET /status HTTP/1.1\r\nhost: x\r\n\r\n");
+        serde_json::from_slice(&body).unwrap_or_default()
+    }
+
+    /// Waits until something holds.
+    pub(crate) fn until(&self, what: &str, holds: impl Fn() -> bool) {
+        let end = Instant::now() + PATIENCE;
+        while !holds() {
+            assert!(Instant::now() < end, "the gateway never {what}");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Sends the signal to stop.
+    pub(crate) fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &pid]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    /// Waits for the end of the process; returns its exit code and its log.
+    pub(crate) fn ended(mut self) -> (Option<i32>, String) {
+        let code = self.child.wait().expect("ended").code();
+        let mut log = String::new();
+        if let Some(mut out) = self.child.stdout.take() {
+            out.read_to_string(&mut log).expect("a log");
+        }
+        (code, log)
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        // A process that has ended already needs neither.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+fn settings(front: SocketAddr, ready: SocketAddr, control: SocketAddr, store: SocketAddr) -> Value {
+    json!({
+        "nodeName": "front-a-1", "ip": front.ip(), "zone": "a",
+        "listen": { "front": front, "ready": ready, "control": control },
+        "internalPortRange": [7_400, 7_415], "seeds": [control],
+        "bounds": { "graceS": 8, "budgetRatio": 0.2, "budgetSlack": 56, "new": 1 },
+        "platform": { "address": store, "form": "kv" },
+    })
+}
+
+/// A configuration with a route of each kind.
+pub(crate) fn config(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, resume: bool| {
+        json!({
+            "name": name, "host": "example", "prefix": format!("/{name}/"), "routeType": kind,
+            "timeoutMs": 4_000, "targetLatencyMs": 600, "priority": 1, "service": service,
+            "attempts": 2, "public": false, "sticky": kind == "streaming", "canResume": resume,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("resumed", "streaming", "models", true),
+            route("stream", "streaming", "models", false),
+            route("once", "non_idempotent", "plain", false),
+            route("again", "idempotent", "plain", false),
+        ],
+        "services": [
+            { "name": "models", "healthPath": "/h", "maxConns": 300, "protocol": "h1", "tls": false,
+              "engine": { "slots": 8, "kvTokens": 444_000 } },
+            { "name": "plain", "healthPath": "/h", "maxConns": 110, "protocol": "h1", "tls": false },
+        ],
+        "limits": { "maxHeaderBytes": 16_384, "maxBodyBytes": 4_096, "headerTimeoutMs": 3_000,
+                    "idleTimeoutMs": 15_000, "tokensPerS": 340_000 },
+        "tenants": [{ "name": "parish", "apiKeys": ["key-1"], "priority": 1 }],
+    })
+}
+
+/// Text of a request on a route, with more headers.
+pub(crate) fn request(method: &str, route: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "{method} /{route}/2f HTTP/1.1\r\nHost: example\r\nPrimrosehall-Request-Id: r1\r\n\
+         Primrosehall-Deadline-Ms: 4000\r\nPrimrosehall-Key: key-1\r\n{headers}\
+         Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Headers of a prompt.
+pub(crate) const PROMPT: &str = "Primrosehall-Model: m\r\nPrimrosehall-Token-Usage: 1460,80\r\n\
+     Primrosehall-Prompt-Prefix: 5c1e07a2:800,91bd3f06:660\r\n";
+
+/// Sends a request; returns the head's first line, and the raw rest up to the end of the answer.
+pub(crate) fn call(addr: SocketAddr, request: &str) -> (String, Vec<u8>) {
+    let mut stream = TcpStream::connect(addr).expect("connected");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+    stream.write_all(request.as_bytes()).expect("sent");
+    let mut reader = BufReader::new(stream);
+    match read_message(&mut reader) {
+        Some(answer) => (answer.line.trim_end().to_owned(), answer.body),
+        None => (String::new(), Vec::new()),
+    }
+}
+
+/// Sends a request and reads until the stream's end mark or the end of the connection; returns
+/// all that came, and whether the end mark was there.
+pub(crate) fn call_stream(addr: SocketAddr, request: &str) -> (String, bool) {
+    let mut stream = TcpStream::connect(addr).expect("connected");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+    stream.write_all(request.as_bytes()).expect("sent");
+    let mut all = Vec::new();
+    let mut block = [0; 4_096];
+    loop {
+        let whole = all.ends_with(b"\r\n0\r\n\r\n");
+        if whole {
+            return (String::from_utf8_lossy(&all).into_owned(), true);
+        }
+        match stream.read(&mut block) {
+            Ok(length) if length > 0 => all.extend_from_slice(&block[..length]),
+            _ => return (String::from_utf8_lossy(&all).into_owned(), false),
+        }
+    }
+}
