Ask the platform less often where other gateways tell

Change: pauses and waits grow with the number of gateways heard; digests name servers that left the list, so that the next reader tells the others; such a word removes a server only until it is listed again, and not after an outage. Ruled out: permanent marks for servers that left the list (a gateway that slept through an outage in which entries lapse would have emptied every list).

--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -57,7 +57,9 @@
     /// Requests that broke their servers' connections.
     pub broken: Vec<(Fingerprint, u32)>,
     /// Starts of servers that the writer has seen leaving.
-    pub leaving: Vec<(ShortId, u64)>,
+    pub leaving: Vec<ShortId>,
+    /// Starts of servers that the writer has seen leave the list.
+    pub gone: Vec<ShortId>,
     /// Where other gateways are.
     pub peers: Vec<IpAddr>,
 }
@@ -69,7 +71,7 @@
     Vec<(ShortId, u64, u64, u32, u64, u64)>,
     Vec<(ShortId, u64, u64)>,
     Vec<(Fingerprint, u32)>,
-    Vec<(ShortId, u64)>,
+    (Vec<ShortId>, Vec<ShortId>),
     Vec<IpAddr>,
 );
 
@@ -121,7 +123,7 @@
                 .map(|(id, sums)| (*id, sums.asked, sums.granted))
                 .collect(),
             self.broken.clone(),
-            self.leaving.clone(),
+            (self.leaving.clone(), self.gone.clone()),
             self.peers.clone(),
         );
         let mut bytes = Vec::with_capacity(MOST_BYTES);
@@ -134,6 +136,7 @@
         let wire: Wire = ciborium::from_reader(bytes).context(DecodeSnafu)?;
         let Wire(head, servers, accounts, broken, leaving, peers) = wire;
         let (writer, seq, generation, list_version) = head;
+        let (leaving, gone) = leaving;
         let servers = servers.into_iter().map(
             |(server, reading, memory, running, good, failed)| ServerRow {
                 server,
@@ -157,6 +160,7 @@
             accounts: accounts.collect(),
             broken,
             leaving,
+            gone,
             peers,
         })
     }
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -18,6 +18,11 @@
     (xxh3_64(name.as_bytes()) & u64::from(u32::MAX)) as ShortId
 }
 
+/// Returns the short name of one start of a server.
+pub fn short_start(entry: &ServerEntry) -> ShortId {
+    short(&entry.id).rotate_left(1) ^ short(&entry.born_ms.to_string())
+}
+
 /// One start of a server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntry {
--- a/crates/fleet/src/fleet/gossip.rs
+++ b/crates/fleet/src/fleet/gossip.rs
@@ -163,6 +163,7 @@
             accounts: self.demand.own(now),
             broken: self.crashes.told(now),
             leaving: self.servers.marks(now),
+            gone: self.servers.gone(now),
             peers: self.peers.values().map(|peer| peer.ip).collect(),
         };
         digest.trim();
@@ -185,7 +186,8 @@
         if known.is_some_and(|peer| peer.digest.seq >= digest.seq) {
             return Vec::new();
         }
-        let changes = self.servers.merge_marks(&digest.leaving, now);
+        let mut changes = self.servers.merge_marks(&digest.leaving, now);
+        changes.extend(self.servers.merge_gone(&digest.gone, now));
         self.crashes.merge(digest.writer, &digest.broken, now);
         self.forget_peer_at(ip, digest.writer);
         let before = self.peers.remove(&digest.writer);
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -14,7 +14,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::entry::short;
+use crate::entry::short_start;
 use crate::entry::ServerEntry;
 use crate::entry::ShortId;
 use crate::health::Health;
@@ -25,6 +25,9 @@
 const RETURN_TIME: Duration = Duration::from_millis(2_000);
 /// How long a leaving mark is told to other gateways; the platform's list has it by then.
 const MARK_TOLD: Duration = Duration::from_secs(10);
+/// How long it is remembered that a server left the list: longer than it is told, so that an echo
+/// does not remove one that came back.
+const GONE_KEPT: Duration = Duration::from_secs(30);
 /// Marks that a digest names.
 const MARKS_TOLD: usize = 16;
 
@@ -77,7 +80,7 @@
 impl Server {
     fn new(entry: ServerEntry) -> Self {
         Self {
-            short: short(&entry.id),
+            short: short_start(&entry),
             entry,
             own: Load::default(),
             health: Health::default(),
@@ -110,14 +113,17 @@
 #[derive(Debug, Default)]
 pub struct Servers {
     by_id: HashMap<ServerId, Server>,
-    marks: HashMap<(ShortId, u64), Mono>,
+    /// Starts of servers that were seen leaving; such a mark holds for good.
+    marks: HashMap<ShortId, Mono>,
+    /// Starts of servers that left the list; one that is listed again is used again.
+    gone: HashMap<ShortId, Mono>,
     outage_end: Option<Mono>,
 }
 
 impl Servers {
     /// Takes in an entry of the list.
     pub fn seen(&mut self, mut entry: ServerEntry, now: Mono) -> Vec<Change> {
-        let mark = (short(&entry.id), entry.born_ms);
+        let mark = short_start(&entry);
         entry.leaving |= self.marks.contains_key(&mark);
         let mut changes = self.drop_reused(&entry);
         if entry.leaving {
@@ -157,6 +163,8 @@
             let change = began.then(|| Change::Missing(id.to_owned()));
             return change.into_iter().collect();
         }
+        // The other gateways may read the list less often.
+        self.gone.insert(server.short, now);
         self.by_id.remove(id);
         vec![Change::Gone(id.to_owned())]
     }
@@ -185,16 +193,15 @@
     }
 
     /// Takes in leaving marks of another gateway.
-    pub fn merge_marks(&mut self, marks: &[(ShortId, u64)], now: Mono) -> Vec<Change> {
+    pub fn merge_marks(&mut self, marks: &[ShortId], now: Mono) -> Vec<Change> {
         let mut changes = Vec::new();
         for mark in marks {
             if self.marks.contains_key(mark) {
                 continue;
             }
             self.marks.insert(*mark, now);
-            let marked = self.by_id.values_mut().find(|server| {
-                server.short == mark.0 && server.entry.born_ms == mark.1 && server.takes_new()
-            });
+            let mut servers = self.by_id.values_mut();
+            let marked = servers.find(|server| server.short == *mark && server.takes_new());
             if let Some(server) = marked {
                 server.entry.leaving = true;
                 changes.push(Change::Leaving(server.entry.id.clone()));
@@ -203,15 +210,37 @@
         changes
     }
 
+    /// Takes in which servers another gateway saw leave the list.
+    pub fn merge_gone(&mut self, gone: &[ShortId], now: Mono) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for short in gone {
+            if self.gone.insert(*short, now).is_some() || self.may_return(now) {
+                continue;
+            }
+            let mut servers = self.by_id.values();
+            let id = servers.find(|server| server.short == *short);
+            if let Some(id) = id.map(|server| server.entry.id.clone()) {
+                self.by_id.remove(&id);
+                changes.push(Change::Gone(id));
+            }
+        }
+        changes
+    }
+
     /// Leaving marks to tell.
-    pub fn marks(&self, now: Mono) -> Vec<(ShortId, u64)> {
-        let fresh = |since: &Mono| now.saturating_sub(*since) < MARK_TOLD;
-        let told = self.marks.iter().filter(|(_, since)| fresh(since));
-        told.map(|(mark, _)| *mark).take(MARKS_TOLD).collect()
+    pub fn marks(&self, now: Mono) -> Vec<ShortId> {
+        fresh(&self.marks, now)
+    }
+
+    /// Servers to tell that left the list.
+    pub fn gone(&self, now: Mono) -> Vec<ShortId> {
+        fresh(&self.gone, now)
     }
 
     /// Drops servers that stayed missing.
     pub fn expire(&mut self, now: Mono) -> Vec<Change> {
+        self.gone
+            .retain(|_, since| now.saturating_sub(*since) < GONE_KEPT);
         if self.may_return(now) {
             return Vec::new();
         }
@@ -266,3 +295,10 @@
         vec![Change::Gone(id)]
     }
 }
+
+/// What was noted lately.
+fn fresh(noted: &HashMap<ShortId, Mono>, now: Mono) -> Vec<ShortId> {
+    let lately = noted.iter();
+    let lately = lately.filter(|(_, since)| now.saturating_sub(**since) < MARK_TOLD);
+    lately.map(|(short, _)| *short).take(MARKS_TOLD).collect()
+}
--- a/crates/fleet/tests/testsuite/servers.rs
+++ b/crates/fleet/tests/testsuite/servers.rs
@@ -1,7 +1,7 @@
 //! Which servers are used while the platform's list changes, lapses and comes back.
 
 use primrose_core::clock::Mono;
-use primrose_fleet::entry::short;
+use primrose_fleet::entry::short_start;
 use primrose_fleet::server::Change;
 use primrose_fleet::server::Servers;
 
@@ -17,6 +17,7 @@
     Listed(Vec<&'static str>),
     OutageEnded,
     Mark(&'static str),
+    Gone(&'static str),
     Expire,
 }
 
@@ -51,7 +52,8 @@
         Step::Removed(id) => drop(servers.removed(id, now)),
         Step::Listed(ids) => drop(servers.replace(ids.into_iter().map(entry).collect(), now)),
         Step::OutageEnded => servers.outage_ended(now),
-        Step::Mark(id) => drop(servers.merge_marks(&[(short(id), entry(id).born_ms)], now)),
+        Step::Mark(id) => drop(servers.merge_marks(&[short_start(&entry(id))], now)),
+        Step::Gone(id) => drop(servers.merge_gone(&[short_start(&entry(id))], now)),
         Step::Expire => drop(servers.expire(now)),
     }
 }
@@ -80,6 +82,26 @@
             steps: vec![(1, Seen("s1")), (2, Mark("s1"))],
             used: vec![],
         },
+        Case {
+            name: "a server that left the list is gone by another gateway's word",
+            steps: vec![(1, Seen("s1")), (2, Seen("s2")), (3, Gone("s1"))],
+            used: vec!["s2"],
+        },
+        Case {
+            name: "it is used again once it is listed, whatever echoes say",
+            steps: vec![
+                (1, Seen("s1")),
+                (3, Gone("s1")),
+                (4, Seen("s1")),
+                (5, Gone("s1")),
+            ],
+            used: vec!["s1"],
+        },
+        Case {
+            name: "nobody's word removes a server just after an outage",
+            steps: vec![(1, Seen("s1")), (5_000, OutageEnded), (5_001, Gone("s1"))],
+            used: vec!["s1"],
+        },
         Case {
             name: "an entry that lapsed during an outage stays usable",
             steps: vec![
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -16,21 +16,32 @@
 use crate::shared::millis;
 use crate::shared::Shared;
 
-/// How long a watch waits at the platform. A connection that went silent is noticed after this
-/// and the grace, which has to stay below the time in which tables must be in force.
+/// How long a watch waits at the platform where a gateway is nearly alone. A connection that went
+/// silent is noticed after this and the grace, which has to stay below the time in which tables
+/// must be in force.
 const WATCH_TIME: Duration = Duration::from_millis(900);
+/// Gateways to which that applies. With more of them, one that misses a change hears from the
+/// others that there is one, so that each may ask the platform less often.
+const WATCHERS: u32 = 4;
+/// Longest wait of a watch, however many gateways there are.
+const WATCH_MOST: Duration = Duration::from_secs(10);
 /// How long the platform may take beyond that, or for a list.
 const ANSWER_GRACE: Duration = Duration::from_millis(800);
 /// Pause after servers changed. Each of them writes about once a second, so that watches without
 /// a pause would be a call for each write at each gateway.
 const SERVERS_PAUSE: Duration = Duration::from_millis(250);
+/// Gateways to which that applies; with more, the pause grows, and the one that reads next tells
+/// the others which servers leave.
+const READERS: u32 = 8;
+/// Longest pause, which bounds the time until a new server is used.
+const SERVERS_PAUSE_MOST: Duration = Duration::from_millis(2_000);
 /// Pause after tables changed.
 const TABLES_PAUSE: Duration = Duration::from_millis(40);
 /// First and longest pause after a failure.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(80), Duration::from_millis(700));
 /// Failures in a row that count as a lost dependency.
 const LOST_FAILURES: u32 = 2;
-/// How long the gateways' list holds; peers name one another in the meantime.
+/// How long the gateways' list holds, for a few gateways; peers name one another in the meantime.
 const GATEWAYS_PAUSE: Duration = Duration::from_secs(6);
 /// Lease of this gateway's own entry: a few renewals may fail.
 const LEASE_TIME: Duration = Duration::from_secs(12);
@@ -62,7 +73,7 @@
                 position.after = Some(batch.version);
                 apply(&shared, feed, batch, listing);
                 if !quiet && !listing {
-                    tokio::time::sleep(pause(feed)).await;
+                    tokio::time::sleep(pause(&shared, feed)).await;
                 }
             }
             Err(PlatformError::Forgotten) => position.after = None,
@@ -77,10 +88,11 @@
 async fn read(shared: &Shared, position: &Position) -> Result<Batch, PlatformError> {
     let (limit, call) = match position.after {
         None => (ANSWER_GRACE, shared.platform.list(position.feed)),
-        Some(after) => (
-            WATCH_TIME + ANSWER_GRACE,
-            shared.platform.watch(position.feed, after, WATCH_TIME),
-        ),
+        Some(after) => {
+            let wait = watch_time(shared, position.feed);
+            let call = shared.platform.watch(position.feed, after, wait);
+            (wait + ANSWER_GRACE, call)
+        }
     };
     match timeout(limit, call).await {
         Ok(read) => read,
@@ -90,10 +102,26 @@
     }
 }
 
-fn pause(feed: Feed) -> Duration {
+fn gateways(shared: &Shared) -> u32 {
+    u32::try_from(shared.fleet.borrow().size()).unwrap_or(u32::MAX)
+}
+
+/// Servers write all the time: their watch must not outlast an outage in which entries lapse.
+fn watch_time(shared: &Shared, feed: Feed) -> Duration {
+    if feed == Feed::Servers {
+        return WATCH_TIME;
+    }
+    let gateways = gateways(shared).max(WATCHERS);
+    (WATCH_TIME * gateways / WATCHERS).min(WATCH_MOST)
+}
+
+fn pause(shared: &Shared, feed: Feed) -> Duration {
     match feed {
         Feed::Tables => TABLES_PAUSE,
-        Feed::Servers | Feed::Gateways => SERVERS_PAUSE,
+        Feed::Servers | Feed::Gateways => {
+            let gateways = gateways(shared).max(READERS);
+            (SERVERS_PAUSE * gateways / READERS).min(SERVERS_PAUSE_MOST)
+        }
     }
 }
 
@@ -217,7 +245,8 @@
         None => lease.set(Some(limited(platform.enrol(LEASE_TIME)).await?)),
     }
     let now = shared.now();
-    if listed.is_none_or(|at| now.saturating_sub(at) >= GATEWAYS_PAUSE) {
+    let pause = GATEWAYS_PAUSE * gateways(shared).max(READERS) / READERS;
+    if listed.is_none_or(|at| now.saturating_sub(at) >= pause) {
         let batch = limited(platform.list(Feed::Gateways)).await?;
         apply(shared, Feed::Gateways, batch, true);
         *listed = Some(now);
