--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -133,6 +133,17 @@
         /// How long the attempt took, in milliseconds.
         took_ms: u64,
     },
+    /// No server was found that goes on with a stream.
+    NotResumed {
+        /// The request.
+        request: String,
+        /// Why.
+        reason: String,
+        /// Expected wait in milliseconds.
+        predicted_ms: u64,
+        /// Wait that would have been accepted, in milliseconds.
+        allowed_ms: u64,
+    },
     /// A request was answered.
     Answered {
         /// The request.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -205,6 +205,16 @@
         Reply::new(status, reason).into_response(&self.shared, &self.call.id)
     }
 
+    /// Logs why no server goes on with a stream.
+    pub(crate) fn log_not_resumed(&self, refusal: Refusal) {
+        self.shared.log.event(&Event::NotResumed {
+            request: self.call.id.clone(),
+            reason: refusal.reason.to_string(),
+            predicted_ms: millis(refusal.predicted),
+            allowed_ms: millis(refusal.allowed),
+        });
+    }
+
     /// Logs how the request ended.
     pub(crate) fn log_answered(
         &self,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -17,6 +17,9 @@
 
 type Parts = mpsc::Sender<Part>;
 
+/// How a stream ended that no server went on with.
+const BROKEN_OFF: &str = "broken_off";
+
 /// What happened next in a stream.
 enum Next {
     Events(Bytes),
@@ -36,9 +39,9 @@
         job.log_answered(Some(&hold.work), status, "caller_left");
         return;
     }
-    let mut at = Some((hold, flow));
+    let mut at = Ok((hold, flow));
     let mut outcome = "whole";
-    while let Some((mut hold, mut flow)) = at.take() {
+    while let Ok((mut hold, mut flow)) = at {
         match pass(&job, &mut hold, &mut flow, &parts).await {
             Next::End => {
                 job.log_answered(Some(&hold.work), status, outcome);
@@ -66,7 +69,7 @@
             Next::Events(_) | Next::Partial => unreachable!("passed on within the loop"),
         }
     }
-    job.log_answered(None, status, "broken_off");
+    job.log_answered(None, status, at.err().unwrap_or(BROKEN_OFF));
     cut(&parts).await;
 }
 
@@ -117,25 +120,29 @@
     }
 }
 
-/// Looks for a server that goes on after the last event; none if the stream has to be cut.
+/// Looks for a server that goes on after the last event; otherwise says how the stream ends.
 async fn go_on(
     job: &mut Job,
     hold: Hold,
     failure: Failure,
     last: Option<u64>,
     parts: &Parts,
-) -> Option<(Hold, Flow)> {
+) -> Result<(Hold, Flow), &'static str> {
     let mut work = hold.work.clone();
     hold.end(failure.ended);
     let mut failure = failure;
     loop {
         if !job.goes_on(&work, &failure) || last.is_none() {
-            return None;
+            return Err(BROKEN_OFF);
         }
-        let hold = Hold::new(&job.shared, &job.ask, job.decide().ok()?);
+        let decided = job.decide().map_err(|refusal| {
+            job.log_not_resumed(refusal);
+            BROKEN_OFF
+        })?;
+        let hold = Hold::new(&job.shared, &job.ask, decided);
         let sent = tokio::select! {
             biased;
-            () = parts.closed() => return None,
+            () = parts.closed() => return Err("caller_left"),
             sent = attempt::send(job, &hold, last) => sent,
         };
         match sent {
@@ -147,7 +154,7 @@
                     sender: answer.sender,
                     idle: attempt::idle_time(&head),
                 };
-                return Some((hold, flow));
+                return Ok((hold, flow));
             }
             Ok(answer) => {
                 let status = answer.response.status();
--- /dev/null
+++ b/crates/primrosectl/src/commands/explain.rs
@@ -0,0 +1,97 @@
+//! `primrosectl explain`: the life of one request, from log files.
+
+use std::fs::File;
+use std::io::BufReader;
+use std::path::PathBuf;
+
+use bpaf::construct;
+use bpaf::positional;
+use bpaf::Parser;
+
+use super::target::json;
+use crate::context::Context;
+use crate::exit::Failure;
+use crate::ops::explain::Life;
+
+/// Arguments.
+#[derive(Debug, Clone)]
+pub struct Args {
+    /// Print JSON.
+    pub json: bool,
+    /// Id of the request.
+    pub request: String,
+    /// Log files; standard input if there are none.
+    pub logs: Vec<PathBuf>,
+}
+
+/// Accepts the command.
+pub fn cli() -> impl Parser<Args> {
+    let json = json();
+    let request = positional::<String>("ID").help("Id of the request, as its caller gave it");
+    let logs = positional::<PathBuf>("LOG")
+        .help("Log of a gateway; standard input if none is named")
+        .many();
+    construct!(Args {
+        json,
+        request,
+        logs
+    })
+    .to_options()
+    .descr("Shows what gateways decided about one request, and why it ended as it did.")
+    .footer("Example: primrosectl explain 9c41d07be2a35f68 gateway-*.log")
+    .command("explain")
+}
+
+/// Reads the logs and prints the request's life.
+pub fn exec(context: &mut Context, args: &Args) -> Result<(), Failure> {
+    let mut life = Life::default();
+    if args.logs.is_empty() {
+        let input = std::io::stdin().lock();
+        let read = life.read(input, &args.request);
+        read.map_err(|error| Failure::failed(format!("standard input: {error}")))?;
+    }
+    for path in &args.logs {
+        let failed = |error| Failure::bad_input(format!("{}: {error}", path.display()));
+        let file = File::open(path).map_err(failed)?;
+        life.read(BufReader::new(file), &args.request)
+            .map_err(failed)?;
+    }
+    if life.steps.is_empty() {
+        let failure = Failure::failed(format!("no line names request {}", args.request));
+        return Err(failure.hint("are the logs of all gateways of that time among the files?"));
+    }
+    context.shell.result(&life, &render(&life));
+    Ok(())
+}
+
+fn render(life: &Life) -> String {
+    let first = life.steps.first().map_or(0, |step| step.unix_ms);
+    let mut text = String::new();
+    for step in &life.steps {
+        let after = step.unix_ms - first;
+        let details = step.details.iter();
+        let details = details.map(|(name, value)| match value.as_str() {
+            Some(text) => format!("{name}={text}"),
+            None => format!("{name}={value}"),
+        });
+        let details: Vec<String> = details.collect();
+        text.push_str(&format!(
+            "+{after} ms  {}  {}  {}\n",
+            step.host,
+            step.event,
+            details.join(" ")
+        ));
+    }
+    let reason = life.reason();
+    text.push_str(&format!(
+        "end: {}",
+        reason.unwrap_or_else(|| "no line says how it ended".to_owned())
+    ));
+    if life.dropped > 0 || life.unreadable > 0 {
+        text.push_str(&format!(
+            "\nincomplete: {} lines dropped by gateways, {} unreadable",
+            life.dropped, life.unreadable
+        ));
+    }
+    text
+}
--- a/crates/primrosectl/src/commands/mod.rs
+++ b/crates/primrosectl/src/commands/mod.rs
@@ -5,6 +5,7 @@
 pub mod check;
 pub mod diff;
 pub mod drain;
+pub mod explain;
 pub mod restore;
 pub mod show;
 pub mod status;
@@ -53,6 +54,8 @@
     Account(account::Args),
     /// Lists or lifts refused requests.
     Suspects(suspects::Args),
+    /// Shows the life of one request.
+    Explain(explain::Args),
 }
 
 impl Command {
@@ -63,6 +66,10 @@
                 json: args.json,
                 ..Target::default()
             },
+            Self::Explain(args) => Target {
+                json: args.json,
+                ..Target::default()
+            },
             Self::Show(args) => args.target.clone(),
             Self::Diff(args) => args.target.clone(),
             Self::Apply(args) => args.target.clone(),
@@ -88,11 +95,14 @@
     let today = today::cli().map(Command::Today);
     let account = account::cli().map(Command::Account);
     let suspects = suspects::cli().map(Command::Suspects);
-    construct!([check, show, diff, apply, restore, status, drain, today, account, suspects])
-        .to_options()
-        .descr("Drives a primrosehall router fleet: its tables, its accounts, its state.")
-        .footer(FOOTER)
-        .version(env!("CARGO_PKG_VERSION"))
+    let explain = explain::cli().map(Command::Explain);
+    construct!([
+        check, show, diff, apply, restore, status, drain, today, account, suspects, explain
+    ])
+    .to_options()
+    .descr("Drives a primrosehall router fleet: its tables, its accounts, its state.")
+    .footer(FOOTER)
+    .version(env!("CARGO_PKG_VERSION"))
 }
 
 /// Makes a failure that names the router which caused it.
@@ -118,6 +128,7 @@
         Command::Drain(args) => drain::exec(context, args),
         Command::Today(args) => today::exec(context, args),
         Command::Account(args) => account::exec(context, args),
+        Command::Explain(args) => explain::exec(context, args),
         Command::Suspects(args) => suspects::exec(context, args),
     }
 }
--- a/crates/primrosectl/src/ops/mod.rs
+++ b/crates/primrosectl/src/ops/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod accounts;
 pub mod apply;
+pub mod explain;
 pub mod fleet;
 pub mod http;
 pub mod keys;
--- a/crates/primrosectl/tests/testsuite/main.rs
+++ b/crates/primrosectl/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod apply;
 mod commands;
 mod consul;
+mod explain;
 mod fleet;
 mod races;
 mod restore;
