--- a/crates/fleet/src/crash.rs
+++ b/crates/fleet/src/crash.rs
@@ -17,7 +17,7 @@
 const MEMORY: Duration = Duration::from_secs(60);
 /// Fingerprints that a digest names; the newest matter.
 const TOLD: usize = 16;
-/// Broken runs of one fingerprint that are worth telling: most have one and never come again.
+/// How long after its last broken run a fingerprint is told: most break one and never come again.
 const WORTH_TELLING: Duration = Duration::from_secs(15);
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -207,7 +207,7 @@
     let verdict = job.shared.dialect.verdict(&head);
     let status = head.status;
     if verdict.not_run {
-        // The connection is kept out of use: what follows a refusal is not worth waiting for.
+        // The connection is closed; reading the rest of a refusal is not worth a new one.
         let ended = if status == StatusCode::MISDIRECTED_REQUEST {
             Ended::Unreachable
         } else {
