--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -11,6 +11,7 @@
 use crate::border::Feed;
 use crate::border::News;
 use crate::border::PlatformError;
+use crate::border::Task;
 use crate::border::Version;
 use crate::event::Event;
 use crate::shared::millis;
@@ -94,12 +95,7 @@
             (wait + ANSWER_GRACE, call)
         }
     };
-    match timeout(limit, call).await {
-        Ok(read) => read,
-        Err(_) => Err(PlatformError::Unreachable {
-            reason: "no answer in time".to_owned(),
-        }),
-    }
+    limited(limit, call).await
 }
 
 fn gateways(shared: &Shared) -> u32 {
@@ -238,26 +234,30 @@
 ) -> Result<(), PlatformError> {
     let platform = &shared.platform;
     match lease.get() {
-        Some(held) => match limited(platform.renew(held)).await {
+        Some(held) => match limited(ANSWER_GRACE, platform.renew(held)).await {
             Err(PlatformError::LeaseEnded) => lease.set(None),
             other => other?,
         },
-        None => lease.set(Some(limited(platform.enrol(LEASE_TIME)).await?)),
+        None => lease.set(Some(
+            limited(ANSWER_GRACE, platform.enrol(LEASE_TIME)).await?,
+        )),
     }
     let now = shared.now();
     let pause = GATEWAYS_PAUSE * gateways(shared).max(READERS) / READERS;
     if listed.is_none_or(|at| now.saturating_sub(at) >= pause) {
-        let batch = limited(platform.list(Feed::Gateways)).await?;
+        let batch = limited(ANSWER_GRACE, platform.list(Feed::Gateways)).await?;
         apply(shared, Feed::Gateways, batch, true);
         *listed = Some(now);
     }
     Ok(())
 }
 
+/// Bounds a call: a connection may be silent for good.
 async fn limited<T>(
-    call: crate::border::Task<'_, Result<T, PlatformError>>,
+    limit: Duration,
+    call: Task<'_, Result<T, PlatformError>>,
 ) -> Result<T, PlatformError> {
-    match timeout(ANSWER_GRACE, call).await {
+    match timeout(limit, call).await {
         Ok(done) => done,
         Err(_) => Err(PlatformError::Unreachable {
             reason: "no answer in time".to_owned(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -135,11 +135,3 @@
     let bytes = body.collect().await.map_err(|error| error.to_string())?;
     Snapshot::decode(&bytes.to_bytes()).map_err(|error| error.to_string())
 }
-
-/// Logs that this gateway has begun to tell and to hear.
-pub(crate) fn log_start(shared: &Shared, incarnation: u64, zone: &str) {
-    shared.log.event(&Event::Started {
-        incarnation,
-        zone: zone.to_owned(),
-    });
-}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -234,7 +234,10 @@
     spawn_local(gossip::hear(share(), digests));
     spawn_local(gossip::catch_up(share()));
     spawn_local(watch::settings(share(), config.reload));
-    gossip::log_start(&shared, me, &zone);
+    shared.log.event(&Event::Started {
+        incarnation: me,
+        zone,
+    });
     Ok(shared)
 }
 
