Bound the wait of requests that are late already

Cause: a request whose objective has passed could wait two fifths of its time left, some three seconds. Now such a request waits at most as long as that of an account that is owed no more.

--- a/crates/fleet/src/fleet/intake.rs
+++ b/crates/fleet/src/fleet/intake.rs
@@ -31,8 +31,11 @@
 /// The same for an account that has had more than others who want it too: it is served while
 /// servers have room.
 const WAIT_SHARE_BEYOND: f64 = 0.3;
-/// Part of the time left that a request which is late already may wait.
-const WAIT_SHARE_LATE: f64 = 0.4;
+/// Part of the objective that a request may wait which is late already. Where callers come back
+/// late in numbers, a longer wait fills servers with late requests, and then all are late.
+const WAIT_SHARE_LATE: f64 = WAIT_SHARE_EVEN;
+/// Part of the time left that it may wait at most.
+const LEFT_SHARE: f64 = 0.4;
 /// Longest wait for a plain call, as part of the time left: a late answer is still worth having.
 const CALL_SHARE: f64 = 0.5;
 /// Shortest and longest time after which a refused caller is asked to come back.
@@ -224,7 +227,8 @@
         }
         let objective = ask.route.objective.saturating_sub(spent);
         if objective.is_zero() {
-            let allowed = left.mul_f64(WAIT_SHARE_LATE);
+            let allowed = ask.route.objective.mul_f64(WAIT_SHARE_LATE);
+            let allowed = allowed.min(left.mul_f64(LEFT_SHARE));
             return too_long(Reason::Overload, choice.wait, allowed);
         }
         let standing = account.map_or(Standing::Within, |account| {
