Shorten the wait of accounts beyond an even share by degrees

The model now counts the users' rule on fairness (six seconds, each with a refusal or a late answer, less than half of the lesser of what was asked and the best account's).

--- a/crates/emulate/src/score.rs
+++ b/crates/emulate/src/score.rs
@@ -18,6 +18,35 @@
     Failed,
 }
 
+/// Seconds over which callers notice that others get more.
+const FAIR_SPAN: u64 = 6;
+/// Largest requests that an account may lack without being treated unfairly.
+const FAIR_SLACK: u64 = 3;
+
+/// Tokens of one account in one second.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Tokens {
+    /// Asked for, at the first arrival.
+    pub asked: u64,
+    /// Sent to servers.
+    pub got: u64,
+    /// Whether a request was refused or missed its objective.
+    pub hurt: bool,
+}
+
+/// Six seconds in which an account got less than half of what it should.
+#[derive(Debug, Clone, Copy)]
+pub struct Unfair {
+    /// The account.
+    pub account: usize,
+    /// First second.
+    pub from: u64,
+    /// Tokens that it got.
+    pub got: u64,
+    /// The least that it should have got.
+    pub least: u64,
+}
+
 /// Sums over requests.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Tally {
@@ -83,6 +112,10 @@
     pub zones: BTreeMap<usize, Tally>,
     /// By second of arrival.
     pub seconds: BTreeMap<u64, Tally>,
+    /// Tokens by second and account.
+    pub tokens: BTreeMap<(u64, usize), Tokens>,
+    /// Tokens of the largest request.
+    pub largest: u64,
     /// Prompt tokens that servers read.
     pub read: u64,
     /// Tokens of shared parts that servers had kept.
@@ -132,6 +165,47 @@
         self.preempted += other.preempted;
     }
 
+    /// Tokens of an account in a second.
+    pub fn tokens_of(&mut self, second: u64, account: usize) -> &mut Tokens {
+        self.tokens.entry((second, account)).or_default()
+    }
+
+    /// Spans in which an account was hurt in each second and got less than half of what it asked
+    /// or of what the best served account got, whichever is less, second by second.
+    pub fn unfair(&self) -> Vec<Unfair> {
+        let Some((last, _)) = self.tokens.keys().next_back() else {
+            return Vec::new();
+        };
+        let spans = (0..last.saturating_sub(FAIR_SPAN)).flat_map(|from| {
+            let accounts = self.accounts.keys();
+            accounts.map(move |account| (from, *account))
+        });
+        spans
+            .filter_map(|(from, account)| self.unfair_span(from, account))
+            .collect()
+    }
+
+    fn unfair_span(&self, from: u64, account: usize) -> Option<Unfair> {
+        let (mut got, mut due) = (0, 0);
+        for second in from..from + FAIR_SPAN {
+            let own = self.tokens.get(&(second, account))?;
+            if !own.hurt {
+                return None;
+            }
+            let all = self.tokens.range((second, 0)..(second + 1, 0));
+            let best = all.map(|(_, tokens)| tokens.got).max().unwrap_or(0);
+            got += own.got;
+            due += own.asked.min(best);
+        }
+        let least = (due / 2).saturating_sub(FAIR_SLACK * self.largest);
+        (got < least).then_some(Unfair {
+            account,
+            from,
+            got,
+            least,
+        })
+    }
+
     /// Least share of any account.
     pub fn worst_account(&self) -> f64 {
         least(self.accounts.values())
--- a/crates/emulate/src/world.rs
+++ b/crates/emulate/src/world.rs
@@ -226,6 +226,8 @@
                 let end = if took <= caller.objective {
                     End::InTime
                 } else {
+                    let arrived = caller.ask.arrived.as_secs();
+                    self.score.tokens_of(arrived, caller.group.account).hurt = true;
                     End::Late
                 };
                 self.settle(caller, end);
@@ -262,6 +264,9 @@
                 let rate = rate * self.account_share(account, now);
                 if self.rng.random_bool((rate * TICK.as_secs_f64()).min(1.0)) {
                     let caller = self.draw(class, account, now);
+                    let asked = caller.ask.prompt.map_or(0, |prompt| prompt.service());
+                    self.score.largest = self.score.largest.max(asked);
+                    self.score.tokens_of(now.as_secs(), account).asked += asked;
                     self.arrive(caller, now);
                 }
             }
@@ -361,6 +366,10 @@
                         continue;
                     }
                     let prompt = caller.ask.prompt.unwrap_or_default();
+                    if caller.ask.tried.is_empty() {
+                        let tokens = self.score.tokens_of(now.as_secs(), caller.group.account);
+                        tokens.got += prompt.service();
+                    }
                     let id = self.next;
                     self.next += 1;
                     self.engines[server].submit(id, prompt, caller.output, now + HOP);
@@ -378,6 +387,8 @@
     }
 
     fn refuse(&mut self, mut caller: Caller, after: Duration, now: Mono) {
+        let tokens = self.score.tokens_of(now.as_secs(), caller.group.account);
+        tokens.hurt = true;
         let left = caller.ask.deadline.saturating_sub(now);
         let after = if caller.impatient { AT_ONCE } else { after };
         if caller.returns == 0 || after > left / PATIENCE {
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -122,23 +122,29 @@
             return Standing::Within;
         }
         let granted: u64 = totals.values().map(|sums| sums.granted).sum();
-        if had <= max_min(granted.max(owed), asked) {
+        let even = max_min(granted.max(owed), asked);
+        if had <= even {
             Standing::Even
         } else {
-            Standing::Beyond
+            Standing::Beyond {
+                excess: had as f64 / even.max(1) as f64 - 1.0,
+            }
         }
     }
 }
 
 /// What an account has had, against the others.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Standing {
     /// Less than its share of the operators' rate.
     Within,
     /// More than that, but no more than its share of what servers manage.
     Even,
     /// More than others who want it too.
-    Beyond,
+    Beyond {
+        /// How much more, as part of an even share.
+        excess: f64,
+    },
 }
 
 /// Returns the most that one asker gets when an amount is shared max-min.
--- a/crates/fleet/src/fleet/intake.rs
+++ b/crates/fleet/src/fleet/intake.rs
@@ -28,12 +28,16 @@
 const WAIT_SHARE: f64 = 0.85;
 /// The same for an account that is owed no more: it leaves the rest of the wait to the others.
 const WAIT_SHARE_EVEN: f64 = 0.6;
-/// The same for an account that has had more than others who want it too: it is served while
+/// The same for an account that has had far more than others who want it too: it is served while
 /// servers have room.
-const WAIT_SHARE_BEYOND: f64 = 0.3;
+const WAIT_SHARE_BEYOND: f64 = 0.25;
+/// How much more that is, as part of an even share. Between even and this the wait falls by
+/// degrees: with one step, all accounts beyond get in proportion to what they ask. Least spans
+/// below a half of an even share, and most worth, over the loads of `uneven_asks` (emulate).
+const EXCESS_MOST: f64 = 0.5;
 /// Part of the objective that a request may wait which is late already. Where callers come back
 /// late in numbers, a longer wait fills servers with late requests, and then all are late.
-const WAIT_SHARE_LATE: f64 = WAIT_SHARE_EVEN;
+const WAIT_SHARE_LATE: f64 = 0.6;
 /// Part of the time left that it may wait at most.
 const LEFT_SHARE: f64 = 0.4;
 /// Longest wait for a plain call, as part of the time left: a late answer is still worth having.
@@ -237,7 +241,7 @@
         let (reason, share) = match standing {
             Standing::Within => (Reason::Overload, WAIT_SHARE),
             Standing::Even => (Reason::Overload, WAIT_SHARE_EVEN),
-            Standing::Beyond => (Reason::OverShare, WAIT_SHARE_BEYOND),
+            Standing::Beyond { excess } => (Reason::OverShare, share_beyond(excess)),
         };
         too_long(reason, choice.wait, objective.mul_f64(share))
     }
@@ -283,6 +287,13 @@
     }
 }
 
+/// Returns the part of the objective that may be waited by an account beyond an even share: the
+/// further beyond, the less.
+fn share_beyond(excess: f64) -> f64 {
+    let part = (excess / EXCESS_MOST).min(1.0);
+    WAIT_SHARE_EVEN + (WAIT_SHARE_BEYOND - WAIT_SHARE_EVEN) * part
+}
+
 fn refuse(reason: Reason, retry_after: Duration) -> Decision {
     Decision::Refuse(Refusal {
         reason,
