Let a few gateways read the platform's lists, and the others learn from them

Entries of gateways are renewed less often where gateways are many.

Ruled out: longer pauses alone; 3.8 s between two reads of one gateway was the state before.

--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -50,6 +50,12 @@
     pub generation: Generation,
     /// Version of the writer's list of servers, as the platform counts changes.
     pub list_version: u64,
+    /// Version at which the writer knows the last server to have joined or left.
+    pub members_version: u64,
+    /// Short name of the writer's zone.
+    pub zone: ShortId,
+    /// Whether the writer cannot read the list.
+    pub blind: bool,
     /// Servers.
     pub servers: Vec<ServerRow>,
     /// Accounts.
@@ -67,7 +73,8 @@
 /// Digest as it travels: tuples in place of maps, so that no field names are sent.
 #[derive(Serialize, Deserialize)]
 struct Wire(
-    (Incarnation, u64, Generation, u64),
+    (Incarnation, u64, Generation),
+    (u64, u64, ShortId, bool),
     Vec<(ShortId, u64, u64, u32, u64, u64)>,
     Vec<(ShortId, u64, u64)>,
     Vec<(Fingerprint, u32)>,
@@ -117,7 +124,13 @@
         });
         let accounts = self.accounts.iter();
         let wire = Wire(
-            (self.writer, self.seq, self.generation, self.list_version),
+            (self.writer, self.seq, self.generation),
+            (
+                self.list_version,
+                self.members_version,
+                self.zone,
+                self.blind,
+            ),
             servers.collect(),
             accounts
                 .map(|(id, sums)| (*id, sums.asked, sums.granted))
@@ -134,8 +147,9 @@
     /// Reads a digest.
     pub fn decode(bytes: &[u8]) -> Result<Self, DigestError> {
         let wire: Wire = ciborium::from_reader(bytes).context(DecodeSnafu)?;
-        let Wire(head, servers, accounts, broken, leaving, peers) = wire;
-        let (writer, seq, generation, list_version) = head;
+        let Wire(head, list, servers, accounts, broken, leaving, peers) = wire;
+        let (writer, seq, generation) = head;
+        let (list_version, members_version, zone, blind) = list;
         let (leaving, gone) = leaving;
         let servers = servers.into_iter().map(
             |(server, reading, memory, running, good, failed)| ServerRow {
@@ -156,6 +170,9 @@
             seq,
             generation,
             list_version,
+            members_version,
+            zone,
+            blind,
             servers: servers.collect(),
             accounts: accounts.collect(),
             broken,
--- /dev/null
+++ b/crates/fleet/src/fleet/follow.rs
@@ -0,0 +1,89 @@
+//! Which gateways follow the platform, and from whom the others take over what changed.
+//!
+//! A few gateways read the platform's lists; the others learn from digests that something changed
+//! and take a snapshot from a gateway that knows it, so that calls to the platform do not grow with
+//! the fleet. Nobody is appointed: each gateway ranks itself among those it hears, which gives
+//! every part of a divided fleet followers of its own.
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use primrose_core::clock::Mono;
+use primrose_core::id::Incarnation;
+
+use super::Fleet;
+use super::Peer;
+use crate::entry::short;
+use crate::place::share_key;
+
+/// Gateways that follow the platform: two a zone in the larger deployments, and one more is ready
+/// to read within the pause between two reads.
+pub const FOLLOWERS: usize = 6;
+/// A follower that was silent for so long does not count: about three digests of a large fleet.
+const FOLLOWER_SILENCE: Duration = Duration::from_millis(1_500);
+
+/// What a gateway wants to learn from others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wanted {
+    /// Tables; it reads the list of servers itself.
+    Tables,
+    /// Tables, and servers if any joined or left.
+    Members,
+    /// Tables, and the newest list of servers: it cannot read the list itself.
+    List,
+}
+
+impl Fleet {
+    /// Whether this gateway reads the platform's lists.
+    pub fn follows(&self, now: Mono) -> bool {
+        let own = rank(self.config.ip);
+        let counts = |peer: &&Peer| {
+            let heard = now.saturating_sub(peer.heard) < FOLLOWER_SILENCE;
+            heard && !peer.digest.blind && peer.digest.list_version > 0
+        };
+        let followers = self.peers.values().filter(counts);
+        let before = followers.filter(|peer| rank(peer.ip) < own).count();
+        // One that cannot read goes on trying; others count without it.
+        before < FOLLOWERS || self.blind
+    }
+
+    /// Records whether the list of servers cannot be read, which the others are told.
+    pub fn set_blind(&mut self, blind: bool) {
+        self.blind = blind;
+    }
+
+    /// Records that servers joined or left, known up to a version of the list.
+    pub fn members_changed(&mut self, version: u64) {
+        self.members_version = self.members_version.max(version);
+    }
+
+    /// A gateway that knows better; one in this zone if there is one.
+    pub fn better_informed(&self, wanted: Wanted) -> Option<IpAddr> {
+        let generation = self.generation();
+        let near = short(&self.config.zone);
+        let better = self.peers.iter().filter(|(_, peer)| {
+            let digest = &peer.digest;
+            let list = match wanted {
+                Wanted::Tables => false,
+                Wanted::Members => digest.members_version > self.list_version,
+                Wanted::List => digest.list_version > self.list_version,
+            };
+            digest.generation > generation || list
+        });
+        let best = better.max_by_key(|(writer, peer)| {
+            let digest = &peer.digest;
+            let order = self.spread(**writer);
+            (digest.generation, digest.zone == near, order)
+        });
+        best.map(|(_, peer)| peer.ip)
+    }
+
+    /// Spreads gateways that take the same news over those that know it.
+    fn spread(&self, writer: Incarnation) -> u64 {
+        share_key([self.config.me, writer, self.seq])
+    }
+}
+
+fn rank(ip: IpAddr) -> u64 {
+    u64::from(short(&ip.to_string()))
+}
--- a/crates/fleet/src/fleet/gossip.rs
+++ b/crates/fleet/src/fleet/gossip.rs
@@ -18,6 +18,7 @@
 use crate::catalog::Tables;
 use crate::digest::Digest;
 use crate::digest::ServerRow;
+use crate::entry::short;
 use crate::entry::ServerEntry;
 use crate::health::Counts;
 use crate::server::Change;
@@ -104,6 +105,7 @@
             tables: tables.map(|catalog| catalog.tables().clone()),
             servers: self.servers.iter().map(|s| s.entry.clone()).collect(),
             list_version: self.list_version,
+            members_version: self.members_version,
         }
     }
 
@@ -113,6 +115,7 @@
             return Vec::new();
         }
         self.list_version = snapshot.list_version;
+        self.members_changed(snapshot.members_version);
         self.servers.replace(snapshot.servers.clone(), now)
     }
 
@@ -128,18 +131,6 @@
         self.contacts.keys().copied().collect()
     }
 
-    /// A gateway that knows newer tables, or a newer list of servers if `servers` matters.
-    pub fn better_informed(&self, servers: bool) -> Option<IpAddr> {
-        let generation = self.generation();
-        let newest = self.peers.values().max_by_key(|peer| {
-            let list = if servers { peer.digest.list_version } else { 0 };
-            (peer.digest.generation, list)
-        })?;
-        let list = newest.digest.list_version;
-        let better = newest.digest.generation > generation || servers && list > self.list_version;
-        better.then_some(newest.ip)
-    }
-
     /// What to tell the other gateways now.
     pub fn digest(&mut self, now: Mono) -> Digest {
         self.seq += 1;
@@ -159,6 +150,9 @@
             seq: self.seq,
             generation: self.generation(),
             list_version: self.list_version,
+            members_version: self.members_version,
+            zone: short(&self.config.zone),
+            blind: self.blind,
             servers,
             accounts: self.demand.own(now),
             broken: self.crashes.told(now),
@@ -222,6 +216,20 @@
         self.servers.expire(now)
     }
 
+    /// Age of the oldest digest that counts; zero if none does.
+    pub fn oldest_news(&self, now: Mono) -> Duration {
+        let ages = self.peers.values();
+        let ages = ages.map(|peer| now.saturating_sub(peer.heard));
+        ages.max().unwrap_or_default()
+    }
+
+    /// Requests that may be sent again at once, by pool.
+    pub fn budgets(&self) -> Vec<(PoolId, u64)> {
+        let pools = self.pools.iter();
+        let left = pools.map(|(pool, state)| (pool.clone(), state.budget.available()));
+        left.collect()
+    }
+
     /// What is believed of each server, for operators.
     pub fn status(&self) -> Vec<ServerStatus> {
         let rows = self.servers.iter().map(|server| ServerStatus {
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -1,8 +1,11 @@
 //! The beliefs of one gateway, and its decisions.
 
+mod follow;
 mod gossip;
 mod intake;
 
+pub use follow::Wanted;
+pub use follow::FOLLOWERS;
 pub use gossip::ServerStatus;
 
 use std::collections::HashMap;
@@ -183,6 +186,10 @@
     catalog: Option<Arc<Catalog>>,
     servers: Servers,
     list_version: u64,
+    /// Version of the list at which the last server is known to have joined or left.
+    members_version: u64,
+    /// Whether the list of servers cannot be read.
+    blind: bool,
     pools: HashMap<PoolId, PoolState>,
     kept: Kept,
     demand: Demand,
@@ -204,6 +211,8 @@
             catalog: None,
             servers: Servers::default(),
             list_version: 0,
+            members_version: 0,
+            blind: false,
             pools: HashMap::new(),
             kept: Kept::default(),
             demand: Demand::default(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -31,4 +31,6 @@
 pub use fleet::Reason;
 pub use fleet::Refusal;
 pub use fleet::ServerStatus;
+pub use fleet::Wanted;
 pub use fleet::Work;
+pub use fleet::FOLLOWERS;
--- a/crates/fleet/src/snapshot.rs
+++ b/crates/fleet/src/snapshot.rs
@@ -18,6 +18,8 @@
     pub servers: Vec<ServerEntry>,
     /// Version of the list of servers.
     pub list_version: u64,
+    /// Version at which the last server is known to have joined or left.
+    pub members_version: u64,
 }
 
 /// Why bytes hold no snapshot.
--- a/crates/fleet/tests/testsuite/gossip.rs
+++ b/crates/fleet/tests/testsuite/gossip.rs
@@ -9,6 +9,8 @@
 use primrose_fleet::Ended;
 use quickcheck::quickcheck;
 
+use primrose_fleet::Wanted;
+
 use crate::build::ask;
 use crate::build::fleet_with;
 use crate::build::ip;
@@ -93,15 +95,15 @@
         retry_slack: 56,
     });
     assert!(!empty.is_ready());
-    assert_eq!(empty.better_informed(true), None);
+    assert_eq!(empty.better_informed(Wanted::List), None);
     empty.merge(told.digest(ms(5)), ip(1), ms(5));
-    assert_eq!(empty.better_informed(true), Some(ip(1)));
+    assert_eq!(empty.better_informed(Wanted::List), Some(ip(1)));
     let bytes = told.snapshot().encode().expect("encodes");
     let snapshot = primrose_fleet::snapshot::Snapshot::decode(&bytes).expect("decodes");
     empty.adopt_servers(&snapshot, ms(6));
     empty.adopt_tables(snapshot.tables.expect("tables"));
     assert!(empty.is_ready());
-    assert_eq!(empty.better_informed(true), None);
+    assert_eq!(empty.better_informed(Wanted::List), None);
 }
 
 #[test]
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -98,6 +98,12 @@
     metrics::gauge!("gateways_heard").set(fleet.size() as f64);
     metrics::gauge!("tables_generation").set(fleet.generation() as f64);
     metrics::gauge!("server_list_version").set(fleet.list_version() as f64);
+    metrics::gauge!("follows_platform").set(f64::from(u8::from(shared.follows())));
+    let oldest = fleet.oldest_news(shared.now());
+    metrics::gauge!("oldest_digest_seconds").set(oldest.as_secs_f64());
+    for (pool, left) in fleet.budgets() {
+        metrics::gauge!("retry_budget_left", "pool" => pool).set(left as f64);
+    }
     let lost = shared.list_lost.get();
     let age = lost.map_or(0.0, |since| {
         shared.now().saturating_sub(since).as_secs_f64()
@@ -113,6 +119,7 @@
         "generation": fleet.generation(),
         "list_version": fleet.list_version(),
         "gateways": fleet.size(),
+        "follows": shared.follows(),
         "running": shared.running.get(),
         "callers": shared.callers.get(),
         "servers": fleet.status(),
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -5,6 +5,7 @@
 
 use primrose_core::clock::Mono;
 use primrose_fleet::entry::ServerEntry;
+use primrose_fleet::FOLLOWERS;
 use tokio::time::timeout;
 
 use crate::border::Batch;
@@ -28,14 +29,12 @@
 const WATCH_MOST: Duration = Duration::from_secs(10);
 /// How long the platform may take beyond that, or for a list.
 const ANSWER_GRACE: Duration = Duration::from_millis(800);
-/// Pause after servers changed. Each of them writes about once a second, so that watches without
-/// a pause would be a call for each write at each gateway.
-const SERVERS_PAUSE: Duration = Duration::from_millis(400);
-/// Gateways to which that applies; with more, the pause grows, and the one that reads next tells
-/// the others which servers leave.
-const READERS: u32 = 8;
-/// Longest pause, which bounds the time until a new server is used.
-const SERVERS_PAUSE_MOST: Duration = Duration::from_millis(4_000);
+/// Pause between two reads of the servers that changed, over all gateways that follow the list:
+/// the time in which a leaving server is noticed by one, which tells the others. Each server
+/// writes about once a second, so that watches without a pause would be a call for each write.
+const SERVERS_PAUSE: Duration = Duration::from_millis(200);
+/// How often a gateway that does not follow looks whether it should.
+const IDLE_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after tables changed.
 const TABLES_PAUSE: Duration = Duration::from_millis(40);
 /// First and longest pause after a failure.
@@ -45,9 +44,11 @@
 /// How long the gateways' list holds, for a few gateways; peers name one another in the meantime.
 const GATEWAYS_PAUSE: Duration = Duration::from_secs(6);
 /// Lease of this gateway's own entry: a few renewals may fail.
-const LEASE_TIME: Duration = Duration::from_secs(30);
-/// How often the lease is renewed.
-const RENEW_PAUSE: Duration = Duration::from_secs(8);
+const LEASE_TIME: Duration = Duration::from_secs(90);
+/// How often the lease is renewed where gateways are few, and at most.
+const RENEW_PAUSE: (Duration, Duration) = (Duration::from_secs(8), Duration::from_secs(30));
+/// Gateways that count as few.
+const FEW: u32 = 8;
 
 /// Where a feed stands.
 struct Position {
@@ -55,6 +56,8 @@
     after: Option<Version>,
     failures: u32,
     lost: Option<Mono>,
+    /// Whether this gateway left the reading to others.
+    idle: bool,
 }
 
 /// Follows tables or servers until the process ends.
@@ -64,8 +67,13 @@
         after: None,
         failures: 0,
         lost: None,
+        idle: false,
     };
     loop {
+        if !is_due(&shared, &mut position) {
+            tokio::time::sleep(IDLE_PAUSE).await;
+            continue;
+        }
         let listing = position.after.is_none();
         match read(&shared, &position).await {
             Ok(batch) => {
@@ -86,6 +94,20 @@
     }
 }
 
+/// Whether this gateway reads now: it has to know the list once, and then if it follows.
+fn is_due(shared: &Shared, position: &mut Position) -> bool {
+    if shared.follows() {
+        if std::mem::take(&mut position.idle) {
+            // What changed meanwhile may be more than the whole list.
+            position.after = None;
+        }
+        return true;
+    }
+    let read_once = position.after.is_some();
+    position.idle |= read_once;
+    !read_once
+}
+
 async fn read(shared: &Shared, position: &Position) -> Result<Batch, PlatformError> {
     let (limit, call) = match position.after {
         None => (ANSWER_GRACE, shared.platform.list(position.feed)),
@@ -115,8 +137,8 @@
     match feed {
         Feed::Tables => TABLES_PAUSE,
         Feed::Servers | Feed::Gateways => {
-            let gateways = gateways(shared).max(READERS);
-            (SERVERS_PAUSE * gateways / READERS).min(SERVERS_PAUSE_MOST)
+            let most = u32::try_from(FOLLOWERS).unwrap_or(u32::MAX);
+            SERVERS_PAUSE * gateways(shared).min(most)
         }
     }
 }
@@ -138,6 +160,7 @@
     position.lost = Some(now);
     if position.feed == Feed::Servers {
         shared.list_lost.set(Some(now));
+        shared.fleet.borrow_mut().set_blind(true);
     }
     shared.log.event(&Event::DependencyLost {
         dependency: format!("platform {}", position.feed),
@@ -153,7 +176,9 @@
     let now = shared.now();
     if position.feed == Feed::Servers {
         shared.list_lost.set(None);
-        shared.fleet.borrow_mut().outage_ended(now);
+        let mut fleet = shared.fleet.borrow_mut();
+        fleet.set_blind(false);
+        fleet.outage_ended(now);
         // A peer may have told of later changes; the whole list settles what is true.
         position.after = None;
     }
@@ -165,6 +190,7 @@
 
 fn apply(shared: &Shared, feed: Feed, batch: Batch, listing: bool) {
     let now = shared.now();
+    let mut changed = false;
     let mut listed: Vec<ServerEntry> = Vec::new();
     for news in batch.news {
         match news {
@@ -172,10 +198,12 @@
             News::Server(entry) if listing => listed.push(entry),
             News::Server(entry) => {
                 let changes = shared.fleet.borrow_mut().server_seen(entry, now);
+                changed |= !changes.is_empty();
                 shared.log_changes(&changes, "platform");
             }
             News::ServerGone(id) => {
                 let changes = shared.fleet.borrow_mut().server_removed(&id, now);
+                changed |= !changes.is_empty();
                 shared.log_changes(&changes, "platform");
             }
             News::Gateway(ip) => shared.fleet.borrow_mut().contact(ip, now),
@@ -190,8 +218,12 @@
     shared.fleet.borrow_mut().list_reached(batch.version);
     if listing {
         let changes = shared.fleet.borrow_mut().servers_listed(listed, now);
+        changed |= !changes.is_empty();
         shared.log_changes(&changes, "platform");
     }
+    if changed {
+        shared.fleet.borrow_mut().members_changed(batch.version);
+    }
 }
 
 /// Puts tables into force if they are newer, and logs it.
@@ -215,7 +247,7 @@
         match keep_listed(&shared, &lease, &mut listed).await {
             Ok(()) => {
                 failures = 0;
-                tokio::time::sleep(RENEW_PAUSE).await;
+                tokio::time::sleep(renew_pause(&shared)).await;
             }
             Err(error) => {
                 failures += 1;
@@ -227,6 +259,11 @@
     }
 }
 
+fn renew_pause(shared: &Shared) -> Duration {
+    let pause = RENEW_PAUSE.0 * gateways(shared).max(FEW) / FEW;
+    pause.min(RENEW_PAUSE.1)
+}
+
 async fn keep_listed(
     shared: &Shared,
     lease: &std::cell::Cell<Option<u64>>,
@@ -243,7 +280,7 @@
         )),
     }
     let now = shared.now();
-    let pause = GATEWAYS_PAUSE * gateways(shared).max(READERS) / READERS;
+    let pause = GATEWAYS_PAUSE * gateways(shared).max(FEW) / FEW;
     if listed.is_none_or(|at| now.saturating_sub(at) >= pause) {
         let batch = limited(ANSWER_GRACE, platform.list(Feed::Gateways)).await?;
         apply(shared, Feed::Gateways, batch, true);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,6 +11,7 @@
 use primrose_fleet::digest::Digest;
 use primrose_fleet::digest::MOST_BYTES;
 use primrose_fleet::snapshot::Snapshot;
+use primrose_fleet::Wanted;
 use tokio::net::UdpSocket;
 
 use crate::control::SNAPSHOT_PATH;
@@ -28,6 +29,8 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(300);
 /// Longest time for a snapshot.
 const SNAPSHOT_TIME: Duration = Duration::from_millis(700);
+/// Snapshots in a row that cannot be had before the platform is read instead.
+const SNAPSHOT_FAILURES: u32 = 3;
 /// Most bytes of a snapshot: some hundred routes and servers.
 const SNAPSHOT_BYTES: usize = 4 << 20;
 
@@ -93,22 +96,42 @@
 
 /// Takes over tables and servers from better informed gateways until the process ends.
 pub(crate) async fn catch_up(shared: Rc<Shared>) {
+    let mut failures = 0;
     loop {
         tokio::time::sleep(LOOK_PAUSE).await;
-        let cut_off = shared.list_lost.get().is_some() || !shared.fleet.borrow().is_ready();
-        let Some(ip) = shared.fleet.borrow().better_informed(cut_off) else {
+        let wanted = wanted(&shared);
+        let Some(ip) = shared.fleet.borrow().better_informed(wanted) else {
+            failures = 0;
             continue;
         };
-        match tokio::time::timeout(SNAPSHOT_TIME, fetch(&shared, ip)).await {
-            Ok(Ok(snapshot)) => adopt(&shared, snapshot, cut_off),
-            Ok(Err(reason)) => ::log::debug!("failed to read the snapshot of {ip}: {reason}"),
-            Err(_) => ::log::debug!("failed to read the snapshot of {ip}: no answer in time"),
-        }
+        let reason = match tokio::time::timeout(SNAPSHOT_TIME, fetch(&shared, ip)).await {
+            Ok(Ok(snapshot)) => {
+                failures = 0;
+                shared.peers_lost.set(false);
+                adopt(&shared, snapshot, wanted);
+                continue;
+            }
+            Ok(Err(reason)) => reason,
+            Err(_) => "no answer in time".to_owned(),
+        };
+        ::log::debug!("failed to read the snapshot of {ip}: {reason}");
+        failures += 1;
+        shared.peers_lost.set(failures >= SNAPSHOT_FAILURES);
+    }
+}
+
+fn wanted(shared: &Shared) -> Wanted {
+    if shared.list_lost.get().is_some() || !shared.fleet.borrow().is_ready() {
+        Wanted::List
+    } else if shared.follows() {
+        Wanted::Tables
+    } else {
+        Wanted::Members
     }
 }
 
-fn adopt(shared: &Shared, snapshot: Snapshot, cut_off: bool) {
-    if cut_off {
+fn adopt(shared: &Shared, snapshot: Snapshot, wanted: Wanted) {
+    if wanted != Wanted::Tables {
         let now = shared.now();
         let changes = shared.fleet.borrow_mut().adopt_servers(&snapshot, now);
         shared.log_changes(&changes, "gateway");
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -226,6 +226,8 @@
         let whole = now.saturating_sub(self.ask.arrived);
         let first = self.first.map(|at| at.saturating_sub(self.ask.arrived));
         metrics::counter!("requests", "outcome" => outcome).increment(1);
+        let account = self.ask.account.as_ref();
+        self.shared.accounts.count(account, outcome);
         if let Some(first) = first {
             metrics::histogram!("first_seconds").record(first.as_secs_f64());
         }
@@ -255,6 +257,8 @@
 pub(crate) fn log_refusal(shared: &Shared, refused: &Refused<'_>) {
     let fleet = shared.fleet.borrow();
     metrics::counter!("refusals", "reason" => refused.reply.reason.clone()).increment(1);
+    let account = refused.ask.and_then(|ask| ask.account.as_ref());
+    shared.accounts.count(account, "refused");
     shared.log.event(&Event::Refused {
         request: refused.call.id.clone(),
         account: refused.ask.and_then(|ask| ask.account.clone()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod log;
 mod reply;
 pub mod run;
+mod series;
 mod serve;
 mod shared;
 pub mod split;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -216,6 +216,8 @@
         callers: Cell::new(0),
         callers_many: (config.descriptors as f64 * CALLERS_PART) as usize,
         list_lost: Cell::new(None),
+        peers_lost: Cell::new(false),
+        accounts: crate::series::Accounts::default(),
     });
     let digests = listeners.digests;
     let port = config.digest_port;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -19,6 +19,7 @@
 use crate::busy::Busy;
 use crate::event::Event;
 use crate::log::Log;
+use crate::series::Accounts;
 
 /// What all tasks of a gateway share; they run on one thread.
 pub(crate) struct Shared {
@@ -31,6 +32,7 @@
     pub(crate) peers: Connections,
     pub(crate) control_port: u16,
     pub(crate) log: Log,
+    pub(crate) accounts: Accounts,
     /// Requests in progress.
     pub(crate) running: Cell<usize>,
     /// Whether shutdown was asked for.
@@ -46,6 +48,8 @@
     pub(crate) callers_many: usize,
     /// Since when the list of servers cannot be followed.
     pub(crate) list_lost: Cell<Option<Mono>>,
+    /// Whether snapshots of other gateways, which know better, cannot be had.
+    pub(crate) peers_lost: Cell<bool>,
 }
 
 impl Shared {
@@ -53,6 +57,11 @@
         self.clock.now()
     }
 
+    /// Whether this gateway reads the platform's lists itself.
+    pub(crate) fn follows(&self) -> bool {
+        self.peers_lost.get() || self.fleet.borrow().follows(self.now())
+    }
+
     /// Whether the gateway takes new connections.
     pub(crate) fn is_ready(&self) -> bool {
         !self.draining.get() && !self.busy.is_busy(self.now()) && self.fleet.borrow().is_ready()
--- a/crates/primrosed/tests/testsuite/platform.rs
+++ b/crates/primrosed/tests/testsuite/platform.rs
@@ -405,3 +405,44 @@
             .is_some_and(|open| open <= 16)
     });
 }
+
+#[test]
+fn metrics_count_by_account_within_a_bound() {
+    let server = good();
+    let world = World::start(&[("plain", &server)]);
+    let mut many = config(2);
+    let tenant = |number: usize| {
+        let name = format!("account-{number}");
+        json!({ "name": name, "apiKeys": [format!("key-{number}")], "priority": 1 })
+    };
+    many["tenants"] = (1..=40).map(tenant).collect();
+    world.store.put_json("op/config", &many);
+    world.until("took the tables", || {
+        world.status()["generation"] == json!(2)
+    });
+    for number in 1..=40 {
+        let text = request("GET", "again", "", "");
+        let text = text.replace("key-1", &format!("key-{number}"));
+        let (line, _) = call(world.front, &text);
+        assert!(line.contains("200"), "{line}");
+    }
+    let (_, text) = call(world.control, "GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n");
+    let text = String::from_utf8(text).expect("text");
+    let series: Vec<&str> = text
+        .lines()
+        .filter(|line| line.starts_with("account_requests{"))
+        .collect();
+    assert!(series.len() <= 33, "{series:?}");
+    let others = series.iter().find(|line| line.contains("others"));
+    assert!(
+        others.is_some_and(|line| line.ends_with(" 8")),
+        "{series:?}"
+    );
+    for name in [
+        "retry_budget_left",
+        "oldest_digest_seconds",
+        "follows_platform",
+    ] {
+        assert!(text.contains(name), "{name}");
+    }
+}
--- /dev/null
+++ b/crates/primrosed/tests/testsuite/platform_store.rs
@@ -0,0 +1,102 @@
+//! Faults of the platform's store: what is in force stays in force, and what changed meanwhile is
+//! taken over soon after.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+
+use crate::platform_world::call;
+use crate::platform_world::config;
+use crate::platform_world::reply;
+use crate::platform_world::request;
+use crate::platform_world::vouched;
+use crate::platform_world::Fault;
+use crate::platform_world::Server;
+use crate::platform_world::World;
+
+/// The users' bound on the time until a configuration is in force.
+const IN_FORCE: Duration = Duration::from_secs(3);
+/// How long a fault lasts: longer than a watch and all it is given to answer.
+const FAULT_TIME: Duration = Duration::from_millis(2_500);
+
+struct Case {
+    fault: Fault,
+    /// Whether the log has to say that the store was lost and is back.
+    is_outage: bool,
+}
+
+const CASES: [Case; 5] = [
+    Case {
+        fault: Fault::Silent,
+        is_outage: true,
+    },
+    Case {
+        fault: Fault::Lost,
+        is_outage: true,
+    },
+    Case {
+        fault: Fault::Refusing,
+        is_outage: true,
+    },
+    Case {
+        fault: Fault::Garbled,
+        is_outage: true,
+    },
+    Case {
+        fault: Fault::Compacted,
+        is_outage: false,
+    },
+];
+
+fn check(case: &Case) {
+    let name = case.fault;
+    let server = Server::start(|seen, stream| reply(stream, "200 OK", &vouched(seen), "done"));
+    let world = World::start(&[("plain", &server)]);
+    world.store.set_fault(case.fault);
+    std::thread::sleep(FAULT_TIME);
+    let (line, _) = call(world.front, &request("GET", "again", "", ""));
+    assert!(line.contains("200"), "{name:?}: {line}");
+    world.store.put_json("op/config", &config(2));
+    world.store.put_json("servers/i-1", &server.entry("models"));
+    world.store.set_fault(Fault::Well);
+    let healed = Instant::now();
+    world.until("took over what changed", || {
+        let status = world.status();
+        let servers = status["servers"].as_array().map(Vec::len);
+        status["generation"] == json!(2) && servers == Some(2)
+    });
+    assert!(healed.elapsed() < IN_FORCE, "{name:?}");
+    world.terminate();
+    let (code, log) = world.ended();
+    assert_eq!(code, Some(0), "{name:?}");
+    for event in ["dependency_lost", "dependency_regained"] {
+        assert_eq!(log.contains(event), case.is_outage, "{name:?}: {event}");
+    }
+}
+
+#[test]
+fn what_is_in_force_outlives_each_fault_and_changes_follow() {
+    std::thread::scope(|scope| {
+        for case in &CASES {
+            scope.spawn(|| check(case));
+        }
+    });
+}
+
+#[test]
+fn a_gateway_that_starts_before_a_silent_store_becomes_ready_when_it_speaks() {
+    let server = Server::start(|seen, stream| reply(stream, "200 OK", &vouched(seen), "done"));
+    let world = World::start_empty();
+    world.store.set_fault(Fault::Silent);
+    world.store.put_json("op/config", &config(1));
+    world.store.put_json("servers/i-0", &server.entry("plain"));
+    std::thread::sleep(FAULT_TIME);
+    assert_eq!(world.status()["ready"], json!(false));
+    let (line, _) = call(world.front, &request("GET", "again", "", ""));
+    assert!(line.contains("503"), "{line}");
+    world.store.set_fault(Fault::Well);
+    let healed = Instant::now();
+    world.until("became ready", || world.status()["ready"] == json!(true));
+    assert!(healed.elapsed() < IN_FORCE);
+}
--- a/crates/primrosed/tests/testsuite/platform_world.rs
+++ b/crates/primrosed/tests/testsuite/platform_world.rs
@@ -150,13 +150,55 @@
     }
 }
 
+/// What is wrong with a store.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// Nothing.
+    #[default]
+    Well,
+    /// It reads requests and never answers.
+    Silent,
+    /// It carries calls out and closes the connection in place of an answer.
+    Lost,
+    /// It refuses all calls.
+    Refusing,
+    /// Its answers are no answers of a store.
+    Garbled,
+    /// It has forgotten the history that watches ask for.
+    Compacted,
+}
+
 /// The store's items, which tests change while it serves.
 #[derive(Default)]
 pub(crate) struct Store {
     items: Mutex<Vec<(String, Vec<u8>, u64)>>,
+    fault: Mutex<Fault>,
 }
 
 impl Store {
+    pub(crate) fn set_fault(&self, fault: Fault) {
+        *self.fault.lock().expect("fault") = fault;
+    }
+
+    fn fault(&self) -> Fault {
+        *self.fault.lock().expect("fault")
+    }
+
+    /// Answers as the fault has it; none if there is no fault for this call.
+    fn answer_wrongly(&self, path: &str, stream: &mut TcpStream) -> Option<bool> {
+        match self.fault() {
+            Fault::Well => None,
+            Fault::Silent => Some(true),
+            Fault::Lost => Some(false),
+            Fault::Refusing => Some(reply(stream, "503 Service Unavailable", "", "busy")),
+            Fault::Garbled => Some(reply(stream, "200 OK", "", "{\"items\": 7")),
+            Fault::Compacted if path.starts_with("/api/kv-watch") => {
+                Some(reply(stream, "410 Gone", "", "{}"))
+            }
+            Fault::Compacted => None,
+        }
+    }
+
     pub(crate) fn put(&self, key: &str, value: &[u8]) {
         let mut items = self.items.lock().expect("items");
         let revision = items.iter().map(|item| item.2).max().unwrap_or(0) + 1;
@@ -185,6 +227,9 @@
 
     fn answer(&self, seen: &Seen, stream: &mut TcpStream) -> bool {
         let path = seen.line.split(' ').nth(1).unwrap_or_default();
+        if let Some(open) = self.answer_wrongly(path, stream) {
+            return open;
+        }
         let query = |name: &str| {
             let pairs = path.split_once('?').map_or("", |(_, query)| query);
             let mut pairs = pairs.split('&').filter_map(|pair| pair.split_once('='));
@@ -205,6 +250,10 @@
         } else {
             json!({ "revision": 1 })
         };
+        // A fault that began while a watch waited holds for its answer, too.
+        if self.fault() == Fault::Silent {
+            return true;
+        }
         let json = "content-type: application/json\r\n";
         reply(stream, "200 OK", json, &body.to_string())
     }
@@ -344,7 +393,13 @@
     }
 }
 
-fn settings(front: SocketAddr, ready: SocketAddr, control: SocketAddr, store: SocketAddr) -> Value {
+/// Settings as the platform writes them.
+pub(crate) fn settings(
+    front: SocketAddr,
+    ready: SocketAddr,
+    control: SocketAddr,
+    store: SocketAddr,
+) -> Value {
     json!({
         "nodeName": "front-a-1", "ip": front.ip(), "zone": "a",
         "listen": { "front": front, "ready": ready, "control": control },
