Let every gateway follow the platform where there are few

Up to twelve gateways now each follows, as before; beyond, a silent follower counts for 1.2 s and the look is every 0.1 s.

--- a/crates/fleet/src/fleet/follow.rs
+++ b/crates/fleet/src/fleet/follow.rs
@@ -1,6 +1,6 @@
 //! Which gateways follow the platform, and from whom the others take over what changed.
 //!
-//! A few gateways read the platform's lists; the others learn from digests that something changed
+//! Where there are many, a few gateways read the platform's lists; the others learn from digests that something changed
 //! and take a snapshot from a gateway that knows it, so that calls to the platform do not grow with
 //! the fleet. Nobody is appointed: each gateway ranks itself among those it hears, which gives
 //! every part of a divided fleet followers of its own.
@@ -19,8 +19,13 @@
 /// Gateways that follow the platform: two a zone in the larger deployments, and one more is ready
 /// to read within the pause between two reads.
 pub const FOLLOWERS: usize = 6;
-/// A follower that was silent for so long does not count: about three digests of a large fleet.
-const FOLLOWER_SILENCE: Duration = Duration::from_millis(1_500);
+/// Up to so many gateways each follows, since calls are few: one that is cut off from the others
+/// must not miss that a server leaves, which the users allow two seconds for.
+pub const FEW: usize = 12;
+/// A follower that was silent for so long does not count. With a failed call after it, a gateway
+/// that is cut off still knows of a leaving server within the three seconds of large deployments;
+/// their digests come every half second.
+const FOLLOWER_SILENCE: Duration = Duration::from_millis(1_200);
 
 /// What a gateway wants to learn from others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,6 +41,9 @@
 impl Fleet {
     /// Whether this gateway reads the platform's lists.
     pub fn follows(&self, now: Mono) -> bool {
+        if self.size() <= FEW {
+            return true;
+        }
         let own = rank(self.config.ip);
         let counts = |peer: &&Peer| {
             let heard = now.saturating_sub(peer.heard) < FOLLOWER_SILENCE;
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod intake;
 
 pub use follow::Wanted;
+pub use follow::FEW;
 pub use follow::FOLLOWERS;
 pub use gossip::ServerStatus;
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,4 +33,5 @@
 pub use fleet::ServerStatus;
 pub use fleet::Wanted;
 pub use fleet::Work;
+pub use fleet::FEW;
 pub use fleet::FOLLOWERS;
--- a/crates/fleet/tests/testsuite/follow.rs
+++ b/crates/fleet/tests/testsuite/follow.rs
@@ -46,6 +46,13 @@
     assert_eq!(followers(&fleets, ms(60_000)).len(), 20);
 }
 
+#[test]
+fn each_follows_where_gateways_are_few() {
+    let mut fleets = fleets(12);
+    tell(&mut fleets, |_| true, ms(2));
+    assert_eq!(followers(&fleets, ms(3)).len(), 12);
+}
+
 #[test]
 fn silent_and_blind_followers_are_replaced() {
     let mut fleets = fleets(20);
@@ -65,22 +72,22 @@
 
 #[test]
 fn a_part_that_is_cut_off_has_followers_of_its_own() {
-    let mut fleets = fleets(24);
+    let mut fleets = fleets(30);
     for step in 1..30 {
-        let (one, other) = fleets.split_at_mut(8);
+        let (one, other) = fleets.split_at_mut(14);
         tell(one, |_| true, ms(100 * step));
         let digests: Vec<_> = other.iter_mut().map(|f| f.digest(ms(100 * step))).collect();
         for (from, digest) in digests.into_iter().enumerate() {
             for (to, fleet) in other.iter_mut().enumerate() {
                 if to != from {
-                    fleet.merge(digest.clone(), ip(from as u8 + 9), ms(100 * step));
+                    fleet.merge(digest.clone(), ip(from as u8 + 15), ms(100 * step));
                 }
             }
         }
     }
     let now = ms(3_000);
-    assert_eq!(followers(&fleets[..8], now).len(), FOLLOWERS);
-    assert_eq!(followers(&fleets[8..], now).len(), FOLLOWERS);
+    assert_eq!(followers(&fleets[..14], now).len(), FOLLOWERS);
+    assert_eq!(followers(&fleets[14..], now).len(), FOLLOWERS);
 }
 
 #[test]
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -5,7 +5,7 @@
 
 use primrose_core::clock::Mono;
 use primrose_fleet::entry::ServerEntry;
-use primrose_fleet::FOLLOWERS;
+use primrose_fleet::FEW;
 use tokio::time::timeout;
 
 use crate::border::Batch;
@@ -29,12 +29,13 @@
 const WATCH_MOST: Duration = Duration::from_secs(10);
 /// How long the platform may take beyond that, or for a list.
 const ANSWER_GRACE: Duration = Duration::from_millis(800);
-/// Pause between two reads of the servers that changed, over all gateways that follow the list:
-/// the time in which a leaving server is noticed by one, which tells the others. Each server
-/// writes about once a second, so that watches without a pause would be a call for each write.
-const SERVERS_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after servers changed where gateways are few, and where some read for the others: six
+/// of them notice a leaving server within 0.2 s on average, and tell. Each server writes about
+/// once a second, so that watches without a pause would be a call for each write.
+const SERVERS_PAUSE: (Duration, Duration) =
+    (Duration::from_millis(400), Duration::from_millis(1_200));
 /// How often a gateway that does not follow looks whether it should.
-const IDLE_PAUSE: Duration = Duration::from_millis(300);
+const IDLE_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after tables changed.
 const TABLES_PAUSE: Duration = Duration::from_millis(40);
 /// First and longest pause after a failure.
@@ -47,8 +48,8 @@
 const LEASE_TIME: Duration = Duration::from_secs(90);
 /// How often the lease is renewed where gateways are few, and at most.
 const RENEW_PAUSE: (Duration, Duration) = (Duration::from_secs(8), Duration::from_secs(30));
-/// Gateways that count as few.
-const FEW: u32 = 8;
+/// Gateways to which the first pauses apply.
+const BASE_SIZE: u32 = 8;
 
 /// Where a feed stands.
 struct Position {
@@ -137,8 +138,11 @@
     match feed {
         Feed::Tables => TABLES_PAUSE,
         Feed::Servers | Feed::Gateways => {
-            let most = u32::try_from(FOLLOWERS).unwrap_or(u32::MAX);
-            SERVERS_PAUSE * gateways(shared).min(most)
+            if shared.fleet.borrow().size() <= FEW {
+                SERVERS_PAUSE.0
+            } else {
+                SERVERS_PAUSE.1
+            }
         }
     }
 }
@@ -260,7 +264,7 @@
 }
 
 fn renew_pause(shared: &Shared) -> Duration {
-    let pause = RENEW_PAUSE.0 * gateways(shared).max(FEW) / FEW;
+    let pause = RENEW_PAUSE.0 * gateways(shared).max(BASE_SIZE) / BASE_SIZE;
     pause.min(RENEW_PAUSE.1)
 }
 
@@ -280,7 +284,7 @@
         )),
     }
     let now = shared.now();
-    let pause = GATEWAYS_PAUSE * gateways(shared).max(FEW) / FEW;
+    let pause = GATEWAYS_PAUSE * gateways(shared).max(BASE_SIZE) / BASE_SIZE;
     if listed.is_none_or(|at| now.saturating_sub(at) >= pause) {
         let batch = limited(ANSWER_GRACE, platform.list(Feed::Gateways)).await?;
         apply(shared, Feed::Gateways, batch, true);
