--- a/crates/fleet/src/crash.rs
+++ b/crates/fleet/src/crash.rs
@@ -4,8 +4,12 @@
 //! again, at any gateway. A request is known by its fingerprint; each gateway counts the runs that
 //! ended in a broken connection before any answer, tells its counts, and refuses a fingerprint
 //! whose count over the fleet reaches the limit.
+//!
+//! A request that ended well lately crashes no servers, however many of its runs break: popular
+//! lookups share a fingerprint, and where links break, each gateway sees some of them broken.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use primrose_core::clock::Mono;
@@ -20,22 +24,64 @@
 /// How long after its last broken run a fingerprint is told: most break one and never come again.
 const WORTH_TELLING: Duration = Duration::from_secs(15);
 
+/// How long a good end is remembered at least, and twice that at most.
+const GOOD_TIME: Duration = Duration::from_secs(30);
+/// Good ends remembered from one such time, which bounds their memory to about 100 KB.
+const GOOD_MOST: usize = 4_096;
+
 #[derive(Debug, Clone, Copy)]
 struct Count {
     runs: u32,
     last: Mono,
 }
 
+/// Fingerprints of requests that ended well lately.
+#[derive(Debug, Default)]
+struct Good {
+    newer: HashSet<Fingerprint>,
+    older: HashSet<Fingerprint>,
+    since: Mono,
+}
+
+impl Good {
+    fn record(&mut self, print: Fingerprint, now: Mono) {
+        self.forget(now);
+        if self.newer.len() >= GOOD_MOST {
+            self.turn(now);
+        }
+        self.newer.insert(print);
+    }
+
+    fn contains(&self, print: Fingerprint) -> bool {
+        self.newer.contains(&print) || self.older.contains(&print)
+    }
+
+    fn forget(&mut self, now: Mono) {
+        if now.saturating_sub(self.since) >= GOOD_TIME {
+            self.turn(now);
+        }
+    }
+
+    fn turn(&mut self, now: Mono) {
+        self.older = std::mem::take(&mut self.newer);
+        self.since = now;
+    }
+}
+
 /// Counts of broken runs.
 #[derive(Debug, Default)]
 pub struct Crashes {
     own: HashMap<Fingerprint, Count>,
     others: HashMap<(u64, Fingerprint), Count>,
+    good: Good,
 }
 
 impl Crashes {
     /// Records a run that ended in a broken connection.
     pub fn broke(&mut self, print: Fingerprint, now: Mono) {
+        if self.good.contains(print) {
+            return;
+        }
         let count = self
             .own
             .entry(print)
@@ -45,8 +91,9 @@
     }
 
     /// Records that a run came to its end, which clears the request.
-    pub fn ended_well(&mut self, print: Fingerprint) {
+    pub fn ended_well(&mut self, print: Fingerprint, now: Mono) {
         self.own.remove(&print);
+        self.good.record(print, now);
     }
 
     /// Records what another gateway counted.
@@ -62,7 +109,7 @@
 
     /// Whether the request is refused.
     pub fn is_refused(&self, print: Fingerprint) -> bool {
-        self.runs(print) >= LIMIT
+        !self.good.contains(print) && self.runs(print) >= LIMIT
     }
 
     /// Broken runs over the fleet.
@@ -93,6 +140,7 @@
 
     /// Forgets old counts.
     pub fn forget(&mut self, now: Mono) {
+        self.good.forget(now);
         let fresh = |count: &Count| now.saturating_sub(count.last) < MEMORY;
         self.own.retain(|_, count| fresh(count));
         self.others.retain(|_, count| fresh(count));
--- a/crates/fleet/src/fleet/intake.rs
+++ b/crates/fleet/src/fleet/intake.rs
@@ -140,7 +140,7 @@
         }
         match ended {
             Ended::Broken => self.crashes.broke(ask.print, now),
-            Ended::Good => self.crashes.ended_well(ask.print),
+            Ended::Good => self.crashes.ended_well(ask.print, now),
             _ => {}
         }
         let Some(server) = self.server_of(work) else {
--- /dev/null
+++ b/crates/fleet/tests/testsuite/crashes.rs
@@ -0,0 +1,92 @@
+//! Requests that crash servers are refused; popular ones whose links break are not.
+
+use primrose_fleet::Ask;
+use primrose_fleet::Decision;
+use primrose_fleet::Ended;
+use primrose_fleet::Fleet;
+use primrose_fleet::Reason;
+
+use crate::build::ask;
+use crate::build::fleet_with;
+use crate::build::ip;
+use crate::build::ms;
+use crate::build::prompt;
+
+/// Sends a request and ends it; returns why it was refused, if it was.
+fn run(fleet: &mut Fleet, asked: &Ask, ended: Ended, at: u64) -> Option<Reason> {
+    match fleet.decide(asked, ms(at)) {
+        Decision::Send(work) => {
+            fleet.end(asked, &work, ended, ms(at + 1));
+            None
+        }
+        Decision::Refuse(refusal) => Some(refusal.reason),
+    }
+}
+
+fn tell(fleets: &mut [Fleet; 3], at: u64) {
+    for from in 0..3 {
+        let digest = fleets[from].digest(ms(at));
+        for to in (0..3).filter(|to| *to != from) {
+            fleets[to].merge(digest.clone(), ip(from as u8 + 1), ms(at));
+        }
+    }
+}
+
+fn fleets() -> [Fleet; 3] {
+    [1, 2, 3].map(|me| fleet_with(me, 4, None))
+}
+
+#[test]
+fn a_request_that_breaks_every_run_is_refused_at_all_gateways() {
+    let mut fleets = fleets();
+    let asked = ask("any", prompt(1), ms(1));
+    for fleet in &mut fleets {
+        assert_eq!(run(fleet, &asked, Ended::Broken, 10), None);
+    }
+    tell(&mut fleets, 20);
+    for fleet in &mut fleets {
+        let refused = run(fleet, &asked, Ended::Broken, 30);
+        assert_eq!(refused, Some(Reason::CrashesServers));
+    }
+}
+
+#[test]
+fn a_request_that_ended_well_lately_is_not_refused_for_broken_links() {
+    let mut fleets = fleets();
+    let asked = ask("any", prompt(1), ms(1));
+    for fleet in &mut fleets {
+        assert_eq!(run(fleet, &asked, Ended::Good, 5), None);
+    }
+    for at in [10, 20, 30] {
+        for fleet in &mut fleets {
+            assert_eq!(run(fleet, &asked, Ended::Broken, at), None);
+        }
+        tell(&mut fleets, at + 5);
+    }
+    for fleet in &mut fleets {
+        assert_eq!(run(fleet, &asked, Ended::Good, 40), None);
+    }
+}
+
+#[test]
+fn a_good_end_long_ago_does_not_count() {
+    let mut fleets = fleets();
+    let asked = ask("any", prompt(1), ms(1));
+    assert_eq!(run(&mut fleets[0], &asked, Ended::Good, 5), None);
+    for at in [70_000, 140_000] {
+        fleets[0].expire(ms(at));
+    }
+    for at in [140_010, 140_020, 140_030] {
+        let late = Ask {
+            print: asked.print,
+            ..ask("any", prompt(1), ms(at))
+        };
+        assert_eq!(run(&mut fleets[0], &late, Ended::Broken, at), None);
+    }
+    let late = Ask {
+        print: asked.print,
+        ..ask("any", prompt(1), ms(140_040))
+    };
+    let refused = run(&mut fleets[0], &late, Ended::Broken, 140_040);
+    assert_eq!(refused, Some(Reason::CrashesServers));
+}
--- a/crates/fleet/tests/testsuite/main.rs
+++ b/crates/fleet/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a gateway's beliefs and decisions.
 
 mod build;
+mod crashes;
 mod follow;
 mod gossip;
 mod placement;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::signal;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -164,12 +165,14 @@
 }
 
 async fn serve(config: Config) -> Result<Ended, StartError> {
-    let listeners = Listeners::open(&config).await?;
+    // Before anything else: a signal that nobody handles ends the process.
     let mut stop = signal(SignalKind::terminate()).context(RuntimeSnafu)?;
     let mut interrupt = signal(SignalKind::interrupt()).context(RuntimeSnafu)?;
+    let hangups = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
+    let listeners = Listeners::open(&config).await?;
     let grace = config.grace;
     let lease = Rc::new(Cell::new(None));
-    let shared = start(config, listeners, &lease)?;
+    let shared = start(config, listeners, hangups, &lease)?;
     tokio::select! {
         _ = stop.recv() => {}
         _ = interrupt.recv() => {}
@@ -187,6 +190,7 @@
 fn start(
     config: Config,
     listeners: Listeners,
+    hangups: Signal,
     lease: &Rc<Cell<Option<u64>>>,
 ) -> Result<Rc<Shared>, StartError> {
     let clock = config.clock;
@@ -235,7 +239,7 @@
     spawn_local(gossip::tell(share(), Rc::clone(&digests), port));
     spawn_local(gossip::hear(share(), digests));
     spawn_local(gossip::catch_up(share()));
-    spawn_local(watch::settings(share(), config.reload));
+    spawn_local(watch::settings(share(), hangups, config.reload));
     shared.log.event(&Event::Started {
         incarnation: me,
         zone,
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -3,8 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::signal::unix::signal;
-use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::Signal;
 
 use crate::event::Event;
 use crate::run::Reload;
@@ -14,14 +13,7 @@
 const LOOK_PAUSE: Duration = Duration::from_secs(2);
 
 /// Reads the settings again whenever they may have changed, until the process ends.
-pub(crate) async fn settings(shared: Rc<Shared>, mut reload: Reload) {
-    let mut hangups = match signal(SignalKind::hangup()) {
-        Ok(signals) => signals,
-        Err(error) => {
-            ::log::error!("failed to handle the reload signal: {error}");
-            return;
-        }
-    };
+pub(crate) async fn settings(shared: Rc<Shared>, mut hangups: Signal, mut reload: Reload) {
     loop {
         let asked = tokio::select! {
             _ = hangups.recv() => true,
--- a/crates/primrosed/tests/testsuite/main.rs
+++ b/crates/primrosed/tests/testsuite/main.rs
@@ -5,4 +5,5 @@
 mod platform_world;
 mod processes;
 mod settings;
+mod soak;
 mod world;
--- /dev/null
+++ b/crates/primrosed/tests/testsuite/soak.rs
@@ -0,0 +1,22 @@
+//! A short soak; the long ones are played by hand with fresh seeds.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use primrose_soak::run::play;
+use primrose_soak::run::Options;
+
+#[test]
+fn a_short_soak_keeps_every_promise() {
+    let options = Options {
+        seed: 11,
+        length: Duration::from_secs(8),
+        gateways: 3,
+        binary: PathBuf::from(env!("CARGO_BIN_EXE_primrosed")),
+        dir: std::env::temp_dir().join(format!("soak-test-{}", std::process::id())),
+        net: 99,
+    };
+    let report = play(&options).expect("the soak runs");
+    assert!(report.broken.is_empty(), "{:?}", report.broken);
+    assert!(report.counts.whole > 0);
+}
