Refuse new streams a quarter into a shutdown's grace

New streams were refused from 3.4 s on; now from 2 s, when the entry has asked for readiness twice; they are truly not run, and another gateway takes them at once.

Nothing else was tried.

Test: platform::a_stream_that_might_outlast_the_grace_is_refused_in_time (the stream was accepted before).

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -49,6 +49,9 @@
 /// Part of the grace after which idle connections are closed and streams are not begun any more.
 /// By then the entry has long stopped sending connections, and what is left lets a stream end.
 const CLOSE_PART: f64 = 0.42;
+/// Part of the grace after which new streams are refused: the entry has asked for readiness twice
+/// by then, and three quarters of the grace let a long stream end.
+const STREAMS_PART: f64 = 0.25;
 /// Time before the end of the grace at which the process ends.
 const END_AHEAD: Duration = Duration::from_millis(350);
 /// How often the end of a shutdown is looked for.
@@ -214,6 +217,7 @@
         log: log.context(RuntimeSnafu)?,
         running: Cell::new(0),
         draining: Cell::new(false),
+        refuses_streams: Cell::new(false),
         busy: Busy::default(),
         closing: Notify::new(),
         is_closing: Cell::new(false),
@@ -258,6 +262,9 @@
     loop {
         tokio::time::sleep(DRAIN_LOOK).await;
         let passed = shared.now().saturating_sub(began);
+        shared
+            .refuses_streams
+            .set(passed >= grace.mul_f64(STREAMS_PART));
         let close = passed >= grace.mul_f64(CLOSE_PART);
         if close && !shared.is_closing.replace(true) {
             shared.closing.notify_waiters();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -82,8 +82,8 @@
     let (route, account) = admit(&catalog, &head, &call).map_err(|reply| refuse(&call, reply))?;
     let limit = call.patience.unwrap_or(route.time_limit);
     let deadline = arrived + limit.min(route.time_limit);
-    if shared.is_closing.get() && route.kind.streams() {
-        // It might not end before the process does; another gateway takes it at once.
+    if shared.refuses_streams.get() && route.kind.streams() {
+        // Another gateway takes it at once.
         let reply = Reply::not_run("the gateway is about to end", RETRY_ENDING);
         return Err(refuse(&call, reply));
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -37,6 +37,8 @@
     pub(crate) running: Cell<usize>,
     /// Whether shutdown was asked for.
     pub(crate) draining: Cell<bool>,
+    /// Whether a new stream might not end before the process does.
+    pub(crate) refuses_streams: Cell<bool>,
     /// Whether the thread keeps up with its work.
     pub(crate) busy: Busy,
     /// Wakes connections to close.
--- a/crates/primrosed/tests/testsuite/platform.rs
+++ b/crates/primrosed/tests/testsuite/platform.rs
@@ -382,6 +382,28 @@
 }
 
 /// Found by a day on which one gateway held four thousand idle connections and nobody could connect.
+#[test]
+fn a_stream_that_might_outlast_the_grace_is_refused_in_time() {
+    // A stream of five seconds, asked for 2.3 s after the signal, would be cut at the end of eight.
+    let server = Server::start(|seen, stream| {
+        begin_stream(stream, seen);
+        for id in 1..=50 {
+            if !chunk(stream, &event(id)) {
+                return false;
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        chunk(stream, "")
+    });
+    let world = World::start(&[("models", &server)]);
+    world.terminate();
+    std::thread::sleep(Duration::from_millis(2_300));
+    let (line, _) = call(world.front, &request("POST", "stream", PROMPT, "x"));
+    assert!(line.contains("503"), "{line}");
+    assert_eq!(server.count(), 0);
+    assert_eq!(world.ended().0, Some(0));
+}
+
 #[test]
 fn idle_callers_do_not_use_up_the_descriptors() {
     let server = good();
