conn: Bound the interim responses to a request

Change: more than 16 interim responses fail the attempt as perhaps run, and the connection is dropped.

--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -8,6 +8,8 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -24,6 +26,7 @@
 use primrose_core::clock::Mono;
 use snafu::Snafu;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 /// Default for the maximum number of idle connections to one backend server.
 const MAX_IDLE_PER_SERVER: usize = 32;
@@ -31,6 +34,10 @@
 /// Timeout for probing whether a server still listens.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Maximum number of interim responses (1xx) to one request. A server in trouble may send them
+/// without end, and reading them takes the processor from all other requests.
+const MAX_INTERIM_RESPONSES: u32 = 16;
+
 /// Body of a request to a backend server.
 pub type RequestBody = Full<Bytes>;
 
@@ -224,7 +231,7 @@
 
 async fn send_over(
     mut sender: SendRequest<RequestBody>,
-    request: Request<RequestBody>,
+    mut request: Request<RequestBody>,
 ) -> Result<PooledResponse, SendFailure> {
     if let Err(error) = sender.ready().await {
         return Err(SendFailure {
@@ -232,7 +239,17 @@
             unsent: Some(Box::new(request)),
         });
     }
-    match sender.try_send_request(request).await {
+    let too_many = count_interim_responses(&mut request);
+    let sent = tokio::select! {
+        sent = sender.try_send_request(request) => sent,
+        () = too_many.notified() => {
+            return Err(SendFailure {
+                reason: format!("more than {MAX_INTERIM_RESPONSES} interim responses"),
+                unsent: None,
+            });
+        }
+    };
+    match sent {
         Ok(response) => Ok(PooledResponse { response, sender }),
         Err(mut error) => {
             let unsent = error.take_message().map(Box::new);
@@ -243,3 +260,16 @@
         }
     }
 }
+
+/// Counts the interim responses to a request; notifies if there are too many.
+fn count_interim_responses(request: &mut Request<RequestBody>) -> Arc<Notify> {
+    let too_many = Arc::new(Notify::new());
+    let notify = Arc::clone(&too_many);
+    let count = AtomicU32::new(0);
+    hyper::ext::on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
+            notify.notify_one();
+        }
+    });
+    too_many
+}
