--- a/crates/emulate/src/simulation.rs
+++ b/crates/emulate/src/simulation.rs
@@ -107,6 +107,7 @@
                 incarnation: number as u64 + 1,
                 zone: zone_name(number % pattern.zones),
                 ip: host_ip(0, number),
+                capacity: 250,
                 retry_permille: 200,
                 retry_slack: 56,
             });
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -30,12 +30,14 @@
 }
 
 impl TokenSums {
-    fn add(&mut self, other: Self) {
+    /// Adds other sums.
+    pub fn add(&mut self, other: Self) {
         self.asked += other.asked;
         self.granted += other.granted;
     }
 
-    fn remove(&mut self, other: Self) {
+    /// Subtracts sums that were added before.
+    pub fn remove(&mut self, other: Self) {
         self.asked = self.asked.saturating_sub(other.asked);
         self.granted = self.granted.saturating_sub(other.granted);
     }
@@ -104,6 +106,11 @@
         self.remote.retain(|_, sums| *sums != TokenSums::default());
     }
 
+    /// Drops the sums of all other gateways.
+    pub fn clear_remote(&mut self) {
+        self.remote.clear();
+    }
+
     /// Returns the sums of all accounts over the fleet.
     pub fn fleet_sums(&mut self, now: Mono) -> HashMap<ShortId, TokenSums> {
         let mut totals = self.remote.clone();
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -4,6 +4,9 @@
 //! A digest holds absolute sums instead of increments, so that loss, duplication and reordering are
 //! harmless; a receiver drops digests with an old sequence number. Names are sent as short ids, so
 //! that a digest fits into one datagram. Digests are neither acknowledged nor sent again.
+//!
+//! In large fleets, relays combine the digests of many gateways; see
+//! [`DigestScope`]. Such a digest may need several packets.
 
 use std::net::IpAddr;
 
@@ -22,10 +25,17 @@
 
 /// Maximum size of a digest, in bytes; common links carry such datagrams without fragmentation.
 pub const MAX_BYTES: usize = 1_400;
+/// Maximum size of a combined digest, in bytes: the largest datagram.
+pub const MAX_COMBINED_BYTES: usize = 65_000;
 /// Maximum number of servers in a digest; the most loaded are preferred.
 const MAX_SERVERS: usize = 40;
 /// Maximum number of accounts in a digest; those with the most demand are preferred.
 const MAX_ACCOUNTS: usize = 30;
+/// Maximum number of servers in a combined digest: with the other rows, it stays well below the
+/// largest datagram.
+const MAX_COMBINED_SERVERS: usize = 800;
+/// Maximum number of accounts in a combined digest.
+const MAX_COMBINED_ACCOUNTS: usize = 500;
 /// Maximum number of gateway addresses in a digest.
 const MAX_PEERS: usize = 20;
 
@@ -40,6 +50,56 @@
     pub counts: AnswerCounts,
 }
 
+/// Whose sums a digest holds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DigestScope {
+    /// Those of the gateway that wrote it.
+    #[default]
+    Gateway,
+    /// Those of all gateways of the writer's availability zone.
+    Zone,
+    /// Those of the whole fleet, without the receiver's own.
+    Fleet,
+}
+
+/// A gateway of the fleet, as relays announce it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Contact {
+    /// Address of the gateway.
+    pub ip: IpAddr,
+    /// Short id of its availability zone.
+    pub zone: ShortId,
+    /// Processor time that its host has, in thousandths of a core.
+    pub capacity: u32,
+    /// Time since it was last heard of, in milliseconds. With it, gateways that name a dead one to
+    /// each other do not keep it alive.
+    pub age_ms: u32,
+}
+
+/// What a digest says beyond the sums of its writer. Older builds neither send nor read it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RelayInfo {
+    /// Whose sums the digest holds.
+    pub scope: DigestScope,
+    /// Processor time of the writer's host, in thousandths of a core.
+    pub capacity: u32,
+    /// Whether the receiver shall send its view of the fleet.
+    pub wants_view: bool,
+    /// Whether the writer refuses requests because it does not keep up.
+    pub overloaded: bool,
+    /// Number of gateways whose sums the digest holds.
+    pub gateways: u32,
+    /// Number of gateways in the writer's zone, and of those that do not keep up; in digests of
+    /// relays.
+    pub zone_load: (u32, u32),
+    /// Gateways of the writer's zone in digests of relays, and relays of all zones.
+    pub contacts: Vec<Contact>,
+    /// Broken runs of requests at other gateways than the writer.
+    pub broken_runs: Vec<(Incarnation, Fingerprint, u32)>,
+    /// Gateways that have what the digest announces, besides the writer.
+    pub sources: Vec<IpAddr>,
+}
+
 /// State that one gateway publishes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Digest {
@@ -69,6 +129,8 @@
     pub removed: Vec<ShortId>,
     /// Addresses of other gateways.
     pub peers: Vec<IpAddr>,
+    /// Role of the writer, and what relays add.
+    pub relay: RelayInfo,
 }
 
 /// Encoded form of a digest: tuples instead of maps, so that no field names are sent.
@@ -81,8 +143,63 @@
     Vec<(Fingerprint, u32)>,
     (Vec<ShortId>, Vec<ShortId>),
     Vec<IpAddr>,
+    #[serde(default)] WireRelay,
+);
+
+/// Encoded form of [`RelayInfo`].
+#[derive(Default, Serialize, Deserialize)]
+struct WireRelay(
+    (DigestScope, u32, bool, bool, u32, (u32, u32)),
+    Vec<(IpAddr, ShortId, u32, u32)>,
+    Vec<(Incarnation, Fingerprint, u32)>,
+    Vec<IpAddr>,
 );
 
+impl From<&RelayInfo> for WireRelay {
+    fn from(info: &RelayInfo) -> Self {
+        let contacts = info.contacts.iter();
+        let contacts = contacts.map(|c| (c.ip, c.zone, c.capacity, c.age_ms));
+        Self(
+            (
+                info.scope,
+                info.capacity,
+                info.wants_view,
+                info.overloaded,
+                info.gateways,
+                info.zone_load,
+            ),
+            contacts.collect(),
+            info.broken_runs.clone(),
+            info.sources.clone(),
+        )
+    }
+}
+
+impl From<WireRelay> for RelayInfo {
+    fn from(wire: WireRelay) -> Self {
+        let WireRelay(head, contacts, broken_runs, sources) = wire;
+        let (scope, capacity, wants_view, overloaded, gateways, zone_load) = head;
+        let contacts = contacts.into_iter();
+        let contacts = contacts.map(|(ip, zone, capacity, age_ms)| Contact {
+            ip,
+            zone,
+            capacity,
+            age_ms,
+        });
+        Self {
+            scope,
+            capacity,
+            wants_view,
+            overloaded,
+            gateways,
+            zone_load,
+            contacts: contacts.collect(),
+            broken_runs,
+            sources,
+        }
+    }
+}
+
 /// Error of encoding or decoding a digest.
 #[derive(Debug, Snafu)]
 pub enum DigestError {
@@ -105,10 +222,14 @@
     pub fn trim(&mut self) {
         self.servers
             .sort_by_key(|row| std::cmp::Reverse((row.load.running, row.load.reading)));
-        self.servers.truncate(MAX_SERVERS);
+        let (servers, accounts) = match self.relay.scope {
+            DigestScope::Gateway => (MAX_SERVERS, MAX_ACCOUNTS),
+            _ => (MAX_COMBINED_SERVERS, MAX_COMBINED_ACCOUNTS),
+        };
+        self.servers.truncate(servers);
         self.accounts
             .sort_by_key(|(_, sums)| std::cmp::Reverse(sums.asked));
-        self.accounts.truncate(MAX_ACCOUNTS);
+        self.accounts.truncate(accounts);
         self.peers.truncate(MAX_PEERS);
     }
 
@@ -139,6 +260,7 @@
             self.broken_runs.clone(),
             (self.leaving.clone(), self.removed.clone()),
             self.peers.clone(),
+            WireRelay::from(&self.relay),
         );
         let mut bytes = Vec::with_capacity(MAX_BYTES);
         ciborium::into_writer(&wire, &mut bytes).context(EncodeSnafu)?;
@@ -148,7 +270,7 @@
     /// Decodes a digest.
     pub fn decode(bytes: &[u8]) -> Result<Self, DigestError> {
         let wire: Wire = ciborium::from_reader(bytes).context(DecodeSnafu)?;
-        let Wire(head, list, servers, accounts, broken_runs, marks, peers) = wire;
+        let Wire(head, list, servers, accounts, broken_runs, marks, peers, relay) = wire;
         let (writer, seq, generation) = head;
         let (list_version, members_version, zone, list_unreadable) = list;
         let (leaving, removed) = marks;
@@ -180,6 +302,7 @@
             leaving,
             removed,
             peers,
+            relay: relay.into(),
         })
     }
 }
--- a/crates/fleet/src/fleet/admission.rs
+++ b/crates/fleet/src/fleet/admission.rs
@@ -38,6 +38,9 @@
 /// `uneven_demand` tests of the emulate crate, 0.5 gave the fewest intervals in which an account
 /// gets less than half of its fair share, and the most useful work.
 const MAX_EXCESS: f64 = 0.5;
+/// Fraction of the objective that a request of an account within its quota may wait for those ahead
+/// of it, however large it is itself.
+const QUEUE_FRACTION_LARGE: f64 = 0.2;
 /// Fraction of the whole objective that a request may wait if its objective has already passed.
 /// When many callers retry late, a longer wait fills the servers with late requests until all are
 /// late.
@@ -100,6 +103,27 @@
         self.pool(&request.pool).budget.try_retry()
     }
 
+    /// Whether another server can take a request from a server that may be silent.
+    pub fn can_move(
+        &mut self,
+        request: &PlacementRequest,
+        placement: &Placement,
+        now: Mono,
+    ) -> bool {
+        if self.pool(&request.pool).budget.available() == 0 {
+            return false;
+        }
+        let current = placement.server.as_str();
+        let servers = self.servers.iter();
+        let mut others = servers.filter(|server| {
+            server.entry.pool == request.pool
+                && server.accepts_requests()
+                && !server.health.is_paused(now)
+                && server.entry.id != current
+        });
+        others.any(|server| !request.tried.contains(&server.entry.id))
+    }
+
     /// Records the first event of a stream.
     pub fn record_first_event(&mut self, placement: &mut Placement, now: Mono) {
         if placement.first_event_seen {
@@ -129,14 +153,12 @@
         }
     }
 
-    /// Whether a server has sent no data to any of this gateway's requests since `since`.
-    pub fn is_silent(&mut self, placement: &Placement, since: Mono) -> bool {
-        match self.server_of(placement) {
-            Some(server) => server
-                .last_activity
-                .is_none_or(|last_activity| last_activity < since),
-            None => true,
-        }
+    /// Returns when a server last sent data to any of this gateway's requests; none if it never
+    /// did, or is not known any more.
+    pub fn last_activity(&self, placement: &Placement) -> Option<Mono> {
+        let server = self.servers.get(&placement.server)?;
+        let is_same = server.entry.born_ms == placement.born_ms;
+        server.last_activity.filter(|_| is_same)
     }
 
     /// Records the outcome of a request at a server, and removes its load.
@@ -271,7 +293,14 @@
                 (RefusalReason::OverShare, over_share_wait_fraction(excess))
             }
         };
-        check_wait(reason, choice.wait, objective.mul_f64(wait_fraction))
+        let mut allowed = objective.mul_f64(wait_fraction);
+        if share_usage == ShareUsage::WithinQuota {
+            // A large request takes long on any server, and would not be served sooner if it came
+            // back: only its wait for others counts.
+            let own_wait = choice.wait.saturating_sub(choice.queue_wait);
+            allowed = allowed.max(own_wait + objective.mul_f64(QUEUE_FRACTION_LARGE));
+        }
+        check_wait(reason, choice.wait, allowed)
     }
 
     fn share_usage(&mut self, account: ShortId, service: u64, now: Mono) -> ShareUsage {
--- a/crates/fleet/src/fleet/follow.rs
+++ b/crates/fleet/src/fleet/follow.rs
@@ -10,12 +10,12 @@
 use std::time::Duration;
 
 use primrose_core::clock::Mono;
-use primrose_core::id::Incarnation;
 
+use super::roles::spread;
+use super::roles::Role;
 use super::Fleet;
 use super::Peer;
 use crate::entry::short_id;
-use crate::place::share_key;
 
 /// Number of followers in a large fleet: about two for each zone of the larger deployments, so that
 /// a zone can lose one.
@@ -45,6 +45,19 @@
         if self.gateway_count() <= MAX_ALL_FOLLOW {
             return true;
         }
+        match self.role {
+            Role::Mesh => {}
+            Role::Relay => return true,
+            Role::Member { view } => {
+                let source = view.and_then(|view| self.peers.get(&view));
+                let reads = |peer: &Peer| {
+                    let is_recent = now.saturating_sub(peer.last_received) < FOLLOWER_TIMEOUT;
+                    is_recent && !peer.digest.list_unreadable && peer.digest.list_version > 0
+                };
+                // A gateway that cannot read the list keeps trying, though others read it.
+                return !source.is_some_and(reads) || self.list_unreadable_since.is_some();
+            }
+        }
         let own_rank = rank(self.config.ip);
         let can_follow = |peer: &&Peer| {
             let is_recent = now.saturating_sub(peer.last_received) < FOLLOWER_TIMEOUT;
@@ -86,17 +99,16 @@
             };
             digest.generation > generation || has_newer_list
         });
-        let source = newer.max_by_key(|(writer, peer)| {
+        // Spreads the gateways that need the same snapshot over those that have it.
+        let spread = |ip| spread(self.config.incarnation, ip, self.seq);
+        let source = newer.max_by_key(|(_, peer)| {
             let digest = &peer.digest;
-            let tie_break = self.tie_break(**writer);
-            (digest.generation, digest.zone == zone, tie_break)
+            (digest.generation, digest.zone == zone, spread(peer.ip))
         });
-        source.map(|(_, peer)| peer.ip)
-    }
-
-    /// Spreads the gateways that need the same snapshot over those that have it.
-    fn tie_break(&self, writer: Incarnation) -> u64 {
-        share_key([self.config.incarnation, writer, self.seq])
+        let (_, peer) = source?;
+        let others = peer.digest.relay.sources.iter().copied();
+        let others = others.filter(|ip| *ip != self.config.ip);
+        others.chain([peer.ip]).max_by_key(|ip| spread(*ip))
     }
 }
 
--- a/crates/fleet/src/fleet/gossip.rs
+++ b/crates/fleet/src/fleet/gossip.rs
@@ -6,18 +6,22 @@
 
 use primrose_core::clock::Mono;
 use primrose_core::id::Generation;
+use primrose_core::id::Incarnation;
 use primrose_core::id::PoolId;
 use primrose_core::id::ServerId;
 use primrose_core::id::ZoneId;
 use primrose_retry::BudgetConfig;
 use serde::Serialize;
 
+use super::roles::Role;
 use super::Fleet;
 use super::FleetConfig;
 use super::Peer;
 use crate::catalog::Catalog;
 use crate::catalog::Tables;
 use crate::digest::Digest;
+use crate::digest::DigestScope;
+use crate::digest::RelayInfo;
 use crate::digest::ServerRow;
 use crate::entry::short_id;
 use crate::entry::ServerEntry;
@@ -35,6 +39,9 @@
 /// platform or sent one. A mention in the digest of another gateway adds an address, but does not
 /// renew a known one.
 const CONTACT_LIFETIME: Duration = Duration::from_secs(20);
+/// Silence of a gateway after which a digest of another incarnation at its address is not taken for
+/// a late one. A process takes longer to start.
+const INCARNATION_CHANGE_TIME: Duration = Duration::from_millis(300);
 /// Fraction of the fleet's retry slack that is divided among the gateways; the rest is a margin for
 /// gateways that join or restart.
 const SLACK_FRACTION: (u32, u32) = (3, 4);
@@ -180,6 +187,15 @@
             leaving: self.servers.recent_leaving(now),
             removed: self.servers.recent_removed(now),
             peers: self.peers.values().map(|peer| peer.ip).collect(),
+            relay: RelayInfo {
+                scope: DigestScope::Gateway,
+                capacity: self.config.capacity,
+                // A gateway that knows few others asks for what they know.
+                wants_view: self.role == Role::Mesh,
+                overloaded: self.overloaded,
+                gateways: 1,
+                ..RelayInfo::default()
+            },
         };
         digest.trim();
         digest
@@ -201,12 +217,22 @@
         if known.is_some_and(|peer| peer.digest.seq >= digest.seq) {
             return Vec::new();
         }
+        if !self.remove_other_incarnation(ip, digest.writer, now) {
+            return Vec::new();
+        }
+        self.record_gateways(&digest, ip, now);
         let mut changes = self.servers.merge_leaving(&digest.leaving, now);
         changes.extend(self.servers.merge_removed(&digest.removed, now));
         self.crashes.merge(digest.writer, &digest.broken_runs, now);
-        self.remove_previous_incarnation(ip, digest.writer);
-        let previous = self.peers.remove(&digest.writer);
-        self.replace_sums(previous.as_ref().map(|peer| &peer.digest), Some(&digest));
+        for (writer, fingerprint, runs) in &digest.relay.broken_runs {
+            if *writer != self.config.incarnation {
+                self.crashes.merge(*writer, &[(*fingerprint, *runs)], now);
+            }
+        }
+        let previous = self.peers.remove(&digest.writer).map(|peer| peer.digest);
+        let previous = previous.filter(|digest| self.counts(digest));
+        let current = Some(&digest).filter(|digest| self.counts(digest));
+        self.replace_sums(previous.as_ref(), current);
         let peer = Peer {
             ip,
             last_received: now,
@@ -226,10 +252,9 @@
             .map(|(writer, _)| *writer)
             .collect();
         for writer in timed_out {
-            if let Some(peer) = self.peers.remove(&writer) {
-                self.replace_sums(Some(&peer.digest), None);
-            }
+            self.remove_peer(writer);
         }
+        self.update_role(now);
         self.contacts
             .retain(|_, seen| now.saturating_sub(*seen) < CONTACT_LIFETIME);
         self.prefix_cache.expire(now);
@@ -237,6 +262,28 @@
         self.servers.expire(now)
     }
 
+    /// Sets whether this gateway refuses requests because it does not keep up; published to the
+    /// others.
+    pub fn set_overloaded(&mut self, overloaded: bool) {
+        self.overloaded = overloaded;
+    }
+
+    /// Returns the number of gateways in this availability zone, this one included, and of those
+    /// others that do not keep up.
+    pub fn zone_load(&self) -> (usize, usize) {
+        let zone = short_id(&self.config.zone);
+        let others = self.peers.values().map(|peer| &peer.digest);
+        let others = others.filter(|digest| digest.zone == zone && self.counts(digest));
+        others.fold((1, 0), |(gateways, overloaded), digest| {
+            let (more, busy) = match digest.relay.scope {
+                DigestScope::Gateway => (1, u32::from(digest.relay.overloaded)),
+                // A view counts this gateway, too.
+                _ => (digest.relay.zone_load.0 - 1, digest.relay.zone_load.1),
+            };
+            (gateways + more as usize, overloaded + busy as usize)
+        })
+    }
+
     /// Returns the age of the oldest digest in use; zero if there is none.
     pub fn oldest_digest_age(&self, now: Mono) -> Duration {
         let ages = self.peers.values();
@@ -284,20 +331,35 @@
         }
     }
 
-    /// Drops an earlier incarnation of the gateway at an address.
-    fn remove_previous_incarnation(&mut self, ip: IpAddr, writer: u64) {
-        let old = self
-            .peers
-            .iter()
-            .find(|(incarnation, peer)| peer.ip == ip && **incarnation < writer)
-            .map(|(incarnation, _)| *incarnation);
-        if let Some(peer) = old.and_then(|old| self.peers.remove(&old)) {
-            self.replace_sums(Some(&peer.digest), None);
+    /// Drops another incarnation of the gateway at an address; returns whether this one is the
+    /// current one. Incarnations are start times by the wall clock, which may have been set back:
+    /// one that is lower is current once the other has been silent.
+    fn remove_other_incarnation(&mut self, ip: IpAddr, writer: Incarnation, now: Mono) -> bool {
+        let others = self.peers.iter();
+        let mut others = others.filter(|(known, peer)| peer.ip == ip && **known != writer);
+        let Some((other, peer)) = others.next() else {
+            return true;
+        };
+        let silence = now.saturating_sub(peer.last_received);
+        if *other > writer && silence < INCARNATION_CHANGE_TIME {
+            return false;
+        }
+        let other = *other;
+        self.remove_peer(other);
+        true
+    }
+
+    /// Drops a gateway and its sums.
+    fn remove_peer(&mut self, writer: Incarnation) {
+        if let Some(peer) = self.peers.remove(&writer) {
+            if self.counts(&peer.digest) {
+                self.replace_sums(Some(&peer.digest), None);
+            }
         }
     }
 
     /// Replaces the sums of a gateway's previous digest by those of its current one.
-    fn replace_sums(&mut self, previous: Option<&Digest>, current: Option<&Digest>) {
+    pub(super) fn replace_sums(&mut self, previous: Option<&Digest>, current: Option<&Digest>) {
         let accounts = |digest: Option<&Digest>| {
             let rows = digest.map(|digest| digest.accounts.clone());
             rows.unwrap_or_default()
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -3,12 +3,16 @@
 mod admission;
 mod follow;
 mod gossip;
+mod roles;
 
 pub use follow::SnapshotScope;
 pub use follow::FOLLOWER_COUNT;
 pub use follow::MAX_ALL_FOLLOW;
 pub use gossip::ServerStatus;
+pub use roles::Outgoing;
+pub use roles::MAX_MESH;
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -25,6 +29,8 @@
 use primrose_core::id::ZoneId;
 use primrose_retry::Budget;
 
+use self::roles::KnownGateway;
+use self::roles::Role;
 use crate::catalog::Catalog;
 use crate::catalog::Route;
 use crate::crash::CrashTracker;
@@ -47,6 +53,8 @@
     pub zone: ZoneId,
     /// Address of the gateway.
     pub ip: IpAddr,
+    /// Processor time of the gateway's host, in thousandths of a core; relays are those with most.
+    pub capacity: u32,
     /// Retries allowed for every thousand requests, over the fleet.
     pub retry_permille: u32,
     /// Retries allowed beyond that, over the fleet.
@@ -204,6 +212,14 @@
     /// Loads and answers of servers, summed over the digests of the other gateways.
     peer_sums: HashMap<ShortId, (Load, AnswerCounts)>,
     seq: u64,
+    /// Whether this gateway refuses requests because it does not keep up.
+    overloaded: bool,
+    /// Part in the exchange of digests.
+    role: Role,
+    /// Gateways that were heard of.
+    known: HashMap<IpAddr, KnownGateway>,
+    /// Relay whose sums count, for each other zone.
+    zone_writers: BTreeMap<ShortId, Incarnation>,
     /// Number of gateways among which the retry slack is divided.
     slack_sharers: u32,
 }
@@ -226,6 +242,10 @@
             contacts: HashMap::new(),
             peer_sums: HashMap::new(),
             seq: 0,
+            overloaded: false,
+            role: Role::default(),
+            known: HashMap::new(),
+            zone_writers: BTreeMap::new(),
             slack_sharers: gossip::INITIAL_SHARERS,
         }
     }
@@ -247,7 +267,9 @@
 
     /// Returns the number of gateways with a recent digest, including this one.
     pub fn gateway_count(&self) -> usize {
-        self.peers.len() + 1
+        let counted = self.peers.values().filter(|peer| self.counts(&peer.digest));
+        let gateways = counted.map(|peer| peer.digest.relay.gateways.max(1));
+        gateways.sum::<u32>() as usize + 1
     }
 
     fn pool(&mut self, pool: &str) -> &mut PoolState {
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -97,6 +97,8 @@
     pub uncached_tokens: u64,
     /// Predicted time to the first event, or to the response to a plain call.
     pub wait: Duration,
+    /// Part of `wait` that is due to the requests ahead.
+    pub queue_wait: Duration,
 }
 
 /// Shared prefixes that this gateway's requests used recently, by server.
@@ -156,16 +158,18 @@
             prompt.tokens()
         };
         let queued_tokens = candidate.load.reading + uncached_tokens;
-        let wait = prefill.predict(queued_tokens).mul_f64(candidate.slowness);
+        let predict = |tokens| prefill.predict(tokens).mul_f64(candidate.slowness);
+        let wait = predict(queued_tokens);
         let uncached_prefix = uncached_tokens - prompt.own_tokens;
         let weighted_tokens = queued_tokens + (UNCACHED_PREFIX_WEIGHT - 1) * uncached_prefix;
-        let cost = prefill.predict(weighted_tokens).mul_f64(candidate.slowness)
+        let cost = predict(weighted_tokens)
             + zone_and_failure_cost(candidate)
             + RUNNING_COST * candidate.load.running;
         let choice = Choice {
             index,
             uncached_tokens,
             wait,
+            queue_wait: wait.saturating_sub(predict(uncached_tokens)),
         };
         if best.is_none_or(|(lowest, _)| cost < lowest) {
             best = Some((cost, choice));
@@ -189,6 +193,7 @@
             index,
             uncached_tokens: 0,
             wait,
+            queue_wait: wait.saturating_sub(call_time),
         };
         if best.is_none_or(|(lowest, _)| cost < lowest) {
             best = Some((cost, choice));
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -221,7 +221,12 @@
     pub fn merge_removed(&mut self, removed: &[ShortId], now: Mono) -> Vec<ServerChange> {
         let mut changes = Vec::new();
         for short_id in removed {
-            if self.removed_ids.insert(*short_id, now).is_some() || self.may_return(now) {
+            // A known mark keeps its time; otherwise gateways would renew it for one another.
+            if self.removed_ids.contains_key(short_id) {
+                continue;
+            }
+            self.removed_ids.insert(*short_id, now);
+            if self.may_return(now) {
                 continue;
             }
             let mut servers = self.by_id.values();
@@ -260,6 +265,11 @@
     }
 
     /// Returns a server by its name.
+    pub fn get(&self, id: &str) -> Option<&Server> {
+        self.by_id.get(id)
+    }
+
+    /// Returns a server by its name, for update.
     pub fn get_mut(&mut self, id: &str) -> Option<&mut Server> {
         self.by_id.get_mut(id)
     }
@@ -310,12 +320,12 @@
     }
 }
 
-/// Returns the ids recorded recently enough to be published.
+/// Returns the newest ids, as far as they were recorded recently enough to be published.
 fn recent(recorded: &HashMap<ShortId, Mono>, now: Mono) -> Vec<ShortId> {
     let recent = recorded.iter();
     let recent = recent.filter(|(_, since)| now.saturating_sub(**since) < MARK_PUBLISH_TIME);
-    recent
-        .map(|(short_id, _)| *short_id)
-        .take(MAX_PUBLISHED_MARKS)
-        .collect()
+    let mut recent: Vec<(Mono, ShortId)> = recent.map(|(id, since)| (*since, *id)).collect();
+    recent.sort_unstable_by_key(|(since, id)| (std::cmp::Reverse(*since), *id));
+    recent.truncate(MAX_PUBLISHED_MARKS);
+    recent.into_iter().map(|(_, id)| id).collect()
 }
--- a/crates/fleet/tests/testsuite/build.rs
+++ b/crates/fleet/tests/testsuite/build.rs
@@ -100,6 +100,7 @@
         incarnation: u64::from(host),
         zone: "a".to_owned(),
         ip: ip(host),
+        capacity: 120,
         retry_permille: 200,
         retry_slack: 56,
     });
--- a/crates/fleet/tests/testsuite/gossip.rs
+++ b/crates/fleet/tests/testsuite/gossip.rs
@@ -92,6 +92,7 @@
         incarnation: 2,
         zone: "a".to_owned(),
         ip: ip(2),
+        capacity: 120,
         retry_permille: 200,
         retry_slack: 56,
     });
--- a/crates/fleet/tests/testsuite/main.rs
+++ b/crates/fleet/tests/testsuite/main.rs
@@ -5,5 +5,6 @@
 mod follow;
 mod gossip;
 mod placement;
+mod relays;
 mod servers;
 mod shares;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,6 +3,9 @@
 //! [`run`] sends the request and reads the whole response, or the first events of a stream. A
 //! failed attempt says whether the server may have run the request; the job decides about a retry.
 
+use std::cell::Cell;
+use std::future::Future;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -37,6 +40,8 @@
 const MAX_BODY_BYTES: usize = 8 << 20;
 /// How long an idle connection is kept if the server states no timeout.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_millis(2_500);
+/// How often a request at a silent server checks whether another server can take it.
+const MOVE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How long before the server's idle timeout a connection is dropped: a request may be in flight
 /// when the server closes the connection.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
@@ -46,8 +51,6 @@
 /// Time without data from a server before a retry, as a multiple of the route's latency objective;
 /// [`MIN_SILENCE`] applies if it is longer.
 const SILENCE_OBJECTIVES: u32 = 2;
-/// How often a waiting request checks whether its server is silent.
-const SILENCE_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
 /// A failed attempt.
 pub(crate) struct Failure {
@@ -229,6 +232,14 @@
     let (head, body) = answer.response.into_parts();
     let info = job.shared.protocol.parse_response(&head);
     let status = head.status;
+    // Checked before all else: a late refusal of an earlier request on the connection does not say
+    // that this one has not run.
+    if info.id.is_some_and(|id| id != job.request_head.id) {
+        return Err(Failure::maybe_run(
+            AttemptOutcome::Failed,
+            "the answer is to another request",
+        ));
+    }
     if info.not_run {
         // Dropping the body closes the connection; reading it to reuse the connection does not pay.
         let outcome = if status == StatusCode::MISDIRECTED_REQUEST {
@@ -239,12 +250,6 @@
         let reason = format!("the server refused with {status}");
         return Err(Failure::not_run(outcome, reason));
     }
-    if info.id.is_some_and(|id| id != job.request_head.id) {
-        return Err(Failure::maybe_run(
-            AttemptOutcome::Failed,
-            "the answer is to another request",
-        ));
-    }
     if !info.signed {
         let reason = format!("the server does not vouch for its answer {status}");
         return Err(Failure::maybe_run(AttemptOutcome::Failed, reason));
@@ -361,33 +366,49 @@
 
 /// Waits until the deadline of the request has passed or the server counts as silent.
 async fn wait_error(job: &Job, guard: &PlacementGuard) -> WaitError {
+    let started = Rc::new(Cell::new(guard.placement.started));
     tokio::select! {
         () = tokio::time::sleep(job.remaining()) => WaitError::DeadlineExceeded,
-        () = wait_for_silence(job, guard, guard.placement.started) => WaitError::ServerSilent,
+        () = wait_for_silence(job, guard, started) => WaitError::ServerSilent,
     }
 }
 
-/// Waits until a server has sent no data on any request for too long. Never returns for requests
-/// that must not run again.
-pub(crate) async fn wait_for_silence(job: &Job, guard: &PlacementGuard, since: Mono) {
+/// Waits until a server has sent no data for too long, neither on this request, of which
+/// `last_data` is the time of the last data, nor on any other, and another server can take the
+/// request. A server that is only slow keeps a request that no other may or can take.
+pub(crate) fn wait_for_silence(
+    job: &Job,
+    guard: &PlacementGuard,
+    last_data: Rc<Cell<Mono>>,
+) -> impl Future<Output = ()> + 'static {
     let route = &job.request.route;
-    if !route.kind.is_repeatable() {
-        std::future::pending::<()>().await;
-    }
+    let may_move = route.kind.is_repeatable() && job.runs + 1 < route.tries;
     let limit = MIN_SILENCE.max(route.objective * SILENCE_OBJECTIVES);
-    tokio::time::sleep(limit).await;
-    loop {
-        let now = job.shared.now();
-        let since = since.max(now.saturating_sub(limit));
-        if job
-            .shared
-            .fleet
-            .borrow_mut()
-            .is_silent(&guard.placement, since)
-        {
-            return;
+    let shared = Rc::clone(&job.shared);
+    let placement = guard.placement.clone();
+    let request = may_move.then(|| job.request.clone());
+    async move {
+        let Some(request) = request else {
+            return std::future::pending().await;
+        };
+        loop {
+            let other_data = shared.fleet.borrow().last_activity(&placement);
+            let latest = other_data.map_or(last_data.get(), |at| at.max(last_data.get()));
+            let remaining = (latest + limit).saturating_sub(shared.now());
+            if !remaining.is_zero() {
+                tokio::time::sleep(remaining).await;
+                continue;
+            }
+            let now = shared.now();
+            let can_move = shared
+                .fleet
+                .borrow_mut()
+                .can_move(&request, &placement, now);
+            if can_move {
+                return;
+            }
+            tokio::time::sleep(MOVE_CHECK_INTERVAL).await;
         }
-        tokio::time::sleep(SILENCE_POLL_INTERVAL).await;
     }
 }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -108,6 +108,9 @@
     metrics::gauge!("follows_platform").set(f64::from(u8::from(shared.is_follower())));
     let oldest = fleet.oldest_digest_age(shared.now());
     metrics::gauge!("oldest_digest_seconds").set(oldest.as_secs_f64());
+    metrics::gauge!("relays").set(f64::from(u8::from(fleet.is_relay())));
+    metrics::gauge!("view_age_seconds").set(fleet.view_age(shared.now()).as_secs_f64());
+    metrics::gauge!("shed_fraction").set(shared.shedder.fraction());
     for (pool, left) in fleet.budgets() {
         metrics::gauge!("retry_budget_left", "pool" => pool).set(left as f64);
     }
@@ -127,6 +130,8 @@
         "list_version": fleet.list_version(),
         "gateways": fleet.gateway_count(),
         "follows": shared.is_follower(),
+        "relay": fleet.is_relay(),
+        "shed_fraction": shared.shedder.fraction(),
         "running": shared.running.get(),
         "callers": shared.caller_connections.get(),
         "servers": fleet.status(),
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -30,12 +30,20 @@
         /// Why the new settings were rejected; the old ones stay in force.
         error: Option<String>,
     },
-    /// The gateway accepts no new connections for a while, since its thread wakes late.
-    Busy {
+    /// The gateway begins or ends to refuse a part of the new requests, since its thread wakes late.
+    Shedding {
+        /// `began` or `ended`.
+        change: &'static str,
         /// Lateness of the last wake-up in milliseconds.
         late_ms: u64,
         /// Requests in progress.
         running: usize,
+        /// Open connections of callers.
+        callers: usize,
+        /// Number of gateways of the availability zone, this one included.
+        zone_gateways: usize,
+        /// Number of other gateways of the availability zone that shed load.
+        zone_overloaded: usize,
     },
     /// Calls to a dependency keep failing.
     DependencyLost {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -12,22 +12,15 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use primrose_fleet::digest::Digest;
-use primrose_fleet::digest::MAX_BYTES;
+use primrose_fleet::digest::MAX_COMBINED_BYTES;
 use primrose_fleet::snapshot::Snapshot;
 use primrose_fleet::SnapshotScope;
 use tokio::net::UdpSocket;
 
 use crate::control::SNAPSHOT_PATH;
-use crate::event::Event;
 use crate::feed::adopt_tables;
-use crate::shared::millis;
 use crate::shared::Shared;
 
-/// Minimum interval between two digests. Within it, two gateways may select the same free server,
-/// which costs a wait of one prompt; about one request in ten arrives this soon after another.
-const MIN_SEND_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval between two digests for each receiver, which bounds the datagrams per second.
-const SEND_INTERVAL_PER_PEER: Duration = Duration::from_millis(6);
 /// How often it is checked whether another gateway has newer state.
 const SNAPSHOT_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Timeout for fetching a snapshot.
@@ -37,45 +30,38 @@
 /// Maximum length of a snapshot; it holds some hundred routes and servers.
 const MAX_SNAPSHOT_BYTES: usize = 4 << 20;
 
-/// Publishes digests until the process ends. Also measures how late the thread wakes between them.
+/// Publishes digests until the process ends.
 pub(crate) async fn publish_digests(shared: Rc<Shared>, socket: Rc<UdpSocket>, port: u16) {
     loop {
         let now = shared.now();
-        let (contacts, digest) = {
+        let outgoing = {
             let mut fleet = shared.fleet.borrow_mut();
             let changes = fleet.expire(now);
-            let digest = fleet.digest(now);
-            let contacts = fleet.contacts();
+            fleet.set_overloaded(shared.shedder.fraction() > 0.0);
+            let outgoing = fleet.outgoing(now);
             drop(fleet);
             shared.log_changes(&changes, "return time over");
-            (contacts, digest)
+            outgoing
         };
-        match digest.encode() {
-            Ok(bytes) => {
-                for ip in &contacts {
-                    // The next digest makes up for a lost one.
-                    let _ = socket.try_send_to(&bytes, SocketAddr::new(*ip, port));
+        for out in outgoing.iter().filter(|out| !out.receivers.is_empty()) {
+            match out.digest.encode() {
+                Ok(bytes) => {
+                    for ip in &out.receivers {
+                        // The next digest makes up for a lost one.
+                        let _ = socket.try_send_to(&bytes, SocketAddr::new(*ip, port));
+                    }
                 }
+                Err(error) => ::log::error!("{}", snafu::Report::from_error(error)),
             }
-            Err(error) => ::log::error!("{}", snafu::Report::from_error(error)),
         }
-        let peers = u32::try_from(contacts.len()).unwrap_or(u32::MAX);
-        let interval = MIN_SEND_INTERVAL.max(SEND_INTERVAL_PER_PEER * peers);
-        let before = shared.now();
+        let interval = shared.fleet.borrow().send_interval(&outgoing);
         tokio::time::sleep(interval).await;
-        let lateness = shared.now().saturating_sub(before + interval);
-        if shared.busy.record_wakeup(lateness, shared.now()) {
-            shared.log.event(&Event::Busy {
-                late_ms: millis(lateness),
-                running: shared.running.get(),
-            });
-        }
     }
 }
 
 /// Receives and merges digests until the process ends.
 pub(crate) async fn receive_digests(shared: Rc<Shared>, socket: Rc<UdpSocket>) {
-    let mut bytes = vec![0; MAX_BYTES * 4];
+    let mut bytes = vec![0; MAX_COMBINED_BYTES];
     loop {
         let (length, from) = match socket.recv_from(&mut bytes).await {
             Ok(received) => received,
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use crate::idle::CallerConnection;
 use crate::serve::serve;
 use crate::shared::Shared;
 
@@ -70,11 +71,14 @@
         }
         None => (DEFAULT_HEAD_BYTES, DEFAULT_IDLE_TIME),
     };
+    let caller = Rc::new(CallerConnection::new(&shared.idle));
     let service = {
         let shared = Rc::clone(&shared);
+        let caller = Rc::clone(&caller);
         service_fn(move |request| {
             let shared = Rc::clone(&shared);
-            async move { Ok::<_, Infallible>(serve(shared, request).await) }
+            let caller = Rc::clone(&caller);
+            async move { Ok::<_, Infallible>(serve(shared, &caller, request).await) }
         })
     };
     let mut connection = pin!(http1::Builder::new()
@@ -93,6 +97,10 @@
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
+            () = caller.closed() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
     };
     if let Err(error) = result {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -16,7 +16,6 @@
 use primrose_fleet::Placement;
 use primrose_fleet::PlacementRequest;
 use primrose_fleet::Refusal;
-use tokio::sync::mpsc;
 
 use crate::adapter::RequestHead;
 use crate::attempt;
@@ -30,9 +29,8 @@
 use crate::shared::RunningGuard;
 use crate::shared::Shared;
 use crate::stream;
+use crate::stream::StreamedJob;
 
-/// Chunks of a stream that may be queued for a slow caller before reading from the server pauses.
-const MAX_QUEUED_CHUNKS: usize = 32;
 /// Minimum time left before the deadline for another attempt.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
 /// Retry-After of a request that was tried on servers but run by none.
@@ -77,10 +75,12 @@
                 Ok(ServerResponse::Stream(start)) => {
                     guard.record_first_event();
                     self.first_event_at = Some(self.shared.now());
-                    let (chunks, body) = mpsc::channel(MAX_QUEUED_CHUNKS);
-                    let response = Response::from_parts(start.head(), ResponseBody::Chunks(body));
-                    tokio::task::spawn_local(stream::forward(self, guard, start, chunks));
-                    return response;
+                    let head = start.head();
+                    let streamed = StreamedJob::new(self, head.status, &guard.placement);
+                    let body = ResponseBody::stream(|chunks| {
+                        stream::forward(streamed, guard, start, chunks)
+                    });
+                    return Response::from_parts(head, body);
                 }
                 Err(failure) => failure,
             };
@@ -151,8 +151,8 @@
             return false;
         }
         // A server to which no connection could be made has received nothing, so the retry budget
-        // is not charged. The outcome also covers a silent server, which may have run the request.
-        if failure.outcome == AttemptOutcome::Unreachable {
+        // is not charged. The outcome also covers a silent server, which has received the request.
+        if failure.outcome == AttemptOutcome::Unreachable && !failure.may_have_run {
             return true;
         }
         self.shared.fleet.borrow_mut().try_retry(&self.request)
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -26,6 +26,9 @@
 const LINES_PER_SECOND: u32 = 400;
 /// Maximum number of lines in a burst.
 const MAX_BURST: u32 = 1_200;
+/// Time for which lines are collected before they are written together. Each wake-up of the writer
+/// thread takes processor time from the thread that serves requests.
+const COLLECT_TIME: Duration = Duration::from_millis(50);
 /// How long [`Log::close`] waits for the reader of the output.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -101,6 +104,12 @@
 
     /// Writes the queued lines and stops the writer, unless the reader is too slow.
     pub fn close(&self) {
+        let dropped = self.dropped.take();
+        let count = self.line(&Event::LinesDropped { count: dropped });
+        if let (true, Some(line)) = (dropped > 0, count) {
+            // Without a reader, nobody learns of the count.
+            let _ = self.queue.send_timeout(Item::Line(line), CLOSE_TIMEOUT);
+        }
         if self.queue.send_timeout(Item::Close, CLOSE_TIMEOUT).is_err() {
             return;
         }
@@ -113,6 +122,12 @@
     }
 
     fn enqueue(&self, event: &Event) -> bool {
+        let line = self.line(event);
+        line.is_some_and(|line| self.queue.try_send(Item::Line(line)).is_ok())
+    }
+
+    /// Encodes a line; none if the event cannot be encoded.
+    fn line(&self, event: &Event) -> Option<Vec<u8>> {
         let since = self.clock.wall().duration_since(UNIX_EPOCH);
         let millis = since.unwrap_or_default().as_millis();
         let line = Line {
@@ -120,11 +135,9 @@
             host: &self.host,
             event,
         };
-        let Ok(mut bytes) = serde_json::to_vec(&line) else {
-            return false;
-        };
+        let mut bytes = serde_json::to_vec(&line).ok()?;
         bytes.push(b'\n');
-        self.queue.try_send(Item::Line(bytes)).is_ok()
+        Some(bytes)
     }
 
     fn take_credit(&self) -> bool {
@@ -145,11 +158,14 @@
     }
 }
 
-/// Writes lines until the log is closed. Lines that are queued together are written in one call.
+/// Writes lines until the log is closed, those of [`COLLECT_TIME`] in one call.
 fn write_all<W: Write>(items: &Receiver<Item>, mut out: W) {
     let mut buffer = Vec::new();
     while let Ok(item) = items.recv() {
         let mut is_closed = append(item, &mut buffer);
+        if !is_closed {
+            std::thread::sleep(COLLECT_TIME);
+        }
         while let Ok(item) = items.try_recv() {
             is_closed |= append(item, &mut buffer);
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -29,7 +29,6 @@
 use crate::adapter::Feed;
 use crate::adapter::Platform;
 use crate::adapter::Protocol;
-use crate::busy::BusyDetector;
 use crate::control;
 use crate::control::ListenerRole;
 use crate::event::Event;
@@ -37,6 +36,8 @@
 use crate::gossip;
 use crate::ingress;
 use crate::log::Log;
+use crate::overload;
+use crate::overload::LoadShedder;
 use crate::reload;
 use crate::shared::Shared;
 
@@ -44,8 +45,8 @@
 /// milliseconds apart, and a lost packet is retransmitted after 200 ms or more.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Fraction of the file descriptors that callers' keep-alive connections may use. With more of them
-/// open, each connection is closed after its response: otherwise idle connections of a few busy
-/// callers could use up all descriptors, and no new caller could connect.
+/// open, idle ones are closed: otherwise those of a few busy callers could use up all descriptors,
+/// and no new caller could connect.
 const KEEP_ALIVE_FRACTION: f64 = 0.25;
 /// Idle connections kept to one backend server. The sum over all gateways stays below the number
 /// of connections that a server accepts.
@@ -226,10 +227,11 @@
         running: Cell::new(0),
         draining: Cell::new(false),
         refuses_streams: Cell::new(false),
-        busy: BusyDetector::default(),
+        shedder: LoadShedder::default(),
         closing: Notify::new(),
         is_closing: Cell::new(false),
         caller_connections: Cell::new(0),
+        idle: Rc::default(),
         keep_alive_limit: (config.max_descriptors as f64 * KEEP_ALIVE_FRACTION) as usize,
         snapshots_unavailable: Cell::new(false),
         account_metrics: crate::account_metrics::AccountMetrics::default(),
@@ -254,6 +256,7 @@
     spawn_local(gossip::publish_digests(handle(), Rc::clone(&digests), port));
     spawn_local(gossip::receive_digests(handle(), digests));
     spawn_local(gossip::fetch_snapshots(handle()));
+    spawn_local(overload::measure_lateness(handle()));
     spawn_local(reload::watch_settings(
         handle(),
         hangups,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -24,9 +24,11 @@
 
 use crate::adapter::RequestHead;
 use crate::body::ResponseBody;
+use crate::idle::CallerConnection;
 use crate::job::log_refusal;
 use crate::job::Job;
 use crate::job::RefusalRecord;
+use crate::overload::RequestCost;
 use crate::reply::Reply;
 use crate::shared::RunningGuard;
 use crate::shared::Shared;
@@ -37,13 +39,17 @@
 /// Retry-After during shutdown. The retry reaches another gateway.
 const RETRY_AFTER_SHUTDOWN: Duration = Duration::from_millis(50);
 
+/// Retry-After while the thread does not keep up. The retry reaches another gateway.
+const RETRY_AFTER_SHED: Duration = Duration::from_millis(20);
+
 /// Serves one request.
 pub(crate) async fn serve(
     shared: Rc<Shared>,
+    connection: &Rc<CallerConnection>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let arrived = shared.now();
-    let running = RunningGuard::new(&shared);
+    let running = RunningGuard::new(&shared, connection);
     let (http_head, body) = request.into_parts();
     let mut response = match accept(&shared, http_head, body, arrived, running).await {
         Ok(job) => job.run().await,
@@ -91,6 +97,12 @@
         let reply = Reply::not_run("the gateway is about to end", RETRY_AFTER_SHUTDOWN);
         return Err(refuse(&request_head, reply));
     }
+    let cost = if route.kind.is_stream() {
+        RequestCost::Stream
+    } else {
+        RequestCost::Call
+    };
+    let is_shed = shared.shedder.sheds(cost, shared.now());
     let max_bytes = catalog.tables().limits.body_bytes;
     let reading = read_body(body, max_bytes);
     let remaining = deadline.saturating_sub(shared.now());
@@ -101,6 +113,12 @@
             return Err(refuse(&request_head, reply));
         }
     };
+    if is_shed {
+        // The body was read, since a response to a half-read request may be lost with its
+        // connection.
+        let reply = Reply::not_run("the gateway is overloaded", RETRY_AFTER_SHED);
+        return Err(refuse(&request_head, reply));
+    }
     let pool = route.pool(rand::random()).cloned().unwrap_or_default();
     let caller = account.as_deref().unwrap_or_default();
     let fingerprint = fingerprint(caller, http_head.uri.path(), &body);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -17,9 +17,12 @@
 use crate::account_metrics::AccountMetrics;
 use crate::adapter::Platform;
 use crate::adapter::Protocol;
-use crate::busy::BusyDetector;
 use crate::event::Event;
+use crate::idle::CallerConnection;
+use crate::idle::IdleConnections;
 use crate::log::Log;
+use crate::overload::LoadShedder;
+use crate::overload::ZoneLoad;
 
 /// State shared by all tasks of a gateway, which run on one thread.
 pub(crate) struct Shared {
@@ -40,15 +43,18 @@
     pub(crate) draining: Cell<bool>,
     /// Whether new streams are refused, since they might outlast the process.
     pub(crate) refuses_streams: Cell<bool>,
-    /// Detects that the thread does not keep up with its work.
-    pub(crate) busy: BusyDetector,
+    /// Refuses new requests while the thread does not keep up with its work.
+    pub(crate) shedder: LoadShedder,
     /// Wakes the tasks of callers' connections when `is_closing` is set.
     pub(crate) closing: Notify,
     /// Whether callers' connections are closed after the response in progress.
     pub(crate) is_closing: Cell<bool>,
     /// Number of open connections of callers.
     pub(crate) caller_connections: Cell<usize>,
-    /// Number of open connections of callers at which each is closed after its response.
+    /// Connections of callers that wait for their next request.
+    pub(crate) idle: Rc<IdleConnections>,
+    /// Number of open connections of callers from which on idle ones are closed, and others after
+    /// their response.
     pub(crate) keep_alive_limit: usize,
     /// Whether fetching snapshots from other gateways keeps failing. The gateway then reads the
     /// platform's lists itself.
@@ -67,12 +73,23 @@
 
     /// Returns whether the gateway accepts new connections.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.draining.get() && !self.busy.is_busy(self.now()) && self.fleet.borrow().is_ready()
+        let (gateways, overloaded) = self.fleet.borrow().zone_load();
+        let zone = ZoneLoad {
+            gateways,
+            overloaded,
+        };
+        !self.draining.get()
+            && self.fleet.borrow().is_ready()
+            && self.shedder.is_ready(zone, self.now())
     }
 
     /// Returns whether a caller's connection is closed after its response.
     pub(crate) fn closes_after_response(&self) -> bool {
-        self.draining.get() || self.caller_connections.get() >= self.keep_alive_limit
+        let has_room = || {
+            self.caller_connections.get() < self.keep_alive_limit
+                || self.idle.close_oldest(self.now())
+        };
+        self.draining.get() || !has_room()
     }
 
     /// Returns the address of another gateway's control listener.
@@ -101,18 +118,20 @@
 }
 
 /// Counts a request as in progress until dropped.
-pub(crate) struct RunningGuard(Rc<Shared>);
+pub(crate) struct RunningGuard(Rc<Shared>, Rc<CallerConnection>);
 
 impl RunningGuard {
-    pub(crate) fn new(shared: &Rc<Shared>) -> Self {
+    pub(crate) fn new(shared: &Rc<Shared>, connection: &Rc<CallerConnection>) -> Self {
         shared.running.set(shared.running.get() + 1);
-        Self(Rc::clone(shared))
+        connection.set_active();
+        Self(Rc::clone(shared), Rc::clone(connection))
     }
 }
 
 impl Drop for RunningGuard {
     fn drop(&mut self) {
         self.0.running.set(self.0.running.get().saturating_sub(1));
+        self.1.set_idle(self.0.now());
     }
 }
 
--- a/crates/gateway/src/split.rs
+++ b/crates/gateway/src/split.rs
@@ -29,8 +29,9 @@
 
     /// Adds bytes to the buffer; removes and returns all complete events.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        let known = self.buffer.len();
         self.buffer.extend_from_slice(bytes);
-        let end = complete_len(&self.buffer);
+        let end = complete_len(&self.buffer, known);
         if end == 0 {
             return None;
         }
@@ -57,10 +58,15 @@
     }
 }
 
-/// Returns the length up to and including the last blank line.
-fn complete_len(bytes: &[u8]) -> usize {
+/// Returns the length up to and including the last blank line that ends in the bytes from `known`
+/// on; zero if there is none. The bytes before were searched already.
+fn complete_len(bytes: &[u8], known: usize) -> usize {
     let mut search_end = bytes.len();
-    while let Some(at) = bytes[..search_end].iter().rposition(|byte| *byte == b'\n') {
+    let last_newline = |end: usize| {
+        let found = bytes[known..end].iter().rposition(|byte| *byte == b'\n');
+        found.map(|at| known + at)
+    };
+    while let Some(at) = last_newline(search_end) {
         let before = &bytes[..at];
         let line = before.strip_suffix(b"\r").unwrap_or(before);
         if line.ends_with(b"\n") {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,23 +1,29 @@
 //! Forwards a stream to the caller event by event, and resumes it on another server if it breaks
 //! off.
 
+use std::cell::Cell;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+
 use bytes::Bytes;
+use http::StatusCode;
 use http_body_util::BodyExt;
+use primrose_core::clock::Mono;
 use primrose_fleet::AttemptOutcome;
-use tokio::sync::mpsc;
+use primrose_fleet::Placement;
+use tokio::time::Sleep;
 
 use crate::attempt;
 use crate::attempt::Failure;
 use crate::attempt::StreamSource;
 use crate::attempt::StreamStart;
-use crate::body::Chunk;
+use crate::body::ChunkSender;
 use crate::body::Interrupted;
 use crate::guard::PlacementGuard;
 use crate::job::Job;
 use crate::split::Splitter;
 
-type ChunkSender = mpsc::Sender<Chunk>;
-
 /// Outcome of a stream that no server resumed.
 const INTERRUPTED: &str = "broken_off";
 
@@ -27,48 +33,73 @@
     /// Data that completes no event.
     Partial,
     End,
-    CallerLeft,
     DeadlineExceeded,
     Failed(Failure),
 }
 
+/// A response that is being streamed; its end is logged once, as `caller_left` if it is dropped
+/// before.
+pub(crate) struct StreamedJob {
+    job: Job,
+    status: StatusCode,
+    /// The server that runs the request; none if the response did not come from a server.
+    placement: Option<Placement>,
+    logged: bool,
+}
+
+impl StreamedJob {
+    pub(crate) fn new(job: Job, status: StatusCode, placement: &Placement) -> Self {
+        Self {
+            job,
+            status,
+            placement: Some(placement.clone()),
+            logged: false,
+        }
+    }
+
+    fn log_end(&mut self, outcome: &'static str) {
+        self.logged = true;
+        self.job
+            .log_answered(self.placement.as_ref(), self.status, outcome);
+    }
+}
+
+impl Drop for StreamedJob {
+    fn drop(&mut self) {
+        if !self.logged {
+            self.log_end("caller_left");
+        }
+    }
+}
+
 /// Forwards a stream to its end.
 pub(crate) async fn forward(
-    mut job: Job,
+    mut streamed: StreamedJob,
     guard: PlacementGuard,
     start: Box<StreamStart>,
     chunks: ChunkSender,
 ) {
-    let status = start.head().status;
     let StreamStart {
         first_events,
         source,
         ..
     } = *start;
-    if chunks.send(Ok(first_events)).await.is_err() {
-        job.log_answered(Some(&guard.placement), status, "caller_left");
-        return;
-    }
-    let mut current = Ok((guard, source));
+    chunks.send(Ok(first_events)).await;
+    let mut current = Some((guard, source));
     let mut outcome = "whole";
-    while let Ok((mut guard, mut source)) = current {
-        match forward_events(&job, &mut guard, &mut source, &chunks).await {
+    while let Some((mut guard, mut source)) = current {
+        match forward_events(&streamed.job, &mut guard, &mut source, &chunks).await {
             Step::End => {
-                job.log_answered(Some(&guard.placement), status, outcome);
+                streamed.log_end(outcome);
                 let StreamSource { sender, idle, .. } = source;
-                job.shared
-                    .server_connections
-                    .release(guard.placement.addr, sender, Some(idle));
+                let servers = &streamed.job.shared.server_connections;
+                servers.release(guard.placement.addr, sender, Some(idle));
                 guard.finish(AttemptOutcome::Good);
                 return;
             }
-            Step::CallerLeft => {
-                job.log_answered(Some(&guard.placement), status, "caller_left");
-                return;
-            }
             Step::DeadlineExceeded => {
-                job.log_answered(Some(&guard.placement), status, "time_over");
-                abort(&chunks).await;
+                streamed.log_end("time_over");
+                chunks.send(Err(Interrupted)).await;
                 return;
             }
             Step::Failed(failure) => {
@@ -76,13 +107,38 @@
                 let last_event_id = source.splitter.last_event_id();
                 // Closing the connection first keeps two servers from running one request at once.
                 drop(source);
-                current = resume(&mut job, guard, failure, last_event_id, &chunks).await;
+                streamed.placement = None;
+                current = resume(&mut streamed.job, guard, failure, last_event_id).await;
+                let guard = current.as_ref().map(|(guard, _)| guard);
+                streamed.placement = guard.map(|guard| guard.placement.clone());
             }
             Step::Events(_) | Step::Partial => unreachable!("handled by forward_events"),
         }
     }
-    job.log_answered(None, status, current.err().unwrap_or(INTERRUPTED));
-    abort(&chunks).await;
+    streamed.log_end(INTERRUPTED);
+    // The caller sees that the response is incomplete.
+    chunks.send(Err(Interrupted)).await;
+}
+
+/// Timers of a stream. They live as long as the stream is read from one server, since creating them
+/// anew for each event costs more than forwarding it.
+struct Timers {
+    deadline: Pin<Box<Sleep>>,
+    /// When data last arrived; read by `silence`.
+    last_data: Rc<Cell<Mono>>,
+    silence: Pin<Box<dyn Future<Output = ()>>>,
+}
+
+impl Timers {
+    fn start(job: &Job, guard: &PlacementGuard) -> Self {
+        let last_data = Rc::new(Cell::new(job.shared.now()));
+        let silence = attempt::wait_for_silence(job, guard, Rc::clone(&last_data));
+        Self {
+            deadline: Box::pin(tokio::time::sleep(job.remaining())),
+            last_data,
+            silence: Box::pin(silence),
+        }
+    }
 }
 
 async fn forward_events(
@@ -91,13 +147,12 @@
     source: &mut StreamSource,
     chunks: &ChunkSender,
 ) -> Step {
+    let mut timers = Timers::start(job, guard);
     loop {
-        match next_step(job, guard, source, chunks).await {
+        match next_step(job, guard, source, &mut timers).await {
             Step::Events(events) => {
                 guard.record_first_event();
-                if chunks.send(Ok(events)).await.is_err() {
-                    return Step::CallerLeft;
-                }
+                chunks.send(Ok(events)).await;
             }
             Step::Partial => {}
             other => return other,
@@ -109,15 +164,13 @@
     job: &Job,
     guard: &PlacementGuard,
     source: &mut StreamSource,
-    chunks: &ChunkSender,
+    timers: &mut Timers,
 ) -> Step {
-    let began = job.shared.now();
     let frame = tokio::select! {
         biased;
-        () = chunks.closed() => return Step::CallerLeft,
         frame = source.body.frame() => frame,
-        () = tokio::time::sleep(job.remaining()) => return Step::DeadlineExceeded,
-        () = attempt::wait_for_silence(job, guard, began) => {
+        () = timers.deadline.as_mut() => return Step::DeadlineExceeded,
+        () = timers.silence.as_mut() => {
             return Step::Failed(Failure::maybe_run(
                 AttemptOutcome::Unreachable,
                 "the server is silent",
@@ -140,6 +193,7 @@
         }
         Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
     };
+    timers.last_data.set(job.shared.now());
     guard.record_activity();
     match source.splitter.push(&data) {
         Some(events) => Step::Events(events),
@@ -151,33 +205,29 @@
     }
 }
 
-/// Finds a server that resumes the stream after the last event. Returns the outcome of the stream
-/// as the error if there is none.
+/// Finds a server that resumes the stream after the last event; none if there is none.
 async fn resume(
     job: &mut Job,
     guard: PlacementGuard,
     failure: Failure,
     last_event_id: Option<u64>,
-    chunks: &ChunkSender,
-) -> Result<(PlacementGuard, StreamSource), &'static str> {
+) -> Option<(PlacementGuard, StreamSource)> {
     let mut placement = guard.placement.clone();
     guard.finish(failure.outcome);
     let mut failure = failure;
     loop {
         if !job.record_failure(&placement, &failure) || last_event_id.is_none() {
-            return Err(INTERRUPTED);
+            return None;
         }
-        let new_placement = job.decide().map_err(|refusal| {
-            job.log_not_resumed(refusal);
-            INTERRUPTED
-        })?;
-        let guard = PlacementGuard::new(&job.shared, &job.request, new_placement);
-        let sent = tokio::select! {
-            biased;
-            () = chunks.closed() => return Err("caller_left"),
-            sent = attempt::send(job, &guard, last_event_id) => sent,
+        let new_placement = match job.decide() {
+            Ok(new_placement) => new_placement,
+            Err(refusal) => {
+                job.log_not_resumed(refusal);
+                return None;
+            }
         };
-        match sent {
+        let guard = PlacementGuard::new(&job.shared, &job.request, new_placement);
+        match attempt::send(job, &guard, last_event_id).await {
             Ok(answer) if answer.response.status().is_success() => {
                 let (head, body) = answer.response.into_parts();
                 let source = StreamSource {
@@ -186,7 +236,7 @@
                     sender: answer.sender,
                     idle: attempt::idle_time(&head),
                 };
-                return Ok((guard, source));
+                return Some((guard, source));
             }
             Ok(answer) => {
                 let status = answer.response.status();
@@ -201,9 +251,3 @@
         guard.finish(failure.outcome);
     }
 }
-
-/// Ends the response such that the caller sees that it is incomplete.
-async fn abort(chunks: &ChunkSender) {
-    // Sending fails only if the caller has disconnected.
-    let _ = chunks.send(Err(Interrupted)).await;
-}
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the parts of a gateway that need no network.
 
-mod busy;
+mod idle;
 mod log;
+mod overload;
 mod split;
--- a/crates/primrosed/src/ops/gateway.rs
+++ b/crates/primrosed/src/ops/gateway.rs
@@ -56,6 +56,7 @@
             incarnation: unique_incarnation(incarnation(&*clock), &settings.host),
             zone: settings.zone.clone(),
             ip: settings.ip,
+            capacity: settings.capacity,
             retry_permille: settings.retry_permille,
             retry_slack: settings.retry_slack,
         },
--- /dev/null
+++ b/crates/primrosed/tests/testsuite/faulty_servers.rs
@@ -0,0 +1,212 @@
+//! Servers that send bytes that are no answer, without end or at the wrong time.
+//!
+//! Guards against failures that similar systems had: a late copy of an answer that the next request
+//! on the connection took for its own, and a server in trouble whose endless bytes kept a request,
+//! or filled the memory of the gateway.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::gateway_fixture::begin_stream;
+use crate::gateway_fixture::call;
+use crate::gateway_fixture::call_stream;
+use crate::gateway_fixture::chunk;
+use crate::gateway_fixture::reply;
+use crate::gateway_fixture::request;
+use crate::gateway_fixture::signed_headers_for;
+use crate::gateway_fixture::GatewayFixture;
+use crate::gateway_fixture::Server;
+use crate::gateway_fixture::PROMPT;
+
+/// Time limit of the routes of the fixture.
+const TIME_LIMIT: Duration = Duration::from_secs(4);
+/// Time after its limit within which a request has to be answered.
+const ANSWER_MARGIN: Duration = Duration::from_millis(500);
+/// Peak memory of a gateway under endless answers, in kilobytes: half of the smallest host's.
+const MAX_PEAK_KB: u64 = 80 << 10;
+/// Endless answers that run at the same time.
+const PARALLEL_CALLS: u32 = 6;
+
+#[test]
+fn a_late_refusal_of_an_earlier_request_is_not_taken_for_the_next() {
+    let calls = Arc::new(AtomicU32::new(0));
+    let count = Arc::clone(&calls);
+    let server = || {
+        let count = Arc::clone(&count);
+        Server::start(move |seen, stream| {
+            if count.fetch_add(1, Ordering::SeqCst) == 0 {
+                begin_stream(stream, seen);
+                chunk(stream, "id: 1\ndata: token\n\n");
+                return chunk(stream, "");
+            }
+            let headers = "primrosehall-request-id: first\r\nprimrosehall-not-executed: 1\r\n";
+            reply(stream, "503 Service Unavailable", headers, "")
+        })
+    };
+    let (one, two) = (server(), server());
+    let fixture = GatewayFixture::start(&[("models", &one), ("models", &two)]);
+    let first = request("POST", "stream", PROMPT, "x").replace("r1", "first");
+    let (answer, whole) = call_stream(fixture.front, &first);
+    assert!(whole, "{answer}");
+    let (line, _) = call(fixture.front, &request("POST", "stream", PROMPT, "x"));
+    assert!(line.contains("502"), "{line}");
+    let runs = calls.load(Ordering::SeqCst);
+    assert_eq!(
+        runs, 2,
+        "the second request may have run and is not sent again"
+    );
+}
+
+/// Writes the same bytes until the connection is closed.
+fn repeat(stream: &mut TcpStream, bytes: &[u8]) -> bool {
+    while stream.write_all(bytes).is_ok() {}
+    false
+}
+
+/// Writes one byte a second until the connection is closed.
+fn trickle(stream: &mut TcpStream, byte: &[u8]) -> bool {
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
+    loop {
+        if stream.write_all(byte).is_err() || matches!(stream.read(&mut [0; 1]), Ok(0)) {
+            return false;
+        }
+    }
+}
+
+struct Case {
+    name: &'static str,
+    route: &'static str,
+    pool: &'static str,
+    server: Server,
+}
+
+impl Case {
+    fn new<F>(name: &'static str, route: &'static str, answer: F) -> Self
+    where
+        F: Fn(String, &mut TcpStream) -> bool + Send + Sync + 'static,
+    {
+        let server = Server::start(move |seen, stream| answer(signed_headers_for(seen), stream));
+        let pool = if route == "once" { "plain" } else { "models" };
+        Self {
+            name,
+            route,
+            pool,
+            server,
+        }
+    }
+}
+
+fn endless_answers() -> Vec<Case> {
+    let ok = |headers: &str, more: &str| format!("HTTP/1.1 200 OK\r\n{headers}{more}");
+    let chunked = "transfer-encoding: chunked\r\n\r\n";
+    let events = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+    let write = |stream: &mut TcpStream, head: &str| stream.write_all(head.as_bytes());
+    vec![
+        Case::new("a status line", "once", |_, stream| {
+            repeat(stream, b"HTTP/1.1 200 OKOKOKOKOKOKOKOKOKOK")
+        }),
+        Case::new("no protocol at all", "once", |_, stream| {
+            repeat(stream, &[0x5a; 512])
+        }),
+        Case::new("headers", "once", move |_, stream| {
+            write(stream, "HTTP/1.1 200 OK\r\n").is_ok() && repeat(stream, b"x-more: 1\r\n")
+        }),
+        Case::new("one header line", "once", move |_, stream| {
+            write(stream, "HTTP/1.1 200 OK\r\nx-long: ").is_ok() && repeat(stream, &[b'y'; 512])
+        }),
+        Case::new("interim responses", "once", |_, stream| {
+            repeat(stream, b"HTTP/1.1 102 Processing\r\n\r\n")
+        }),
+        Case::new("a body without length", "once", move |signed, stream| {
+            write(stream, &ok(&signed, "connection: close\r\n\r\n")).is_ok()
+                && repeat(stream, &[b'z'; 4_096])
+        }),
+        Case::new("chunks", "once", move |signed, stream| {
+            write(stream, &ok(&signed, chunked)).is_ok() && repeat(stream, b"4\r\nmore\r\n")
+        }),
+        Case::new("a chunk extension", "once", move |signed, stream| {
+            write(stream, &ok(&signed, chunked)).is_ok()
+                && write(stream, "4;").is_ok()
+                && repeat(stream, b"extension-extension")
+        }),
+        Case::new("trailers", "once", move |signed, stream| {
+            write(stream, &ok(&signed, chunked)).is_ok()
+                && write(stream, "4\r\nmore\r\n0\r\n").is_ok()
+                && repeat(stream, b"x-trailer: 1\r\n")
+        }),
+        Case::new("an event", "stream", move |signed, stream| {
+            write(stream, &ok(&signed, events)).is_ok()
+                && repeat(stream, b"10\r\ndata: endless..\r\n")
+        }),
+        Case::new("one byte a second of a head", "once", |_, stream| {
+            trickle(stream, b"H")
+        }),
+        Case::new(
+            "one byte a second of an event",
+            "stream",
+            move |signed, stream| {
+                write(stream, &ok(&signed, events)).is_ok()
+                    && write(stream, "5\r\nid: 1\r\n").is_ok()
+                    && trickle(stream, b"1\r\nx\r\n")
+            },
+        ),
+    ]
+}
+
+#[test]
+fn endless_answers_end_at_a_bound_and_are_answered_as_unknown() {
+    for case in endless_answers() {
+        let fixture = GatewayFixture::start(&[(case.pool, &case.server)]);
+        let text = request("POST", case.route, PROMPT, "x");
+        let began = Instant::now();
+        let calls = (0..PARALLEL_CALLS).map(|number| {
+            let text = text.replace("r1", &format!("n{number}"));
+            let front = fixture.front;
+            std::thread::spawn(move || call(front, &text))
+        });
+        let calls: Vec<_> = calls.collect();
+        for call in calls {
+            let (line, _) = call.join().expect("a call");
+            let is_unknown = line.contains("502") || line.contains("504");
+            assert!(is_unknown, "{}: {line}", case.name);
+        }
+        let took = began.elapsed();
+        assert!(took < TIME_LIMIT + ANSWER_MARGIN, "{}: {took:?}", case.name);
+        assert_eq!(
+            case.server.count(),
+            PARALLEL_CALLS as usize,
+            "{}",
+            case.name
+        );
+        let peak = fixture.peak_memory_kb();
+        assert!(peak < MAX_PEAK_KB, "{}: {peak} KB", case.name);
+        fixture.wait_until("freed the places", || {
+            fixture.status()["running"] == serde_json::json!(0)
+        });
+    }
+}
+
+#[test]
+fn a_slow_but_sound_stream_is_whole() {
+    // The pauses are longer than those after which a server counts as silent.
+    let server = Server::start(|seen, stream| {
+        begin_stream(stream, seen);
+        for id in 1..=2 {
+            chunk(stream, &format!("id: {id}\ndata: token\n\n"));
+            std::thread::sleep(Duration::from_millis(1_700));
+        }
+        chunk(stream, "")
+    });
+    let fixture = GatewayFixture::start(&[("models", &server)]);
+    for route in ["stream", "resumed"] {
+        let (answer, whole) = call_stream(fixture.front, &request("POST", route, PROMPT, "x"));
+        assert!(whole, "{route}: {answer}");
+    }
+    assert_eq!(server.count(), 2);
+}
--- a/crates/primrosed/tests/testsuite/gateway_fixture.rs
+++ b/crates/primrosed/tests/testsuite/gateway_fixture.rs
@@ -188,6 +188,15 @@
         }
     }
 
+    /// Returns the peak of the process's resident memory in kilobytes.
+    pub(crate) fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).expect("a status");
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = line.and_then(|line| line.trim().split(' ').next());
+        number.and_then(|kb| kb.parse().ok()).expect("a peak")
+    }
+
     /// Sends a termination signal.
     pub(crate) fn terminate(&self) {
         let pid = self.child.id().to_string();
--- a/crates/primrosed/tests/testsuite/main.rs
+++ b/crates/primrosed/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests that run the program `primrosed` as separate processes.
 
+mod faulty_servers;
 mod gateway;
 mod gateway_fixture;
 mod processes;
