fleet: Split roles into roles, exchange and combine

Cause: roles.rs held 24 KB: who is a relay, what is sent, and the sums. Conclusion: each module fits its heading.

--- a/crates/fleet/src/fleet/follow.rs
+++ b/crates/fleet/src/fleet/follow.rs
@@ -11,7 +11,7 @@
 
 use primrose_core::clock::Mono;
 
-use super::roles::spread;
+use super::combine::spread;
 use super::roles::Role;
 use super::Fleet;
 use super::Peer;
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -1,15 +1,17 @@
 //! The state of one gateway, and its decisions.
 
 mod admission;
+mod combine;
+mod exchange;
 mod follow;
 mod gossip;
 mod roles;
 
+pub use exchange::Outgoing;
 pub use follow::SnapshotScope;
 pub use follow::FOLLOWER_COUNT;
 pub use follow::MAX_ALL_FOLLOW;
 pub use gossip::ServerStatus;
-pub use roles::Outgoing;
 pub use roles::MAX_MESH;
 
 use std::collections::BTreeMap;
