--- a/crates/primrosed/tests/testsuite/faulty_servers.rs
+++ b/crates/primrosed/tests/testsuite/faulty_servers.rs
@@ -210,3 +210,36 @@
     }
     assert_eq!(server.count(), 2);
 }
+
+#[test]
+fn moving_from_silent_servers_draws_on_the_retry_budget() {
+    const REQUESTS: u32 = 10;
+    // A twelfth of three quarters of the slack of 56, and 0.15 for each request.
+    const MAX_RETRIES: u32 = 3 + REQUESTS * 15 / 100;
+    let silent = || {
+        Server::start(|_, stream| {
+            // Returns when the gateway closes the connection.
+            let _ = stream.read(&mut [0; 1]);
+            false
+        })
+    };
+    let (one, two) = (silent(), silent());
+    let fixture = GatewayFixture::start(&[("plain", &one), ("plain", &two)]);
+    let calls = (0..REQUESTS).map(|number| {
+        let id = format!("n{number}");
+        let text = request("GET", "again", "", "").replace("r1", &id);
+        let front = fixture.front;
+        std::thread::spawn(move || call(front, &text).0)
+    });
+    let calls: Vec<_> = calls.collect();
+    for call in calls {
+        let line = call.join().expect("a call");
+        assert!(line.contains("502") || line.contains("504"), "{line}");
+    }
+    let sent = u32::try_from(one.count() + two.count()).expect("few");
+    let retries = sent - REQUESTS;
+    assert!(
+        retries <= MAX_RETRIES,
+        "{retries} retries of {REQUESTS} requests"
+    );
+}
