--- a/crates/emulate/src/deployment.rs
+++ b/crates/emulate/src/deployment.rs
@@ -40,6 +40,7 @@
         account: Some(format!("account-{account}")),
         fingerprint,
         prompt: Some(prompt),
+        parts: Arc::default(),
         arrived: now,
         deadline: now + class.timeout,
         tried: Vec::new(),
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -40,6 +40,7 @@
 use crate::digest::Digest;
 use crate::entry::ShortId;
 use crate::health::AnswerCounts;
+use crate::place::PartId;
 use crate::place::PrefixCache;
 use crate::place::Prompt;
 use crate::prefill::PrefillModel;
@@ -76,6 +77,8 @@
     pub fingerprint: Fingerprint,
     /// Prompt, if the request has one.
     pub prompt: Option<Prompt>,
+    /// Parts of the prompt that other requests share, in order.
+    pub parts: Arc<[PartId]>,
     /// Arrival time.
     pub arrived: Mono,
     /// Time after which the response is useless to the caller.
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -18,6 +18,8 @@
 
 /// Hash of the prefix of a prompt that other requests share.
 pub type ShareKey = u64;
+/// Id of a part of a prompt; the same part of another prompt has the same id.
+pub type PartId = u64;
 
 /// Weight of prefix tokens that another server has cached: processing them again delays the other
 /// requests of the server, and the copy displaces other prefixes from its cache. 4 serves callers
--- a/crates/fleet/tests/testsuite/build.rs
+++ b/crates/fleet/tests/testsuite/build.rs
@@ -135,6 +135,7 @@
         account: Some(account.to_owned()),
         fingerprint: prompt.shared ^ now.as_nanos() as u64,
         prompt: Some(prompt),
+        parts: Arc::default(),
         arrived: now,
         deadline: now + ms(8_000),
         tried: Vec::new(),
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -17,6 +17,7 @@
 use primrose_fleet::catalog::ApiKey;
 use primrose_fleet::catalog::Tables;
 use primrose_fleet::entry::ServerEntry;
+use primrose_fleet::place::PartId;
 use primrose_fleet::place::Prompt;
 use snafu::Snafu;
 
@@ -43,6 +44,8 @@
     pub timeout_hint: Option<Duration>,
     /// Prompt of the request, if it states one.
     pub prompt: Option<Prompt>,
+    /// Parts of the prompt that other requests share, in order.
+    pub parts: Vec<PartId>,
     /// Last event that the caller has received, if it resumes a stream.
     pub last_event_id: Option<EventId>,
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -138,6 +138,9 @@
         request: String,
         /// The server.
         server: String,
+        /// Shared parts of the prompt, as hexadecimal ids.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
+        parts: Vec<String>,
         /// How the attempt ended.
         outcome: String,
         /// Description of the failure.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -130,9 +130,11 @@
         let allowed = self.may_retry(failure);
         let next = if allowed { "another_server" } else { "give_up" };
         metrics::counter!("attempts_failed", "outcome" => failure.outcome.to_string()).increment(1);
+        let parts = self.request.parts.iter();
         self.shared.log.event(&Event::AttemptFailed {
             request: self.request_head.id.clone(),
             server: placement.server.clone(),
+            parts: parts.map(|part| format!("{part:x}")).collect(),
             outcome: failure.outcome.to_string(),
             reason: failure.reason.clone(),
             may_have_run: failure.may_have_run,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -124,6 +124,7 @@
     let fingerprint = fingerprint(caller, http_head.uri.path(), &body);
     let request = PlacementRequest {
         prompt: request_head.prompt.filter(|_| route.prompts),
+        parts: request_head.parts.as_slice().into(),
         route,
         pool,
         account,
