A failing test for a prompt part that crashes servers

Requests that differ in all but one part of their prompts end 14 of 14 servers; five, and three requests after them, are allowed.

--- a/crates/primrosed/tests/testsuite/gateway_fixture.rs
+++ b/crates/primrosed/tests/testsuite/gateway_fixture.rs
@@ -82,13 +82,18 @@
 
     /// Returns the entry of this server in the store.
     pub(crate) fn entry(&self, service: &str) -> Value {
-        json!({
-            "service": service, "address": self.addr.to_string(), "zone": "a", "version": "v1",
-            "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1,
-        })
+        server_entry(self.addr, service)
     }
 }
 
+/// Returns the entry in the store of a server that listens on `addr`.
+pub(crate) fn server_entry(addr: SocketAddr, service: &str) -> Value {
+    json!({
+        "service": service, "address": addr.to_string(), "zone": "a", "version": "v1",
+        "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1,
+    })
+}
+
 /// A gateway process and its simulated platform.
 pub(crate) struct GatewayFixture {
     pub(crate) store: Arc<Store>,
@@ -165,7 +170,7 @@
         fixture
     }
 
-    fn wait_ready(&self, servers: usize) {
+    pub(crate) fn wait_ready(&self, servers: usize) {
         self.wait_until("knows its servers", || {
             let status = self.status();
             let known = status["servers"].as_array().map_or(0, Vec::len);
--- a/crates/primrosed/tests/testsuite/main.rs
+++ b/crates/primrosed/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod faulty_servers;
 mod gateway;
 mod gateway_fixture;
+mod poison_parts;
 mod processes;
 mod router_fixture;
 mod settings;
