fleet: Quarantine prompt parts that crash servers

Cause: broken runs were counted by the fingerprint of the whole request. Requests that share only a part of their prompts have a fingerprint each, so no count reached its threshold; the log has no refusal for crashes at all.

Deaths of servers are now counted by part. A server is dead if nothing listens at its address after a connection broke, or its entry has gone; broken links and lost answers do not count. Parts of runs that survived are cleared of earlier deaths, at all gateways, and a quarantine explains the deaths for the parts that were there by chance. Both are in digests, so a restarted gateway learns of a quarantine from the others.

Ruled out: counting broken runs by part without a probe. Half of the troubles of a deployment reset connections of live servers, and rare parts would be refused for them.

--- a/crates/emulate/src/simulation.rs
+++ b/crates/emulate/src/simulation.rs
@@ -216,7 +216,8 @@
                 if let Some(in_flight) = self.in_flight.get_mut(&id) {
                     in_flight.caller.first_token.get_or_insert(at);
                     let fleet = &mut self.gateways[in_flight.gateway];
-                    fleet.record_first_event(&mut in_flight.placement, at);
+                    let request = &in_flight.caller.request;
+                    fleet.record_events(request, &mut in_flight.placement, at);
                 }
             }
             EngineEvent::LastToken(id) => {
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -21,6 +21,10 @@
 use crate::demand::TokenSums;
 use crate::entry::ShortId;
 use crate::health::AnswerCounts;
+use crate::place::PartId;
+use crate::poison::DeathReport;
+use crate::poison::PoisonReport;
+use crate::poison::QuarantineReport;
 use crate::server::Load;
 
 /// Maximum size of a digest, in bytes; common links carry such datagrams without fragmentation.
@@ -123,6 +127,9 @@
     pub accounts: Vec<(ShortId, TokenSums)>,
     /// Broken runs of requests, by fingerprint; zero if the request has succeeded since.
     pub broken_runs: Vec<(Fingerprint, u32)>,
+    /// Deaths of servers and the prompt parts that caused them, as far as the writer knows. Older
+    /// builds neither send nor read it.
+    pub poison: PoisonReport,
     /// Incarnations of servers that were recently marked as leaving.
     pub leaving: Vec<ShortId>,
     /// Incarnations of servers that were recently removed from the list.
@@ -144,8 +151,55 @@
     (Vec<ShortId>, Vec<ShortId>),
     Vec<IpAddr>,
     #[serde(default)] WireRelay,
+    #[serde(default)] WirePoison,
 );
 
+/// Encoded form of [`PoisonReport`].
+#[derive(Default, Serialize, Deserialize)]
+struct WirePoison(
+    Vec<(ShortId, u32, Vec<PartId>)>,
+    Vec<(PartId, u32)>,
+    Vec<(PartId, u32, u32, u32)>,
+);
+
+impl From<&PoisonReport> for WirePoison {
+    fn from(report: &PoisonReport) -> Self {
+        let deaths = report.deaths.iter();
+        let deaths = deaths.map(|death| (death.server, death.age_ms, death.suspects.clone()));
+        let quarantined = report.quarantined.iter();
+        let quarantined = quarantined.map(|q| (q.part, q.age_ms, q.left_ms, q.count));
+        Self(
+            deaths.collect(),
+            report.survivals.clone(),
+            quarantined.collect(),
+        )
+    }
+}
+
+impl From<WirePoison> for PoisonReport {
+    fn from(wire: WirePoison) -> Self {
+        let WirePoison(deaths, survivals, quarantined) = wire;
+        let deaths = deaths.into_iter();
+        let deaths = deaths.map(|(server, age_ms, suspects)| DeathReport {
+            server,
+            age_ms,
+            suspects,
+        });
+        let quarantined = quarantined.into_iter();
+        let quarantined = quarantined.map(|(part, age_ms, left_ms, count)| QuarantineReport {
+            part,
+            age_ms,
+            left_ms,
+            count,
+        });
+        Self {
+            deaths: deaths.collect(),
+            survivals,
+            quarantined: quarantined.collect(),
+        }
+    }
+}
+
 /// Encoded form of [`RelayInfo`].
 #[derive(Default, Serialize, Deserialize)]
 struct WireRelay(
@@ -261,6 +315,7 @@
             (self.leaving.clone(), self.removed.clone()),
             self.peers.clone(),
             WireRelay::from(&self.relay),
+            WirePoison::from(&self.poison),
         );
         let mut bytes = Vec::with_capacity(MAX_BYTES);
         ciborium::into_writer(&wire, &mut bytes).context(EncodeSnafu)?;
@@ -270,7 +325,7 @@
     /// Decodes a digest.
     pub fn decode(bytes: &[u8]) -> Result<Self, DigestError> {
         let wire: Wire = ciborium::from_reader(bytes).context(DecodeSnafu)?;
-        let Wire(head, list, servers, accounts, broken_runs, marks, peers, relay) = wire;
+        let Wire(head, list, servers, accounts, broken_runs, marks, peers, relay, poison) = wire;
         let (writer, seq, generation) = head;
         let (list_version, members_version, zone, list_unreadable) = list;
         let (leaving, removed) = marks;
@@ -303,6 +358,7 @@
             removed,
             peers,
             relay: relay.into(),
+            poison: poison.into(),
         })
     }
 }
--- a/crates/fleet/src/fleet/admission.rs
+++ b/crates/fleet/src/fleet/admission.rs
@@ -56,7 +56,7 @@
     (Duration::from_millis(120), Duration::from_millis(2_000));
 /// Retry-After when a pool has no server: about the time until one is back.
 const RETRY_AFTER_NO_SERVER: Duration = Duration::from_millis(1_000);
-/// Retry-After for a request that crashes servers.
+/// Longest Retry-After for a request that crashes servers.
 const RETRY_AFTER_CRASHES: Duration = Duration::from_secs(60);
 
 impl Fleet {
@@ -75,6 +75,9 @@
         if self.crashes.is_refused(request.fingerprint) {
             return refuse(RefusalReason::CrashesServers, RETRY_AFTER_CRASHES);
         }
+        if let Some(left) = self.poison.refused_for(&request.parts, now) {
+            return refuse(RefusalReason::CrashesServers, left.min(RETRY_AFTER_CRASHES));
+        }
         let candidates = self.candidates(request, now);
         if candidates.is_empty() {
             return refuse(RefusalReason::NoServer, RETRY_AFTER_NO_SERVER);
@@ -124,12 +127,21 @@
         others.any(|server| !request.tried.contains(&server.entry.id))
     }
 
-    /// Records the first event of a stream.
-    pub fn record_first_event(&mut self, placement: &mut Placement, now: Mono) {
-        if placement.first_event_seen {
-            return;
+    /// Records events of a stream.
+    pub fn record_events(
+        &mut self,
+        request: &PlacementRequest,
+        placement: &mut Placement,
+        now: Mono,
+    ) {
+        match placement.first_event_at {
+            None => self.record_first_event(placement, now),
+            Some(began) => self.record_survival(request, placement, began, now),
         }
-        placement.first_event_seen = true;
+    }
+
+    fn record_first_event(&mut self, placement: &mut Placement, now: Mono) {
+        placement.first_event_at = Some(now);
         let elapsed = now.saturating_sub(placement.started);
         let pool = self.pool(&placement.pool);
         let predicted = pool.prefill.predict(placement.queued_tokens);
@@ -176,8 +188,17 @@
             pool.call_time = mean / CALL_TIME_SAMPLES;
         }
         match outcome {
-            AttemptOutcome::Broken => self.crashes.record_broken(request.fingerprint, now),
-            AttemptOutcome::Good => self.crashes.record_success(request.fingerprint, now),
+            AttemptOutcome::Broken => {
+                self.crashes.record_broken(request.fingerprint, now);
+                self.record_break(request, placement, now);
+            }
+            AttemptOutcome::Good => {
+                self.crashes.record_success(request.fingerprint, now);
+                if placement.end_certain {
+                    let began = placement.first_event_at.unwrap_or(placement.started);
+                    self.poison.record_survival(&request.parts, began);
+                }
+            }
             _ => {}
         }
         let Some(server) = self.server_of(placement) else {
@@ -198,7 +219,10 @@
         }
     }
 
-    fn server_of(&mut self, placement: &Placement) -> Option<&mut crate::server::Server> {
+    pub(super) fn server_of(
+        &mut self,
+        placement: &Placement,
+    ) -> Option<&mut crate::server::Server> {
         let server = self.servers.get_mut(&placement.server)?;
         (server.entry.born_ms == placement.born_ms).then_some(server)
     }
@@ -339,8 +363,10 @@
             predicted: choice.wait,
             queued_tokens,
             started: now,
+            end_certain: true,
             pool: request.pool.clone(),
-            first_event_seen: false,
+            first_event_at: None,
+            survived: false,
         })
     }
 }
--- a/crates/fleet/src/fleet/gossip.rs
+++ b/crates/fleet/src/fleet/gossip.rs
@@ -184,6 +184,7 @@
             servers,
             accounts: self.demand.local_sums(now),
             broken_runs: self.crashes.to_publish(now),
+            poison: self.poison.report(now),
             leaving: self.servers.recent_leaving(now),
             removed: self.servers.recent_removed(now),
             peers: self.peers.values().map(|peer| peer.ip).collect(),
@@ -229,6 +230,8 @@
                 self.crashes.merge(*writer, &[(*fingerprint, *runs)], now);
             }
         }
+        self.poison.merge(&digest.poison, now);
+        self.review_deaths(now);
         let previous = self.peers.remove(&digest.writer).map(|peer| peer.digest);
         let previous = previous.filter(|digest| self.counts(digest));
         let current = Some(&digest).filter(|digest| self.counts(digest));
@@ -259,6 +262,8 @@
             .retain(|_, seen| now.saturating_sub(*seen) < CONTACT_LIFETIME);
         self.prefix_cache.expire(now);
         self.crashes.expire(now);
+        self.poison.expire(now);
+        self.review_deaths(now);
         self.servers.expire(now)
     }
 
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod follow;
 mod gossip;
+mod poison;
 mod roles;
 
 pub use exchange::Outgoing;
@@ -43,6 +44,7 @@
 use crate::place::PartId;
 use crate::place::PrefixCache;
 use crate::place::Prompt;
+use crate::poison::PoisonTracker;
 use crate::prefill::PrefillModel;
 use crate::server::Load;
 use crate::server::Servers;
@@ -104,8 +106,12 @@
     pub queued_tokens: u64,
     /// Time at which the server was chosen.
     pub started: Mono,
+    /// Whether the end of the response was certain to be its intended end.
+    pub end_certain: bool,
     pool: PoolId,
-    first_event_seen: bool,
+    first_event_at: Option<Mono>,
+    /// Whether the run has lasted for [`SURVIVAL_TIME`](crate::poison::SURVIVAL_TIME).
+    survived: bool,
 }
 
 /// Outcome of an attempt to run a request on a server.
@@ -210,6 +216,7 @@
     prefix_cache: PrefixCache,
     demand: Demand,
     crashes: CrashTracker,
+    poison: PoisonTracker,
     peers: HashMap<Incarnation, Peer>,
     /// Addresses at which there may be a gateway, with the time at which each was first mentioned in
     /// a digest, was last configured or listed by the platform, or last sent a digest.
@@ -243,6 +250,7 @@
             prefix_cache: PrefixCache::default(),
             demand: Demand::default(),
             crashes: CrashTracker::default(),
+            poison: PoisonTracker::default(),
             peers: HashMap::new(),
             contacts: HashMap::new(),
             peer_sums: HashMap::new(),
--- /dev/null
+++ b/crates/fleet/src/fleet/poison.rs
@@ -0,0 +1,86 @@
+//! Prompt parts that crash servers: what the tracker learns from requests, servers and digests.
+
+use primrose_core::clock::Mono;
+
+use super::Fleet;
+use super::Placement;
+use super::PlacementRequest;
+use crate::entry::ShortId;
+use crate::poison::Probe;
+use crate::poison::Quarantined;
+use crate::poison::SURVIVAL_TIME;
+
+impl Fleet {
+    /// Returns the servers to probe, since a connection to them broke.
+    pub fn take_probes(&mut self) -> Vec<Probe> {
+        self.poison.take_probes()
+    }
+
+    /// Records that a probed server is gone.
+    pub fn record_death(&mut self, server: ShortId, now: Mono) {
+        self.poison.confirm_death(server, now);
+        self.review_deaths(now);
+    }
+
+    /// Returns the parts that were quarantined since the last call, here or at another gateway.
+    pub fn take_quarantined(&mut self) -> Vec<Quarantined> {
+        self.poison.take_news()
+    }
+
+    /// Returns the number of prompt parts in quarantine.
+    pub fn quarantined_count(&self, now: Mono) -> usize {
+        self.poison.quarantined_count(now)
+    }
+
+    /// Records that a run goes on; `began` is the time of its first event.
+    pub(super) fn record_survival(
+        &mut self,
+        request: &PlacementRequest,
+        placement: &mut Placement,
+        began: Mono,
+        now: Mono,
+    ) {
+        if !placement.survived && now.saturating_sub(began) >= SURVIVAL_TIME {
+            placement.survived = true;
+            self.poison.record_survival(&request.parts, began);
+        }
+    }
+
+    /// Records that the connection to a server broke during a request.
+    pub(super) fn record_break(
+        &mut self,
+        request: &PlacementRequest,
+        placement: &Placement,
+        now: Mono,
+    ) {
+        let server = self.server_of(placement);
+        let Some(server) = server.filter(|server| server.accepts_requests()) else {
+            return;
+        };
+        let probe = Probe {
+            server: server.short_id,
+            addr: placement.addr,
+        };
+        if !placement.survived {
+            self.poison.record_break(probe, &request.parts, now);
+        }
+    }
+
+    /// Confirms the deaths of servers that were removed from the list after a connection broke, and
+    /// quarantines the parts with enough evidence.
+    pub(super) fn review_deaths(&mut self, now: Mono) {
+        let listed = |id: ShortId| self.servers.iter().find(|server| server.short_id == id);
+        let unconfirmed: Vec<ShortId> = self.poison.unconfirmed().collect();
+        let removed: Vec<ShortId> = unconfirmed
+            .into_iter()
+            .filter(|id| listed(*id).is_none())
+            .collect();
+        for server in removed {
+            self.poison.confirm_death(server, now);
+        }
+        self.poison.review(
+            |server| listed(server).and_then(|server| server.last_activity),
+            now,
+        );
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 mod fleet;
 pub mod health;
 pub mod place;
+pub mod poison;
 pub mod prefill;
 pub mod server;
 pub mod snapshot;
--- a/crates/fleet/tests/testsuite/main.rs
+++ b/crates/fleet/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod follow;
 mod gossip;
 mod placement;
+mod poison;
 mod relays;
 mod servers;
 mod shares;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,7 +11,9 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use http::header::CONTENT_ENCODING;
+use http::header::CONTENT_LENGTH;
 use http::header::CONTENT_TYPE;
+use http::header::TRANSFER_ENCODING;
 use http::response;
 use http::Request;
 use http::Response;
@@ -133,6 +135,7 @@
 pub(crate) async fn run(job: &Job, guard: &mut PlacementGuard) -> Result<ServerResponse, Failure> {
     let answer = send(job, guard, job.request_head.last_event_id).await?;
     let (head, body) = answer.response.into_parts();
+    guard.placement.end_certain = has_certain_end(&head);
     let idle = idle_time(&head);
     if head.status.is_success() && is_stream(&head) {
         let source = StreamSource {
@@ -418,6 +421,12 @@
     text.is_some_and(|text| text.starts_with(EVENT_STREAM))
 }
 
+/// Returns whether a response states its length or is sent in chunks. The end of any other response
+/// is that of its connection, which may also mean that the server has crashed.
+pub(crate) fn has_certain_end(head: &response::Parts) -> bool {
+    head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Returns how long the connection may stay idle after this response.
 pub(crate) fn idle_time(head: &response::Parts) -> Duration {
     let value = head.headers.get("keep-alive");
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -86,6 +86,16 @@
         /// Source of the change.
         source: String,
     },
+    /// Requests with a prompt part are refused from now on, since the part crashes servers.
+    PartQuarantined {
+        /// The part, as a hexadecimal id.
+        part: String,
+        /// Servers that crashed under it, as this gateway knows; zero if another gateway reported
+        /// the part.
+        deaths: usize,
+        /// Time for which such requests are refused, in milliseconds.
+        length_ms: u64,
+    },
     /// A request was sent to a server.
     Sent {
         /// Id of the request.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -41,6 +41,7 @@
             let outgoing = fleet.outgoing(now);
             drop(fleet);
             shared.log_changes(&changes, "return time over");
+            shared.log_quarantined();
             outgoing
         };
         for out in outgoing.iter().filter(|out| !out.receivers.is_empty()) {
--- a/crates/gateway/src/guard.rs
+++ b/crates/gateway/src/guard.rs
@@ -6,6 +6,7 @@
 use primrose_fleet::Placement;
 use primrose_fleet::PlacementRequest;
 
+use crate::probe;
 use crate::shared::Shared;
 
 /// Owns a placement on a server. Dropping the guard without [`finish`](Self::finish) reports the
@@ -31,11 +32,11 @@
         }
     }
 
-    /// Records that the first event of a stream has arrived.
-    pub(crate) fn record_first_event(&mut self) {
+    /// Records that events of a stream have arrived.
+    pub(crate) fn record_events(&mut self) {
         let now = self.shared.now();
         let mut fleet = self.shared.fleet.borrow_mut();
-        fleet.record_first_event(&mut self.placement, now);
+        fleet.record_events(&self.request, &mut self.placement, now);
     }
 
     /// Records that data has arrived from the server.
@@ -60,6 +61,9 @@
         let now = self.shared.now();
         let mut fleet = self.shared.fleet.borrow_mut();
         fleet.finish_attempt(&self.request, &self.placement, outcome, now);
+        let probes = fleet.take_probes();
+        drop(fleet);
+        probe::spawn(&self.shared, probes);
     }
 }
 
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -73,7 +73,7 @@
                     return response;
                 }
                 Ok(ServerResponse::Stream(start)) => {
-                    guard.record_first_event();
+                    guard.record_events();
                     self.first_event_at = Some(self.shared.now());
                     let head = start.head();
                     let streamed = StreamedJob::new(self, head.status, &guard.placement);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod job;
 pub mod log;
 pub mod overload;
+mod probe;
 mod reload;
 mod reply;
 pub mod run;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -151,7 +151,7 @@
     loop {
         match next_step(job, guard, source, &mut timers).await {
             Step::Events(events) => {
-                guard.record_first_event();
+                guard.record_events();
                 chunks.send(Ok(events)).await;
             }
             Step::Partial => {}
@@ -226,10 +226,11 @@
                 return None;
             }
         };
-        let guard = PlacementGuard::new(&job.shared, &job.request, new_placement);
+        let mut guard = PlacementGuard::new(&job.shared, &job.request, new_placement);
         match attempt::send(job, &guard, last_event_id).await {
             Ok(answer) if answer.response.status().is_success() => {
                 let (head, body) = answer.response.into_parts();
+                guard.placement.end_certain = attempt::has_certain_end(&head);
                 let source = StreamSource {
                     body,
                     splitter: Splitter::starting_after(last_event_id),
