gateway: Take an answer that ends with its connection for a possible crash

A server may answer without a length and without chunks. If it crashes before the first event, or between two events, its connection ends as at the end of an answer, so the run counted as failed or even as good, and the part that crashed the server was never found. Such a stream without an event is now a broken one, and the server is probed after each such answer; the run of such an answer clears no part.

--- a/crates/fleet/src/fleet/admission.rs
+++ b/crates/fleet/src/fleet/admission.rs
@@ -197,6 +197,9 @@
                 if placement.end_certain {
                     let began = placement.first_event_at.unwrap_or(placement.started);
                     self.poison.record_survival(&request.parts, began);
+                } else {
+                    // The server may have crashed between two events.
+                    self.record_break(request, placement, now);
                 }
             }
             _ => {}
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -106,7 +106,7 @@
     pub queued_tokens: u64,
     /// Time at which the server was chosen.
     pub started: Mono,
-    /// Whether the end of the response was certain to be its intended end.
+    /// Whether the response tells its intended end from the end of its connection.
     pub end_certain: bool,
     pool: PoolId,
     first_event_at: Option<Mono>,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -322,10 +322,12 @@
             })));
         }
         if data.is_empty() {
-            return Err(Failure::maybe_run(
-                AttemptOutcome::Failed,
-                "the stream holds no event",
-            ));
+            let outcome = if guard.placement.end_certain {
+                AttemptOutcome::Failed
+            } else {
+                AttemptOutcome::Broken
+            };
+            return Err(Failure::maybe_run(outcome, "the stream holds no event"));
         }
         if source.splitter.is_partial_too_long() {
             return Err(Failure::maybe_run(
--- a/crates/primrosed/tests/testsuite/poison_parts.rs
+++ b/crates/primrosed/tests/testsuite/poison_parts.rs
@@ -18,7 +18,6 @@
 use primrose_soak::wire::Message;
 
 use crate::gateway_fixture::begin_stream;
-use crate::gateway_fixture::call;
 use crate::gateway_fixture::call_stream;
 use crate::gateway_fixture::chunk;
 use crate::gateway_fixture::request;
@@ -42,8 +41,10 @@
 enum Framing {
     /// In chunks.
     Chunked,
-    /// By the end of the connection.
+    /// By the end of the connection, before the first event.
     UntilClose,
+    /// By the end of the connection, after a whole event.
+    UntilCloseAfterEvent,
 }
 
 /// A server that crashes when it begins to answer a request with the part [`POISON`].
@@ -87,7 +88,10 @@
         if has_poison(&seen) {
             match framing {
                 Framing::Chunked => begin_stream(&mut stream, &seen),
-                Framing::UntilClose => begin_unframed(&mut stream, &seen),
+                Framing::UntilClose => begin_unframed(&mut stream, &seen, ""),
+                Framing::UntilCloseAfterEvent => {
+                    begin_unframed(&mut stream, &seen, "id: 1\ndata: token\n\n");
+                }
             }
             std::thread::sleep(CRASH_DELAY);
             crashed.store(true, Ordering::SeqCst);
@@ -104,10 +108,11 @@
     parts.is_some_and(|parts| parts.contains(POISON))
 }
 
-fn begin_unframed(stream: &mut TcpStream, seen: &Message) {
+fn begin_unframed(stream: &mut TcpStream, seen: &Message, events: &str) {
     let headers = signed_headers_for(seen);
     let head = format!(
-        "HTTP/1.1 200 OK\r\n{headers}content-type: text/event-stream\r\nconnection: close\r\n\r\n"
+        "HTTP/1.1 200 OK\r\n{headers}content-type: text/event-stream\r\nconnection: close\r\n\r\n\
+         {events}"
     );
     std::io::Write::write_all(stream, head.as_bytes()).expect("written");
 }
@@ -117,7 +122,7 @@
     let parts: Vec<String> = shared.iter().map(|part| format!("{part}:200")).collect();
     let headers = format!(
         "Primrosehall-Model: m\r\nPrimrosehall-Token-Usage: 1000,80\r\n\
-         Primrosehall-Prompt-Prefix: {},f{number:x}:400\r\n",
+         Primrosehall-Prompt-Prefix: {},f{number:x}:400\r\nConnection: close\r\n",
         parts.join(",")
     );
     request("POST", "resumed", &headers, &format!("body {number}"))
@@ -173,13 +178,19 @@
             bad: &["a1", POISON],
             sound: &["a1", "b1"],
         },
+        Case {
+            name: "in such answers after an event",
+            framing: Framing::UntilCloseAfterEvent,
+            bad: &["a1", POISON],
+            sound: &["a1", "b1"],
+        },
     ];
     for case in &cases {
         let ended = Arc::new(AtomicU32::new(0));
         let fixture = start_gateway(case.framing, &ended);
         for number in 0..12 {
             call_stream(fixture.front, &prompt_request(case.sound, number));
-            call(fixture.front, &prompt_request(case.bad, number));
+            call_stream(fixture.front, &prompt_request(case.bad, number));
             std::thread::sleep(REQUEST_PAUSE);
         }
         let ended = ended.load(Ordering::SeqCst);
