--- a/crates/fleet/src/fleet/poison.rs
+++ b/crates/fleet/src/fleet/poison.rs
@@ -6,8 +6,10 @@
 use super::Placement;
 use super::PlacementRequest;
 use crate::entry::ShortId;
+use crate::place::PartId;
 use crate::poison::Probe;
-use crate::poison::Quarantined;
+use crate::poison::QuarantineChange;
+use crate::poison::QuarantineReport;
 use crate::poison::SURVIVAL_TIME;
 
 impl Fleet {
@@ -27,9 +29,19 @@
         self.poison.dismiss_break(server);
     }
 
-    /// Returns the parts that were quarantined since the last call, here or at another gateway.
-    pub fn take_quarantined(&mut self) -> Vec<Quarantined> {
-        self.poison.take_news()
+    /// Returns the changes of quarantines since the last call, decided here or at another gateway.
+    pub fn take_quarantine_changes(&mut self) -> Vec<QuarantineChange> {
+        self.poison.take_changes()
+    }
+
+    /// Adopts a quarantine that the platform's store holds.
+    pub fn adopt_quarantine(&mut self, quarantine: QuarantineReport, now: Mono) {
+        self.poison.adopt_quarantine(quarantine, now);
+    }
+
+    /// Whether requests with a part are refused.
+    pub fn is_quarantined(&self, part: PartId, now: Mono) -> bool {
+        self.poison.refused_for(&[part], now).is_some()
     }
 
     /// Returns the number of prompt parts in quarantine.
--- a/crates/fleet/src/poison.rs
+++ b/crates/fleet/src/poison.rs
@@ -113,15 +113,18 @@
     pub addr: SocketAddr,
 }
 
-/// A part that was just quarantined.
+/// A change of the quarantined parts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Quarantined {
-    /// The part.
-    pub part: PartId,
-    /// Deaths that it explains, as this gateway knows them; zero if another gateway reported it.
-    pub deaths: usize,
-    /// Length of the quarantine from now on.
-    pub length: Duration,
+pub enum QuarantineChange {
+    /// Requests with a part are refused from now on.
+    Began {
+        /// The quarantine.
+        quarantine: QuarantineReport,
+        /// Deaths that it explains, as this gateway knows them; zero if it was reported to it.
+        deaths: usize,
+    },
+    /// A quarantine was ended, since it was wrong.
+    Released(PartId),
 }
 
 #[derive(Debug)]
@@ -143,6 +146,17 @@
     count: u32,
 }
 
+impl Quarantine {
+    fn report(&self, part: PartId, now: Mono) -> QuarantineReport {
+        QuarantineReport {
+            part,
+            age_ms: whole_millis(now.saturating_sub(self.since)),
+            left_ms: whole_millis(self.until.saturating_sub(now)),
+            count: self.count,
+        }
+    }
+}
+
 /// Evidence against one part.
 #[derive(Debug, Default)]
 struct Evidence {
@@ -164,7 +178,7 @@
     quarantines: BTreeMap<PartId, Quarantine>,
     /// Parts whose quarantine was ended as wrong, with the time from which it was.
     released: BTreeMap<PartId, Mono>,
-    news: Vec<Quarantined>,
+    changes: Vec<QuarantineChange>,
     /// Time until which known evidence may still become enough for a quarantine.
     review_until: Mono,
 }
@@ -235,6 +249,7 @@
         self.quarantines.remove(&part);
         self.survivals.insert(part, began);
         self.released.insert(part, began);
+        self.changes.push(QuarantineChange::Released(part));
     }
 
     /// Returns how much longer requests with these parts are refused; none if they are not.
@@ -250,9 +265,9 @@
         active.filter(|quarantine| quarantine.until > now).count()
     }
 
-    /// Returns the quarantines that began since the last call.
-    pub fn take_news(&mut self) -> Vec<Quarantined> {
-        std::mem::take(&mut self.news)
+    /// Returns the quarantines that began or were ended as wrong since the last call.
+    pub fn take_changes(&mut self) -> Vec<QuarantineChange> {
+        std::mem::take(&mut self.changes)
     }
 
     /// Merges what another gateway published.
@@ -287,10 +302,9 @@
             count: report.count,
         };
         self.quarantines.insert(report.part, quarantine);
-        self.news.push(Quarantined {
-            part: report.part,
+        self.changes.push(QuarantineChange::Began {
+            quarantine: report,
             deaths: 0,
-            length: left,
         });
     }
 
@@ -314,10 +328,9 @@
                 count,
             };
             self.quarantines.insert(part, quarantine);
-            self.news.push(Quarantined {
-                part,
+            self.changes.push(QuarantineChange::Began {
+                quarantine: quarantine.report(part, now),
                 deaths,
-                length,
             });
         }
         self.release_bystanders(now);
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -109,6 +109,25 @@
     /// The gateways.
     #[display("gateways")]
     Gateways,
+    /// The quarantined prompt parts. Reads of this list may be some seconds old.
+    #[display("quarantines")]
+    Quarantines,
+}
+
+/// Wall-clock time in milliseconds since the Unix epoch.
+pub type UnixMillis = u64;
+
+/// A quarantine of a prompt part, as the platform's store keeps it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoredQuarantine {
+    /// The part.
+    pub part: PartId,
+    /// Time at which it began.
+    pub since_ms: UnixMillis,
+    /// Time at which it is over.
+    pub until_ms: UnixMillis,
+    /// Number of quarantines of the part, this one included.
+    pub count: u32,
 }
 
 /// An entry of a feed, or a change of one.
@@ -122,6 +141,8 @@
     ServerRemoved(ServerId),
     /// Address of a gateway.
     Gateway(IpAddr),
+    /// A quarantined prompt part.
+    Quarantine(StoredQuarantine),
     /// An entry that cannot be decoded.
     UnusableEntry {
         /// Name of the entry.
@@ -189,6 +210,13 @@
     /// Renews a lease.
     fn renew(&self, lease: LeaseId) -> LocalFuture<'_, Result<(), PlatformError>>;
 
+    /// Writes the quarantine of a prompt part, or removes it if there is none.
+    fn write_quarantine(
+        &self,
+        part: PartId,
+        quarantine: Option<StoredQuarantine>,
+    ) -> LocalFuture<'_, Result<(), PlatformError>>;
+
     /// Revokes a lease, which removes this gateway from the list.
     fn deregister(&self, lease: LeaseId) -> LocalFuture<'_, Result<(), PlatformError>>;
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -96,6 +96,11 @@
         /// Time for which such requests are refused, in milliseconds.
         length_ms: u64,
     },
+    /// A quarantine was ended, since the part did not crash the servers.
+    PartReleased {
+        /// The part, as a hexadecimal id.
+        part: String,
+    },
     /// A request was sent to a server.
     Sent {
         /// Id of the request.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -151,7 +151,7 @@
 fn pause_after_change(shared: &Shared, feed: Feed) -> Duration {
     match feed {
         Feed::Tables => TABLES_PAUSE,
-        Feed::Servers | Feed::Gateways => {
+        Feed::Servers | Feed::Gateways | Feed::Quarantines => {
             if shared.fleet.borrow().gateway_count() <= MAX_ALL_FOLLOW {
                 SERVERS_PAUSE.0
             } else {
@@ -226,6 +226,8 @@
                 shared.log_changes(&changes, "platform");
             }
             PlatformEvent::Gateway(ip) => shared.fleet.borrow_mut().add_contact(ip, now),
+            // Read by a task of its own.
+            PlatformEvent::Quarantine(_) => {}
             PlatformEvent::UnusableEntry { name, reason } => {
                 shared.log.event(&Event::EntryUnusable { name, reason });
             }
@@ -317,7 +319,7 @@
 }
 
 /// Applies a timeout to a platform call, since a dead connection may never return an error.
-async fn with_timeout<T>(
+pub(crate) async fn with_timeout<T>(
     limit: Duration,
     call: LocalFuture<'_, Result<T, PlatformError>>,
 ) -> Result<T, PlatformError> {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -19,6 +19,7 @@
 
 use crate::control::SNAPSHOT_PATH;
 use crate::feed::adopt_tables;
+use crate::quarantine::report_changes;
 use crate::shared::Shared;
 
 /// How often it is checked whether another gateway has newer state.
@@ -41,7 +42,7 @@
             let outgoing = fleet.outgoing(now);
             drop(fleet);
             shared.log_changes(&changes, "return time over");
-            shared.log_quarantined();
+            report_changes(&shared);
             outgoing
         };
         for out in outgoing.iter().filter(|out| !out.receivers.is_empty()) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod log;
 pub mod overload;
 mod probe;
+mod quarantine;
 mod reload;
 mod reply;
 pub mod run;
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -10,6 +10,7 @@
 use primrose_fleet::poison::Probe;
 use tokio::task::spawn_local;
 
+use crate::quarantine::report_changes;
 use crate::shared::Shared;
 
 /// Time from the break to each probe. A crashing process may close its connections before its
@@ -31,7 +32,7 @@
         if result == ProbeResult::Refused {
             let now = shared.now();
             shared.fleet.borrow_mut().record_death(probe.server, now);
-            shared.log_quarantined();
+            report_changes(&shared);
             return;
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -38,6 +38,7 @@
 use crate::log::Log;
 use crate::overload;
 use crate::overload::LoadShedder;
+use crate::quarantine;
 use crate::reload;
 use crate::shared::Shared;
 
@@ -252,6 +253,7 @@
     spawn_local(control::listen(handle(), listeners.control, control));
     spawn_local(feed::follow(handle(), Feed::Tables));
     spawn_local(feed::follow(handle(), Feed::Servers));
+    spawn_local(quarantine::load(handle()));
     spawn_local(feed::keep_registered(handle(), Rc::clone(lease)));
     spawn_local(gossip::publish_digests(handle(), Rc::clone(&digests), port));
     spawn_local(gossip::receive_digests(handle(), digests));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,7 +10,6 @@
 use primrose_conn::ConnectionPool;
 use primrose_core::clock::Clock;
 use primrose_core::clock::Mono;
-use primrose_fleet::poison::Quarantined;
 use primrose_fleet::server::ServerChange;
 use primrose_fleet::Fleet;
 use tokio::sync::Notify;
@@ -98,23 +97,6 @@
         SocketAddr::new(ip, self.control_port)
     }
 
-    /// Logs the prompt parts that were quarantined since the last call.
-    pub(crate) fn log_quarantined(&self) {
-        let quarantined = self.fleet.borrow_mut().take_quarantined();
-        for Quarantined {
-            part,
-            deaths,
-            length,
-        } in quarantined
-        {
-            self.log.event(&Event::PartQuarantined {
-                part: format!("{part:x}"),
-                deaths,
-                length_ms: millis(length),
-            });
-        }
-    }
-
     /// Logs changes of the known servers.
     pub(crate) fn log_changes(&self, changes: &[ServerChange], source: &str) {
         let list_version = self.fleet.borrow().list_version();
--- a/crates/primrosed/tests/testsuite/gateway_fixture.rs
+++ b/crates/primrosed/tests/testsuite/gateway_fixture.rs
@@ -146,14 +146,7 @@
         let name = format!("gateway-{ip}.json");
         let settings = std::env::temp_dir().join(name);
         std::fs::write(&settings, text).expect("settings written");
-        let child = Command::new(env!("CARGO_BIN_EXE_primrosed"))
-            .arg("--settings-variable")
-            .arg("PRIMROSEHALL_BOOT")
-            .env("PRIMROSEHALL_BOOT", &settings)
-            .stdout(Stdio::piped())
-            .stderr(Stdio::inherit())
-            .spawn()
-            .expect("the gateway starts");
+        let child = spawn_gateway(&settings);
         let fixture = Self {
             store,
             store_endpoint,
@@ -163,11 +156,25 @@
             child,
             settings,
         };
+        fixture.wait_until_listening();
+        fixture
+    }
+
+    fn wait_until_listening(&self) {
         let listens = |addr: SocketAddr| TcpStream::connect(addr).is_ok();
-        fixture.wait_until("listens", || {
-            [front, ready, control].into_iter().all(listens)
+        self.wait_until("listens", || {
+            [self.front, self.ready, self.control]
+                .into_iter()
+                .all(listens)
         });
-        fixture
+    }
+
+    /// Kills the gateway and starts it again with the same settings and store.
+    pub(crate) fn restart(&mut self) {
+        self.child.kill().expect("killed");
+        self.child.wait().expect("ended");
+        self.child = spawn_gateway(&self.settings);
+        self.wait_until_listening();
     }
 
     pub(crate) fn wait_ready(&self, servers: usize) {
@@ -220,6 +227,17 @@
     }
 }
 
+fn spawn_gateway(settings: &std::path::Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_primrosed"))
+        .arg("--settings-variable")
+        .arg("PRIMROSEHALL_BOOT")
+        .env("PRIMROSEHALL_BOOT", settings)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::inherit())
+        .spawn()
+        .expect("the gateway starts")
+}
+
 impl Drop for GatewayFixture {
     fn drop(&mut self) {
         // Both fail if the process has already exited.
--- a/crates/primrosed/tests/testsuite/poison_parts.rs
+++ b/crates/primrosed/tests/testsuite/poison_parts.rs
@@ -205,3 +205,23 @@
         }
     }
 }
+
+#[test]
+fn a_quarantine_outlasts_the_restart_of_all_gateways() {
+    let ended = Arc::new(AtomicU32::new(0));
+    let mut fixture = start_gateway(Framing::Chunked, &ended);
+    let parts: &[&str] = &["a1", POISON];
+    for number in 0..8 {
+        call_stream(fixture.front, &prompt_request(&["a1", "b1"], number));
+        call_stream(fixture.front, &prompt_request(parts, number));
+        std::thread::sleep(REQUEST_PAUSE);
+    }
+    let before = ended.load(Ordering::SeqCst);
+    fixture.restart();
+    fixture.wait_ready(SERVERS);
+    for number in 10..14 {
+        call_stream(fixture.front, &prompt_request(parts, number));
+    }
+    let after = ended.load(Ordering::SeqCst);
+    assert_eq!(after, before, "servers have ended after the restart");
+}
