fleet: Spare the parts of one request that crashes servers

A request that crashes servers by itself and is sent again was refused by its fingerprint, but its shared parts were at the same three deaths, so the deepest of them was quarantined, too, with all sound requests that have it.

--- a/crates/fleet/src/fleet/admission.rs
+++ b/crates/fleet/src/fleet/admission.rs
@@ -4,6 +4,7 @@
 
 use primrose_core::clock::Mono;
 
+use super::poison::suspects;
 use super::AttemptOutcome;
 use super::Decision;
 use super::Fleet;
@@ -75,7 +76,7 @@
         if self.crashes.is_refused(request.fingerprint) {
             return refuse(RefusalReason::CrashesServers, RETRY_AFTER_CRASHES);
         }
-        if let Some(left) = self.poison.refused_for(&request.parts, now) {
+        if let Some(left) = self.poison.refused_for(&suspects(request), now) {
             return refuse(RefusalReason::CrashesServers, left.min(RETRY_AFTER_CRASHES));
         }
         let candidates = self.candidates(request, now);
@@ -196,7 +197,7 @@
                 self.crashes.record_success(request.fingerprint, now);
                 if placement.end_certain {
                     let began = placement.first_event_at.unwrap_or(placement.started);
-                    self.poison.record_survival(&request.parts, began);
+                    self.record_survival_of(request, began);
                 } else {
                     // The server may have crashed between two events.
                     self.record_break(request, placement, now);
--- a/crates/fleet/src/fleet/gossip.rs
+++ b/crates/fleet/src/fleet/gossip.rs
@@ -231,7 +231,6 @@
             }
         }
         self.poison.merge(&digest.poison, now);
-        self.review_deaths(now);
         let previous = self.peers.remove(&digest.writer).map(|peer| peer.digest);
         let previous = previous.filter(|digest| self.counts(digest));
         let current = Some(&digest).filter(|digest| self.counts(digest));
--- a/crates/fleet/src/fleet/poison.rs
+++ b/crates/fleet/src/fleet/poison.rs
@@ -59,7 +59,16 @@
     ) {
         if !placement.survived && now.saturating_sub(began) >= SURVIVAL_TIME {
             placement.survived = true;
-            self.poison.record_survival(&request.parts, began);
+            self.record_survival_of(request, began);
+        }
+    }
+
+    /// Records that a run survived which began at `began`.
+    pub(super) fn record_survival_of(&mut self, request: &PlacementRequest, began: Mono) {
+        self.poison.record_survival(&request.parts, began);
+        // Most requests come once, so that only those that are suspects are worth remembering.
+        if self.poison.is_suspect(request.fingerprint) {
+            self.poison.record_survival(&[request.fingerprint], began);
         }
     }
 
@@ -79,7 +88,7 @@
             addr: placement.addr,
         };
         if !placement.survived {
-            self.poison.record_break(probe, &request.parts, now);
+            self.poison.record_break(probe, &suspects(request), now);
         }
     }
 
@@ -101,3 +110,13 @@
         );
     }
 }
+
+/// Returns what may be the cause if a request crashes a server: its parts, or all of it. The whole
+/// request comes last, since it explains the deaths of one repeated request better than its parts.
+pub(super) fn suspects(request: &PlacementRequest) -> Vec<PartId> {
+    let mut suspects = request.parts.to_vec();
+    if !suspects.is_empty() {
+        suspects.push(request.fingerprint);
+    }
+    suspects
+}
--- a/crates/fleet/src/poison.rs
+++ b/crates/fleet/src/poison.rs
@@ -252,6 +252,12 @@
         self.changes.push(QuarantineChange::Released(part));
     }
 
+    /// Whether a part is a suspect of a death, or quarantined.
+    pub fn is_suspect(&self, part: PartId) -> bool {
+        let mut deaths = self.deaths.values();
+        self.quarantines.contains_key(&part) || deaths.any(|death| death.suspects.contains(&part))
+    }
+
     /// Returns how much longer requests with these parts are refused; none if they are not.
     pub fn refused_for(&self, parts: &[PartId], now: Mono) -> Option<Duration> {
         let quarantines = parts.iter().filter_map(|part| self.quarantines.get(part));
--- a/crates/fleet/tests/testsuite/poison.rs
+++ b/crates/fleet/tests/testsuite/poison.rs
@@ -276,3 +276,36 @@
     world.now += 16 * 60_000;
     assert!(world.is_refused(0, &[BAD]), "the second one is longer");
 }
+
+/// Guards the requests that share their parts with one request that crashes servers by itself.
+#[test]
+fn parts_of_one_request_that_crashes_servers_are_not_quarantined() {
+    let mut world = World::new(2);
+    let repeated = world.request(&[COMMON, 1]).fingerprint;
+    for round in 0..4 {
+        let request = PlacementRequest {
+            fingerprint: repeated,
+            ..world.request(&[COMMON, 1])
+        };
+        let now = ms(world.now);
+        let fleet = &mut world.gateways[round % 2];
+        if let Decision::Send(placement) = fleet.decide(&request, now) {
+            fleet.finish_attempt(&request, &placement, AttemptOutcome::Broken, now);
+            for probe in fleet.take_probes() {
+                fleet.record_death(probe.server, now);
+            }
+            for fleet in &mut world.gateways {
+                fleet.remove_server(&placement.server, now);
+            }
+        }
+        world.pass(300);
+    }
+    world.pass(3_000);
+    assert!(!world.is_refused(0, &[COMMON, 1]));
+    let request = PlacementRequest {
+        fingerprint: repeated,
+        ..world.request(&[COMMON, 1])
+    };
+    let decision = world.gateways[1].decide(&request, ms(world.now));
+    assert!(matches!(decision, Decision::Refuse(_)));
+}
