--- a/crates/primrosed/tests/testsuite/main.rs
+++ b/crates/primrosed/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod poison_parts;
 mod processes;
 mod router_fixture;
+mod server_limits;
 mod settings;
 mod soak;
 mod store_faults;
