fleet: Keep the limits that servers name

A server in need names the requests a second that it takes from all gateways together.

Gateways now publish the limits that they were told, and what they sent to these servers in the last two seconds. A gateway sends no more once the sum reaches the limit; as all see the same room at once, requests are admitted with the probability with which they fill it. In large fleets, whose sums are older, some gateways of the server's zone share the rate instead. The preferred servers of prefixes are weighted by what the limits allow, so that shared parts stay where they are cached. If limits are all that keeps a request from being sent, it is refused at once, with the time until one of them allows it.

Ruled out: a share of the rate for each gateway in small fleets, too.

--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -21,6 +21,7 @@
 use crate::demand::TokenSums;
 use crate::entry::ShortId;
 use crate::health::AnswerCounts;
+use crate::limit::LimitReport;
 use crate::place::PartId;
 use crate::poison::DeathReport;
 use crate::poison::PoisonReport;
@@ -130,6 +131,8 @@
     /// Deaths of servers and the prompt parts that caused them, as far as the writer knows. Older
     /// builds neither send nor read it.
     pub poison: PoisonReport,
+    /// Limits that servers named. Older builds neither send nor read it.
+    pub limits: Vec<LimitReport>,
     /// Incarnations of servers that were recently marked as leaving.
     pub leaving: Vec<ShortId>,
     /// Incarnations of servers that were recently removed from the list.
@@ -152,6 +155,7 @@
     Vec<IpAddr>,
     #[serde(default)] WireRelay,
     #[serde(default)] WirePoison,
+    #[serde(default)] Vec<(ShortId, Option<u64>, u32, u32)>,
 );
 
 /// Encoded form of [`PoisonReport`].
@@ -299,6 +303,8 @@
             (row.server, reading, memory, running, good, failed)
         });
         let accounts = self.accounts.iter();
+        let limits = self.limits.iter();
+        let limits = limits.map(|row| (row.server, row.limit, row.age_ms, row.sent));
         let wire = Wire(
             (self.writer, self.seq, self.generation),
             (
@@ -316,6 +322,7 @@
             self.peers.clone(),
             WireRelay::from(&self.relay),
             WirePoison::from(&self.poison),
+            limits.collect(),
         );
         let mut bytes = Vec::with_capacity(MAX_BYTES);
         ciborium::into_writer(&wire, &mut bytes).context(EncodeSnafu)?;
@@ -325,10 +332,18 @@
     /// Decodes a digest.
     pub fn decode(bytes: &[u8]) -> Result<Self, DigestError> {
         let wire: Wire = ciborium::from_reader(bytes).context(DecodeSnafu)?;
-        let Wire(head, list, servers, accounts, broken_runs, marks, peers, relay, poison) = wire;
+        let Wire(head, list, servers, accounts, broken_runs, marks, peers, relay, poison, limits) =
+            wire;
         let (writer, seq, generation) = head;
         let (list_version, members_version, zone, list_unreadable) = list;
         let (leaving, removed) = marks;
+        let limits = limits.into_iter();
+        let limits = limits.map(|(server, limit, age_ms, sent)| LimitReport {
+            server,
+            limit,
+            age_ms,
+            sent,
+        });
         let servers = servers.into_iter().map(
             |(server, reading, memory, running, good, failed)| ServerRow {
                 server,
@@ -359,6 +374,7 @@
             peers,
             relay: relay.into(),
             poison: poison.into(),
+            limits: limits.collect(),
         })
     }
 }
--- a/crates/fleet/src/fleet/admission.rs
+++ b/crates/fleet/src/fleet/admission.rs
@@ -68,7 +68,9 @@
         let service = request.prompt.map_or(0, |prompt| prompt.service());
         let account = request.account.as_deref().map(short_id);
         if is_first_attempt {
-            self.pool(&request.pool).budget.record_attempt();
+            let pool = self.pool(&request.pool);
+            pool.budget.record_attempt();
+            pool.arrivals.add(1, now);
             if let Some(account) = account {
                 self.demand.record_request(account, service, now);
             }
@@ -83,6 +85,11 @@
         if candidates.is_empty() {
             return refuse(RefusalReason::NoServer, RETRY_AFTER_NO_SERVER);
         }
+        if !candidates.iter().any(|candidate| candidate.within_limit) {
+            let wait = self.wait_for_limits(&candidates, now);
+            let (least, most) = RETRY_AFTER_RANGE;
+            return refuse(RefusalReason::ServerLimits, wait.clamp(least, most));
+        }
         let Some(choice) = self.choose(request, &candidates, now) else {
             return refuse(RefusalReason::NoRoom, RETRY_AFTER_RANGE.0 * 2);
         };
@@ -237,6 +244,7 @@
             let pool = catalog.tables().pools.get(&request.pool)?;
             pool.engine.map(|engine| engine.memory)
         });
+        let demand = self.limit_demand(request, now);
         let mut candidates = Vec::new();
         for server in self.servers.iter_mut() {
             let entry = &server.entry;
@@ -264,6 +272,9 @@
                 same_zone: entry.zone == self.config.zone,
                 failure_rate: counts.failure_rate(),
                 slowness: server.slowness.factor(),
+                within_limit: self.limits.wait(server.short_id, demand, now)
+                    == Some(Duration::ZERO),
+                weight: self.limits.weight(server.short_id, demand),
             });
         }
         candidates
@@ -354,6 +365,7 @@
             running: 1,
         };
         server.local_load.add(load);
+        self.limits.record_sent(server.short_id, now);
         server.health.claim_probe(now);
         if let Some(prompt) = &request.prompt {
             self.prefix_cache
--- a/crates/fleet/src/fleet/gossip.rs
+++ b/crates/fleet/src/fleet/gossip.rs
@@ -185,6 +185,7 @@
             accounts: self.demand.local_sums(now),
             broken_runs: self.crashes.to_publish(now),
             poison: self.poison.report(now),
+            limits: self.limits.report(now),
             leaving: self.servers.recent_leaving(now),
             removed: self.servers.recent_removed(now),
             peers: self.peers.values().map(|peer| peer.ip).collect(),
@@ -231,6 +232,7 @@
             }
         }
         self.poison.merge(&digest.poison, now);
+        self.limits.merge(digest.writer, &digest.limits, now);
         let previous = self.peers.remove(&digest.writer).map(|peer| peer.digest);
         let previous = previous.filter(|digest| self.counts(digest));
         let current = Some(&digest).filter(|digest| self.counts(digest));
@@ -262,6 +264,8 @@
         self.prefix_cache.expire(now);
         self.crashes.expire(now);
         self.poison.expire(now);
+        self.limits.expire(now);
+        self.divide_limits(now);
         self.review_deaths(now);
         self.servers.expire(now)
     }
--- /dev/null
+++ b/crates/fleet/src/fleet/limits.rs
@@ -0,0 +1,105 @@
+//! Limits that servers name: which gateways share them.
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use primrose_core::clock::Mono;
+
+use super::roles::Role;
+use super::roles::RELAY_TIMEOUT;
+use super::Fleet;
+use super::Placement;
+use super::PlacementRequest;
+use crate::entry::short_id;
+use crate::entry::ShortId;
+use crate::limit::sharers;
+use crate::limit::Demand;
+use crate::limit::Sharing;
+use crate::place::share_key;
+use crate::place::Candidate;
+
+/// Time over which the requests for a pool are counted.
+pub(super) const ARRIVAL_WINDOW: Duration = Duration::from_secs(8);
+
+impl Fleet {
+    /// Records the limit in an answer of a server, in requests a second; none if it named none.
+    pub fn record_limit(&mut self, placement: &Placement, rate: Option<f64>, now: Mono) {
+        let Some(server) = self.server_of(placement) else {
+            return;
+        };
+        let server = server.short_id;
+        let is_new = rate.is_some() && self.limits.rate(server).is_none();
+        self.limits.record(server, rate, now, now);
+        if is_new {
+            self.divide_limits(now);
+        }
+    }
+
+    /// Determines how the limits are kept.
+    pub(super) fn divide_limits(&mut self, now: Mono) {
+        for (server, rate) in self.limits.limited() {
+            let sharing = if self.role == Role::Mesh {
+                Sharing::Counted
+            } else {
+                Sharing::Divided(self.share_of_limit(server, rate, now))
+            };
+            self.limits.set_sharing(server, sharing, now);
+        }
+    }
+
+    /// Returns the part of a server's limit that this gateway may use. Rendezvous hashing picks the
+    /// gateways that share it, so that all of them agree.
+    fn share_of_limit(&self, server: ShortId, rate: f64, now: Mono) -> f64 {
+        let gateways = self.gateways_near(server, now);
+        let key =
+            |ip: &IpAddr| share_key([u64::from(server), u64::from(short_id(&ip.to_string()))]);
+        let own = key(&self.config.ip);
+        let before = gateways.iter().filter(|ip| key(ip) > own).count();
+        let sharers = sharers(rate).min(gateways.len());
+        if before < sharers && gateways.contains(&self.config.ip) {
+            1.0 / sharers as f64
+        } else {
+            0.0
+        }
+    }
+
+    /// Returns the gateways of a server's zone: each gateway of a large fleet knows those of its own
+    /// zone only.
+    fn gateways_near(&self, server: ShortId, now: Mono) -> Vec<IpAddr> {
+        let mut servers = self.servers.iter();
+        let server = servers.find(|known| known.short_id == server);
+        let zone = server.map(|server| short_id(&server.entry.zone));
+        zone.map_or_else(Vec::new, |zone| self.ranked(zone, RELAY_TIMEOUT, now))
+    }
+
+    /// Returns the shortest time until this gateway may send a request to one of the servers within
+    /// its limit; zero if it has a share of none.
+    pub(super) fn wait_for_limits(&mut self, candidates: &[Candidate], now: Mono) -> Duration {
+        let limits = &mut self.limits;
+        // The draw of the request was in vain; its retry has another.
+        let demand = Demand::default();
+        let waits = candidates.iter();
+        let waits = waits.filter_map(|candidate| limits.wait(candidate.short_id, demand, now));
+        waits.min().unwrap_or_default()
+    }
+
+    /// Returns the demand for each server of the request's pool, if the other gateways get as many
+    /// requests as this one; zero while no server has a limit.
+    pub(super) fn limit_demand(&mut self, request: &PlacementRequest, now: Mono) -> Demand {
+        if self.limits.is_empty() {
+            return Demand::default();
+        }
+        let gateways = self.gateway_count();
+        let servers = self.servers.iter();
+        let servers = servers.filter(|server| server.entry.pool == request.pool);
+        let servers = servers.count();
+        let arrivals = self.pool(&request.pool).arrivals.sum(now);
+        let own_rate = arrivals as f64 / ARRIVAL_WINDOW.as_secs_f64();
+        let moment = now.as_nanos() as u64;
+        let draw = share_key([request.fingerprint, self.config.incarnation, moment]);
+        Demand {
+            rate: own_rate * gateways as f64 / servers.max(1) as f64,
+            draw: draw as f64 / u64::MAX as f64,
+        }
+    }
+}
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod follow;
 mod gossip;
+mod limits;
 mod poison;
 mod roles;
 
@@ -41,6 +42,7 @@
 use crate::digest::Digest;
 use crate::entry::ShortId;
 use crate::health::AnswerCounts;
+use crate::limit::ServerLimits;
 use crate::place::PartId;
 use crate::place::PrefixCache;
 use crate::place::Prompt;
@@ -48,6 +50,7 @@
 use crate::prefill::PrefillModel;
 use crate::server::Load;
 use crate::server::Servers;
+use crate::window::Window;
 
 /// Settings of one gateway and of its deployment.
 #[derive(Debug, Clone)]
@@ -154,6 +157,9 @@
     /// No server has enough memory and a free slot.
     #[display("no_room")]
     NoRoom,
+    /// All servers get as many requests as the limits allow that they named.
+    #[display("server_limits")]
+    ServerLimits,
     /// The request crashed the servers that ran it.
     #[display("crashes_servers")]
     CrashesServers,
@@ -199,6 +205,8 @@
     /// Smoothed time of a plain call.
     call_time: Duration,
     budget: Budget,
+    /// Requests of this gateway over [`ARRIVAL_WINDOW`](limits::ARRIVAL_WINDOW).
+    arrivals: Window,
 }
 
 /// What one gateway knows of the tables, the servers and the other gateways.
@@ -217,6 +225,7 @@
     demand: Demand,
     crashes: CrashTracker,
     poison: PoisonTracker,
+    limits: ServerLimits,
     peers: HashMap<Incarnation, Peer>,
     /// Addresses at which there may be a gateway, with the time at which each was first mentioned in
     /// a digest, was last configured or listed by the platform, or last sent a digest.
@@ -251,6 +260,7 @@
             demand: Demand::default(),
             crashes: CrashTracker::default(),
             poison: PoisonTracker::default(),
+            limits: ServerLimits::default(),
             peers: HashMap::new(),
             contacts: HashMap::new(),
             peer_sums: HashMap::new(),
@@ -293,6 +303,7 @@
                 prefill: PrefillModel::default(),
                 call_time: admission::INITIAL_CALL_TIME,
                 budget: Budget::new(config.budget_bounds(slack_sharers)),
+                arrivals: Window::new(limits::ARRIVAL_WINDOW),
             })
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod entry;
 mod fleet;
 pub mod health;
+pub mod limit;
 pub mod place;
 pub mod poison;
 pub mod prefill;
--- /dev/null
+++ b/crates/fleet/src/limit.rs
@@ -0,0 +1,282 @@
+//! Limits that servers name.
+//!
+//! A server in need says how many requests a second it takes from all gateways together, for as long
+//! as it says so. Each gateway learns of a limit from the server's answers and from the digests of
+//! the others; the latest statement counts.
+//!
+//! In a small fleet, digests also tell how many requests each gateway sent to the server of late, and
+//! a gateway sends another only while the sum stays within the limit. Digests are late, so that all
+//! gateways see the same room at the same time: of the requests that compete for it, each is
+//! admitted with the probability with which they fill it.
+//!
+//! In a large fleet the sums would be too old. There the limit is divided evenly among some
+//! gateways: each of them may send at its share of the rate, and none of them may save up more than
+//! about one request. More gateways than [`sharers`] would send too much in a burst.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use primrose_core::clock::Mono;
+use primrose_core::id::Incarnation;
+
+use crate::entry::ShortId;
+use crate::window::Window;
+
+/// Least rate at which a server is asked, in requests a second, so that it can say that its limit has
+/// changed.
+const MIN_RATE: f64 = 0.25;
+/// Time over which the requests of all gateways are counted.
+const WINDOW: Duration = Duration::from_secs(2);
+/// Time by which the counts of other gateways may be late.
+const COUNT_DELAY: Duration = Duration::from_millis(200);
+/// Time for which the count of another gateway is used after its last digest.
+const COUNT_LIFETIME: Duration = Duration::from_secs(2);
+/// Gateways that share a limit: this many, and so many for each request a second.
+const SHARERS: (f64, f64) = (4.0, 2.0);
+/// Least and greatest weight of a server whose limit is below the mean rate.
+const MIN_WEIGHT: f64 = 1.0 / 16.0;
+const MAX_LIMITED_WEIGHT: f64 = 0.5;
+/// Time that a gateway may save up at its share, in addition to one request.
+const BURST_TIME: Duration = Duration::from_millis(250);
+/// Time after which a statement is dropped if the server has not answered any gateway since.
+const STATEMENT_LIFETIME: Duration = Duration::from_secs(60);
+/// Time for which the end of a limit is published.
+const END_PUBLISH_TIME: Duration = Duration::from_secs(5);
+/// Maximum number of statements in a digest; the newest are preferred.
+const MAX_PUBLISHED: usize = 40;
+
+/// A server's latest statement, as gateways publish it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LimitReport {
+    /// Short id of the server's incarnation.
+    pub server: ShortId,
+    /// The limit in requests per 1,000 seconds; none if the server named none.
+    pub limit: Option<u64>,
+    /// Time since the statement, in milliseconds.
+    pub age_ms: u32,
+    /// Requests that the writer sent to the server of late.
+    pub sent: u32,
+}
+
+/// Demand for a server, as one request sees it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Demand {
+    /// Requests a second of all gateways for each server of the pool.
+    pub rate: f64,
+    /// A number of the request that is uniform between zero and one.
+    pub draw: f64,
+}
+
+/// How a limit is kept.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Sharing {
+    /// By the requests that all gateways sent, as they publish them.
+    Counted,
+    /// By the given part of the rate, which this gateway may use.
+    Divided(f64),
+}
+
+/// A server's latest statement, and what this gateway may send.
+#[derive(Debug)]
+struct Limit {
+    /// Requests a second; none if the server named no limit any more.
+    rate: Option<f64>,
+    stated: Mono,
+    sharing: Sharing,
+    /// Requests that this gateway sent.
+    sent: Window,
+    /// Requests that other gateways sent, and when they said so.
+    peers: HashMap<Incarnation, (u32, Mono)>,
+    /// Requests that this gateway may send at `refilled`, if the rate is divided.
+    tokens: f64,
+    refilled: Mono,
+}
+
+impl Limit {
+    fn new(rate: f64, stated: Mono, now: Mono) -> Self {
+        Self {
+            rate: Some(rate),
+            stated,
+            sharing: Sharing::Divided(0.0),
+            sent: Window::new(WINDOW),
+            peers: HashMap::new(),
+            tokens: 0.0,
+            refilled: now,
+        }
+    }
+
+    /// Returns how long to wait until a request may be sent; none if this gateway may send none.
+    fn wait(&mut self, demand: Demand, now: Mono) -> Option<Duration> {
+        let Some(rate) = self.rate.map(|rate| rate.max(MIN_RATE)) else {
+            return Some(Duration::ZERO);
+        };
+        match self.sharing {
+            Sharing::Counted => {
+                let recent = |at: Mono| now.saturating_sub(at) < COUNT_LIFETIME;
+                let peers = self.peers.values().filter(|(_, at)| recent(*at));
+                let sent =
+                    self.sent.sum(now) + peers.map(|(sent, _)| u64::from(*sent)).sum::<u64>();
+                let most = (rate * WINDOW.as_secs_f64()).max(1.0);
+                let room = most - sent as f64;
+                let competing = demand.rate * COUNT_DELAY.as_secs_f64();
+                let is_admitted = room >= 1.0 && demand.draw * competing < room;
+                Some(if is_admitted {
+                    Duration::ZERO
+                } else {
+                    Duration::from_secs_f64(1.0 / rate)
+                })
+            }
+            Sharing::Divided(share) => {
+                self.refill(now);
+                let missing = 1.0 - self.tokens;
+                if missing <= 0.0 {
+                    return Some(Duration::ZERO);
+                }
+                let own_rate = rate * share;
+                (own_rate > 0.0).then(|| Duration::from_secs_f64(missing / own_rate))
+            }
+        }
+    }
+
+    fn refill(&mut self, now: Mono) {
+        let Sharing::Divided(share) = self.sharing else {
+            return;
+        };
+        let elapsed = now.saturating_sub(self.refilled);
+        let rate = self.rate.unwrap_or_default().max(MIN_RATE) * share;
+        let most = 1.0 + rate * BURST_TIME.as_secs_f64();
+        self.tokens = (self.tokens + rate * elapsed.as_secs_f64()).min(most);
+        self.refilled = now;
+    }
+}
+
+/// Limits of the servers that named one.
+#[derive(Debug, Default)]
+pub struct ServerLimits {
+    by_server: HashMap<ShortId, Limit>,
+}
+
+/// Returns the number of gateways that share a limit.
+pub fn sharers(rate: f64) -> usize {
+    // The bursts of all sharers stay below what servers tolerate beyond their limit.
+    (SHARERS.0 + SHARERS.1 * rate.max(MIN_RATE)) as usize
+}
+
+impl ServerLimits {
+    /// Records what an answer of a server said: its limit in requests a second, or none.
+    pub fn record(&mut self, server: ShortId, rate: Option<f64>, stated: Mono, now: Mono) {
+        match (self.by_server.get_mut(&server), rate) {
+            (Some(limit), _) if limit.stated <= stated => {
+                limit.refill(now);
+                limit.rate = rate;
+                limit.stated = stated;
+            }
+            (None, Some(rate)) => {
+                self.by_server.insert(server, Limit::new(rate, stated, now));
+            }
+            _ => {}
+        }
+    }
+
+    /// Merges what another gateway published.
+    pub fn merge(&mut self, writer: Incarnation, reports: &[LimitReport], now: Mono) {
+        for report in reports {
+            let age = Duration::from_millis(report.age_ms.into());
+            let rate = report.limit.map(|limit| limit as f64 / 1_000.0);
+            self.record(report.server, rate, now.saturating_sub(age), now);
+            if let Some(limit) = self.by_server.get_mut(&report.server) {
+                limit.peers.insert(writer, (report.sent, now));
+            }
+        }
+    }
+
+    /// Returns what to publish.
+    pub fn report(&mut self, now: Mono) -> Vec<LimitReport> {
+        let published = self.by_server.iter_mut().filter(|(_, limit)| {
+            limit.rate.is_some() || now.saturating_sub(limit.stated) < END_PUBLISH_TIME
+        });
+        let mut reports: Vec<LimitReport> = published
+            .map(|(server, limit)| LimitReport {
+                server: *server,
+                limit: limit.rate.map(|rate| (rate * 1_000.0) as u64),
+                age_ms: u32::try_from(now.saturating_sub(limit.stated).as_millis())
+                    .unwrap_or(u32::MAX),
+                sent: u32::try_from(limit.sent.sum(now)).unwrap_or(u32::MAX),
+            })
+            .collect();
+        reports.sort_by_key(|report| (report.age_ms, report.server));
+        reports.truncate(MAX_PUBLISHED);
+        reports
+    }
+
+    /// Returns the servers that named a limit, with their rates.
+    pub fn limited(&self) -> Vec<(ShortId, f64)> {
+        let limited = self.by_server.iter();
+        limited
+            .filter_map(|(server, limit)| Some((*server, limit.rate?)))
+            .collect()
+    }
+
+    /// Sets how the limit of a server is kept.
+    pub fn set_sharing(&mut self, server: ShortId, sharing: Sharing, now: Mono) {
+        if let Some(limit) = self.by_server.get_mut(&server) {
+            limit.refill(now);
+            limit.sharing = sharing;
+            limit.refilled = now;
+        }
+    }
+
+    /// Returns the limit of a server, in requests a second.
+    pub fn rate(&self, server: ShortId) -> Option<f64> {
+        self.by_server.get(&server)?.rate
+    }
+
+    /// Whether no server named a limit of late.
+    pub fn is_empty(&self) -> bool {
+        self.by_server.is_empty()
+    }
+
+    /// Returns the part of the demand that the limit of a server allows; one if it allows all of it. It is a power of two, so that gateways that see somewhat different
+    /// rates agree on most prefixes.
+    pub fn weight(&self, server: ShortId, demand: Demand) -> f64 {
+        match self.rate(server) {
+            Some(rate) if rate < demand.rate => {
+                let exponent = (rate.max(MIN_RATE) / demand.rate).log2().round();
+                exponent.exp2().clamp(MIN_WEIGHT, MAX_LIMITED_WEIGHT)
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// Returns how long to wait until a request may be sent to a server; zero if it may be sent
+    /// now, none if this gateway may send none.
+    pub fn wait(&mut self, server: ShortId, demand: Demand, now: Mono) -> Option<Duration> {
+        match self.by_server.get_mut(&server) {
+            Some(limit) => limit.wait(demand, now),
+            None => Some(Duration::ZERO),
+        }
+    }
+
+    /// Records that a request is sent to a server.
+    pub fn record_sent(&mut self, server: ShortId, now: Mono) {
+        if let Some(limit) = self.by_server.get_mut(&server) {
+            limit.sent.add(1, now);
+            limit.refill(now);
+            limit.tokens -= 1.0;
+        }
+    }
+
+    /// Drops old statements.
+    pub fn expire(&mut self, now: Mono) {
+        self.by_server.retain(|_, limit| {
+            let lifetime = match limit.rate {
+                Some(_) => STATEMENT_LIFETIME,
+                None => END_PUBLISH_TIME,
+            };
+            limit
+                .peers
+                .retain(|_, (_, at)| now.saturating_sub(*at) < COUNT_LIFETIME);
+            now.saturating_sub(limit.stated) < lifetime
+        });
+    }
+}
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -6,6 +6,7 @@
 //! there is still cheaper than waiting at the preferred one; uncached prefix tokens are weighted,
 //! since processing them delays other requests too.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -88,6 +89,10 @@
     pub failure_rate: f64,
     /// Ratio of its times to first event to the pool's.
     pub slowness: f64,
+    /// Whether its limit, if it named one, lets it take the request now.
+    pub within_limit: bool,
+    /// Part of its share of the pool's requests that its limit lets it take; one without a limit.
+    pub weight: f64,
 }
 
 /// The chosen server.
@@ -128,13 +133,34 @@
     }
 }
 
-/// Returns the index of the preferred server of a shared prefix, by rendezvous hashing. When a
-/// server joins or leaves, only the prefixes that it gains or loses change their server.
+/// Returns the index of the preferred server of a shared prefix, by weighted rendezvous hashing. When
+/// a server joins or leaves, or names a limit, only the prefixes that it gains or loses change their
+/// server. If the limit of the preferred server is used up, a server without a limit is returned.
 pub fn preferred_server(shared: ShareKey, candidates: &[Candidate]) -> Option<usize> {
-    (0..candidates.len()).max_by_key(|index| {
-        let short_id = candidates[*index].short_id;
-        (share_key([shared, u64::from(short_id)]), short_id)
-    })
+    let first = highest_ranked(shared, candidates, |_| true)?;
+    if candidates[first].within_limit {
+        return Some(first);
+    }
+    highest_ranked(shared, candidates, |candidate| candidate.weight >= 1.0)
+}
+
+fn highest_ranked(
+    shared: ShareKey,
+    candidates: &[Candidate],
+    is_eligible: impl Fn(&Candidate) -> bool,
+) -> Option<usize> {
+    let eligible = (0..candidates.len()).filter(|index| is_eligible(&candidates[*index]));
+    let ranked = eligible.map(|index| {
+        let Candidate {
+            short_id, weight, ..
+        } = candidates[index];
+        let hash = share_key([shared, u64::from(short_id)]);
+        // The probability to be the highest is proportional to the weight.
+        let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        (weight / -uniform.ln(), short_id, index)
+    });
+    let highest = ranked.max_by(|one, other| one.partial_cmp(other).unwrap_or(Ordering::Equal));
+    highest.map(|(.., index)| index)
 }
 
 /// Picks the server with the lowest cost for a prompt; none if no server has enough memory and a
@@ -149,7 +175,7 @@
     let preferred = preferred_server(prompt.shared, candidates);
     let mut best: Option<(Duration, Choice)> = None;
     for (index, candidate) in candidates.iter().enumerate() {
-        if !fits(prompt, candidate) {
+        if !candidate.within_limit || !fits(prompt, candidate) {
             continue;
         }
         let is_cached =
@@ -185,6 +211,9 @@
 pub fn place_call(candidates: &[Candidate], call_time: Duration) -> Option<Choice> {
     let mut best: Option<(Duration, Choice)> = None;
     for (index, candidate) in candidates.iter().enumerate() {
+        if !candidate.within_limit {
+            continue;
+        }
         let slots = candidate.slots.max(1);
         let ahead = candidate.load.running.saturating_sub(slots - 1);
         let wait = call_time + call_time * ahead / slots;
--- a/crates/fleet/tests/testsuite/main.rs
+++ b/crates/fleet/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod follow;
 mod gossip;
+mod limits;
 mod placement;
 mod poison;
 mod poison_days;
--- a/crates/fleet/tests/testsuite/placement.rs
+++ b/crates/fleet/tests/testsuite/placement.rs
@@ -24,6 +24,8 @@
         same_zone: true,
         failure_rate: 0.0,
         slowness: 1.0,
+        within_limit: true,
+        weight: 1.0,
     };
     (1..=count).map(candidate).collect()
 }
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -72,7 +72,7 @@
 }
 
 /// Decoded head of a server's response.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ResponseInfo {
     /// Id of the request that the response belongs to, if the response names it.
     pub id: Option<CallerRequestId>,
@@ -80,6 +80,8 @@
     pub not_run: bool,
     /// Whether the server signed the response.
     pub signed: bool,
+    /// Requests a second that the server takes from all gateways together, if it names a limit.
+    pub limit: Option<f64>,
 }
 
 /// Translates the heads of requests and responses.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -187,7 +187,7 @@
         error = wait_error(job, guard) => return Err(error.into()),
     };
     guard.record_activity();
-    check_response(job, answer).await
+    check_response(job, guard, answer).await
 }
 
 fn classify_send_error(error: SendError) -> Failure {
@@ -231,7 +231,11 @@
 }
 
 /// Checks that a response belongs to this request and is signed by the server.
-async fn check_response(job: &Job, answer: PooledResponse) -> Result<PooledResponse, Failure> {
+async fn check_response(
+    job: &Job,
+    guard: &PlacementGuard,
+    answer: PooledResponse,
+) -> Result<PooledResponse, Failure> {
     let (head, body) = answer.response.into_parts();
     let info = job.shared.protocol.parse_response(&head);
     let status = head.status;
@@ -243,6 +247,9 @@
             "the answer is to another request",
         ));
     }
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        guard.record_limit(info.limit);
+    }
     if info.not_run {
         // Dropping the body closes the connection; reading it to reuse the connection does not pay.
         let outcome = if status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/gateway/src/guard.rs
+++ b/crates/gateway/src/guard.rs
@@ -39,6 +39,13 @@
         fleet.record_events(&self.request, &mut self.placement, now);
     }
 
+    /// Records the limit that the server names in its response; none if it names none.
+    pub(crate) fn record_limit(&self, rate: Option<f64>) {
+        let now = self.shared.now();
+        let mut fleet = self.shared.fleet.borrow_mut();
+        fleet.record_limit(&self.placement, rate, now);
+    }
+
     /// Records that data has arrived from the server.
     pub(crate) fn record_activity(&self) {
         let now = self.shared.now();
--- a/crates/primrosed/tests/testsuite/server_limits.rs
+++ b/crates/primrosed/tests/testsuite/server_limits.rs
@@ -57,7 +57,12 @@
     let end = Instant::now() + SPAN;
     let (mut served, mut refused) = (0, 0);
     while Instant::now() < end {
-        let prompt = if route == "stream" { PROMPT } else { "" };
+        let prompt = if route == "stream" {
+            // Each shared part prefers a server of its own.
+            PROMPT.replace("5c1e07a2", &format!("{served:x}"))
+        } else {
+            String::new()
+        };
         let headers = format!("{prompt}Connection: close\r\n");
         let (answer, _) = call_stream(fixture.front, &request("POST", route, &headers, "x"));
         if answer.starts_with("HTTP/1.1 200") {
