fleet: Share what limits allow by need, and count all that compete

The probability of admission counts them all now. An account that had less than its fair share of what was sent comes first.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -120,6 +120,16 @@
         totals
     }
 
+    /// Returns the ratio of the tokens of an account that requests `tokens` more to its fair share of
+    /// what was sent to servers, which is less than the configured rate while servers are limited.
+    pub fn granted_ratio(&mut self, account: ShortId, tokens: u64, now: Mono) -> f64 {
+        let totals = self.fleet_sums(now);
+        let asked: Vec<u64> = totals.values().map(|sums| sums.asked).collect();
+        let granted: u64 = totals.values().map(|sums| sums.granted).sum();
+        let used = totals.get(&account).map_or(0, |sums| sums.granted) + tokens;
+        used as f64 / max_min_share(granted, asked).max(1) as f64
+    }
+
     /// Classifies the usage of an account that requests `tokens` more, where all accounts share
     /// `rate` tokens a second.
     pub fn share_usage(
--- a/crates/fleet/src/fleet/admission.rs
+++ b/crates/fleet/src/fleet/admission.rs
@@ -244,7 +244,6 @@
             let pool = catalog.tables().pools.get(&request.pool)?;
             pool.engine.map(|engine| engine.memory)
         });
-        let demand = self.limit_demand(request, now);
         let mut candidates = Vec::new();
         for server in self.servers.iter_mut() {
             let entry = &server.entry;
@@ -272,11 +271,11 @@
                 same_zone: entry.zone == self.config.zone,
                 failure_rate: counts.failure_rate(),
                 slowness: server.slowness.factor(),
-                within_limit: self.limits.wait(server.short_id, demand, now)
-                    == Some(Duration::ZERO),
-                weight: self.limits.weight(server.short_id, demand),
+                within_limit: true,
+                weight: 1.0,
             });
         }
+        self.apply_limits(request, &mut candidates, now);
         candidates
     }
 
--- a/crates/fleet/src/fleet/limits.rs
+++ b/crates/fleet/src/fleet/limits.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use primrose_core::clock::Mono;
+use primrose_core::id::PoolId;
 
 use super::roles::Role;
 use super::roles::RELAY_TIMEOUT;
@@ -14,6 +15,7 @@
 use crate::entry::ShortId;
 use crate::limit::sharers;
 use crate::limit::Demand;
+use crate::limit::ServerLimits;
 use crate::limit::Sharing;
 use crate::place::share_key;
 use crate::place::Candidate;
@@ -21,6 +23,9 @@
 /// Time over which the requests for a pool are counted.
 pub(super) const ARRIVAL_WINDOW: Duration = Duration::from_secs(8);
 
+/// Least and greatest factor for the share that an account had.
+const HANDICAP_RANGE: (f64, f64) = (1.0 / 16.0, 64.0);
+
 impl Fleet {
     /// Records the limit in an answer of a server, in requests a second; none if it named none.
     pub fn record_limit(&mut self, placement: &Placement, rate: Option<f64>, now: Mono) {
@@ -83,23 +88,55 @@
         waits.min().unwrap_or_default()
     }
 
-    /// Returns the demand for each server of the request's pool, if the other gateways get as many
-    /// requests as this one; zero while no server has a limit.
-    pub(super) fn limit_demand(&mut self, request: &PlacementRequest, now: Mono) -> Demand {
+    /// Determines which servers a request may be sent to within their limits.
+    pub(super) fn apply_limits(
+        &mut self,
+        request: &PlacementRequest,
+        candidates: &mut [Candidate],
+        now: Mono,
+    ) {
         if self.limits.is_empty() {
-            return Demand::default();
+            return;
         }
-        let gateways = self.gateway_count();
-        let servers = self.servers.iter();
-        let servers = servers.filter(|server| server.entry.pool == request.pool);
-        let servers = servers.count();
-        let arrivals = self.pool(&request.pool).arrivals.sum(now);
-        let own_rate = arrivals as f64 / ARRIVAL_WINDOW.as_secs_f64();
+        let is_open = |limits: &mut ServerLimits, candidate: &Candidate, demand| {
+            limits.wait(candidate.short_id, demand, now) == Some(Duration::ZERO)
+        };
+        let mut open = 0;
+        for candidate in &*candidates {
+            open += usize::from(is_open(&mut self.limits, candidate, Demand::default()));
+        }
+        let rate = self.request_rate(&request.pool, now);
         let moment = now.as_nanos() as u64;
         let draw = share_key([request.fingerprint, self.config.incarnation, moment]);
-        Demand {
-            rate: own_rate * gateways as f64 / servers.max(1) as f64,
-            draw: draw as f64 / u64::MAX as f64,
+        let draw = draw as f64 / u64::MAX as f64;
+        let demand = Demand {
+            rate: rate / candidates.len().max(1) as f64,
+            competing: rate / open.max(1) as f64,
+            draw: draw * self.limit_handicap(request, now),
+        };
+        for candidate in candidates {
+            candidate.within_limit = is_open(&mut self.limits, candidate, demand);
+            candidate.weight = self.limits.weight(candidate.short_id, demand);
         }
     }
+
+    /// Returns the factor by which a request's account makes its admission less likely: accounts that
+    /// had less than their fair share come first.
+    fn limit_handicap(&mut self, request: &PlacementRequest, now: Mono) -> f64 {
+        let (Some(account), Some(prompt)) = (&request.account, &request.prompt) else {
+            return 1.0;
+        };
+        let ratio = self
+            .demand
+            .granted_ratio(short_id(account), prompt.service(), now);
+        (ratio * ratio).clamp(HANDICAP_RANGE.0, HANDICAP_RANGE.1)
+    }
+
+    /// Returns the number of requests a second for a pool, if the other gateways get as many as this
+    /// one.
+    fn request_rate(&mut self, pool: &PoolId, now: Mono) -> f64 {
+        let gateways = self.gateway_count();
+        let arrivals = self.pool(pool).arrivals.sum(now);
+        arrivals as f64 / ARRIVAL_WINDOW.as_secs_f64() * gateways as f64
+    }
 }
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -63,7 +63,9 @@
 pub struct Demand {
     /// Requests a second of all gateways for each server of the pool.
     pub rate: f64,
-    /// A number of the request that is uniform between zero and one.
+    /// Requests a second for each server whose limit is not used up: all requests compete for these.
+    pub competing: f64,
+    /// A random number for the request between zero and one, times a factor for its account.
     pub draw: f64,
 }
 
@@ -118,7 +120,7 @@
                     self.sent.sum(now) + peers.map(|(sent, _)| u64::from(*sent)).sum::<u64>();
                 let most = (rate * WINDOW.as_secs_f64()).max(1.0);
                 let room = most - sent as f64;
-                let competing = demand.rate * COUNT_DELAY.as_secs_f64();
+                let competing = demand.competing * COUNT_DELAY.as_secs_f64();
                 let is_admitted = room >= 1.0 && demand.draw * competing < room;
                 Some(if is_admitted {
                     Duration::ZERO
