--- a/crates/fleet/tests/testsuite/limits.rs
+++ b/crates/fleet/tests/testsuite/limits.rs
@@ -218,3 +218,48 @@
         );
     }
 }
+
+/// Guards accounts with little demand against one that asks for most of what limits allow.
+#[test]
+fn account_below_its_share_comes_first_when_limits_are_used_up() {
+    let case = Case {
+        name: "one gateway",
+        gateways: 1,
+        rate: 2.5,
+        restarted: None,
+    };
+    let mut fleet = fleet_with_servers(1, LIMITED, None);
+    let mut runs: Vec<Run> = Vec::new();
+    let (mut asked, mut sent) = (0, 0);
+    for now in (STEP..DAY).step_by(STEP as usize) {
+        fleet.expire(ms(now));
+        let (ended, running): (Vec<Run>, Vec<Run>) =
+            runs.into_iter().partition(|run| now >= run.end);
+        runs = running;
+        for run in ended {
+            fleet.record_limit(&run.placement, Some(case.rate), ms(now));
+            fleet.finish_attempt(&run.request, &run.placement, AttemptOutcome::Good, ms(now));
+        }
+        // Forty requests a second of one account, two of the other.
+        let accounts: &[&str] = if now % 500 == 0 {
+            &["large", "large", "small"]
+        } else {
+            &["large", "large"]
+        };
+        for (index, account) in accounts.iter().enumerate() {
+            let request = placement_request(account, prompt(now * 7 + index as u64), ms(now));
+            let counts = *account == "small" && now >= STABLE;
+            asked += usize::from(counts);
+            if let Decision::Send(placement) = fleet.decide(&request, ms(now)) {
+                sent += usize::from(counts);
+                runs.push(Run {
+                    gateway: 0,
+                    request,
+                    placement,
+                    end: now + RUN,
+                });
+            }
+        }
+    }
+    assert!(sent * 2 >= asked, "{sent} of {asked} requests were sent");
+}
