fleet: Release a first part that was quarantined beside the cause; split the module

Where all requests with a bad part share their first part, a gateway that had just started could quarantine both; the rule for bystanders would then have released the more specific one, since its deaths are a part of the other's. The one that survived a run later, or else the less specific, is released now. poison is split into tracker, evidence and reports; limit::Demand is Contention, since demand::Demand is something else.

--- a/crates/fleet/src/fleet/limits.rs
+++ b/crates/fleet/src/fleet/limits.rs
@@ -14,7 +14,7 @@
 use crate::entry::short_id;
 use crate::entry::ShortId;
 use crate::limit::sharers;
-use crate::limit::Demand;
+use crate::limit::Contention;
 use crate::limit::ServerLimits;
 use crate::limit::Sharing;
 use crate::place::share_key;
@@ -82,9 +82,9 @@
     pub(super) fn wait_for_limits(&mut self, candidates: &[Candidate], now: Mono) -> Duration {
         let limits = &mut self.limits;
         // The draw of the request was in vain; its retry has another.
-        let demand = Demand::default();
+        let contention = Contention::default();
         let waits = candidates.iter();
-        let waits = waits.filter_map(|candidate| limits.wait(candidate.short_id, demand, now));
+        let waits = waits.filter_map(|candidate| limits.wait(candidate.short_id, contention, now));
         waits.min().unwrap_or_default()
     }
 
@@ -98,25 +98,25 @@
         if self.limits.is_empty() {
             return;
         }
-        let is_open = |limits: &mut ServerLimits, candidate: &Candidate, demand| {
-            limits.wait(candidate.short_id, demand, now) == Some(Duration::ZERO)
+        let is_open = |limits: &mut ServerLimits, candidate: &Candidate, contention| {
+            limits.wait(candidate.short_id, contention, now) == Some(Duration::ZERO)
         };
         let mut open = 0;
         for candidate in &*candidates {
-            open += usize::from(is_open(&mut self.limits, candidate, Demand::default()));
+            open += usize::from(is_open(&mut self.limits, candidate, Contention::default()));
         }
         let rate = self.request_rate(&request.pool, now);
         let moment = now.as_nanos() as u64;
         let draw = share_key([request.fingerprint, self.config.incarnation, moment]);
         let draw = draw as f64 / u64::MAX as f64;
-        let demand = Demand {
-            rate: rate / candidates.len().max(1) as f64,
-            competing: rate / open.max(1) as f64,
+        let contention = Contention {
+            mean_rate: rate / candidates.len().max(1) as f64,
+            open_rate: rate / open.max(1) as f64,
             draw: draw * self.limit_handicap(request, now),
         };
         for candidate in candidates {
-            candidate.within_limit = is_open(&mut self.limits, candidate, demand);
-            candidate.weight = self.limits.weight(candidate.short_id, demand);
+            candidate.within_limit = is_open(&mut self.limits, candidate, contention);
+            candidate.weight = self.limits.weight(candidate.short_id, contention);
         }
     }
 
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -58,13 +58,13 @@
     pub sent: u32,
 }
 
-/// Demand for a server, as one request sees it.
+/// How many requests compete for the servers of a pool, as one of them sees it.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Demand {
+pub struct Contention {
     /// Requests a second of all gateways for each server of the pool.
-    pub rate: f64,
+    pub mean_rate: f64,
     /// Requests a second for each server whose limit is not used up: all requests compete for these.
-    pub competing: f64,
+    pub open_rate: f64,
     /// A random number for the request between zero and one, times a factor for its account.
     pub draw: f64,
 }
@@ -108,7 +108,7 @@
     }
 
     /// Returns how long to wait until a request may be sent; none if this gateway may send none.
-    fn wait(&mut self, demand: Demand, now: Mono) -> Option<Duration> {
+    fn wait(&mut self, contention: Contention, now: Mono) -> Option<Duration> {
         let Some(rate) = self.rate.map(|rate| rate.max(MIN_RATE)) else {
             return Some(Duration::ZERO);
         };
@@ -120,8 +120,8 @@
                     self.sent.sum(now) + peers.map(|(sent, _)| u64::from(*sent)).sum::<u64>();
                 let most = (rate * WINDOW.as_secs_f64()).max(1.0);
                 let room = most - sent as f64;
-                let competing = demand.competing * COUNT_DELAY.as_secs_f64();
-                let is_admitted = room >= 1.0 && demand.draw * competing < room;
+                let competing = contention.open_rate * COUNT_DELAY.as_secs_f64();
+                let is_admitted = room >= 1.0 && contention.draw * competing < room;
                 Some(if is_admitted {
                     Duration::ZERO
                 } else {
@@ -238,12 +238,12 @@
         self.by_server.is_empty()
     }
 
-    /// Returns the part of the demand that the limit of a server allows; one if it allows all of it. It is a power of two, so that gateways that see somewhat different
+    /// Returns the part of the mean rate that the limit of a server allows; one if it allows all of it. It is a power of two, so that gateways that see somewhat different
     /// rates agree on most prefixes.
-    pub fn weight(&self, server: ShortId, demand: Demand) -> f64 {
+    pub fn weight(&self, server: ShortId, contention: Contention) -> f64 {
         match self.rate(server) {
-            Some(rate) if rate < demand.rate => {
-                let exponent = (rate.max(MIN_RATE) / demand.rate).log2().round();
+            Some(rate) if rate < contention.mean_rate => {
+                let exponent = (rate.max(MIN_RATE) / contention.mean_rate).log2().round();
                 exponent.exp2().clamp(MIN_WEIGHT, MAX_LIMITED_WEIGHT)
             }
             _ => 1.0,
@@ -252,9 +252,9 @@
 
     /// Returns how long to wait until a request may be sent to a server; zero if it may be sent
     /// now, none if this gateway may send none.
-    pub fn wait(&mut self, server: ShortId, demand: Demand, now: Mono) -> Option<Duration> {
+    pub fn wait(&mut self, server: ShortId, contention: Contention, now: Mono) -> Option<Duration> {
         match self.by_server.get_mut(&server) {
-            Some(limit) => limit.wait(demand, now),
+            Some(limit) => limit.wait(contention, now),
             None => Some(Duration::ZERO),
         }
     }
--- a/crates/fleet/src/poison.rs
+++ b/crates/fleet/src/poison/mod.rs
@@ -16,8 +16,15 @@
 //! Deaths that come at once have a common cause such as a failed rack or link, and count as one.
 //! When a quarantine is over, one further death renews it for a longer time.
 
+mod evidence;
+mod report;
+
+pub use report::DeathReport;
+pub use report::PoisonReport;
+pub use report::QuarantineReport;
+
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -29,15 +36,6 @@
 
 /// Time after its first event from which a run is taken to have survived.
 pub const SURVIVAL_TIME: Duration = Duration::from_secs(1);
-/// Deaths after which a part is quarantined.
-const DEATH_THRESHOLD: usize = 3;
-/// The same while as many servers die of something else: the chance that a sound part is at several
-/// of these deaths by coincidence grows with their number.
-const DEATH_THRESHOLD_UNSTABLE: usize = 4;
-/// Time for which deaths of other causes raise the threshold.
-const UNSTABLE_TIME: Duration = Duration::from_secs(60);
-/// Deaths within this time of the first of them count as one.
-const BURST_TIME: Duration = Duration::from_millis(150);
 /// Time from the first death to the quarantine of a part that survived runs before: if it is sound,
 /// runs that begin after that death survive, and other gateways report them.
 const REVIEW_TIME: Duration = Duration::from_secs(2);
@@ -69,41 +67,6 @@
 /// Maximum number of deaths, of survivals and of quarantined parts in a digest.
 const MAX_PUBLISHED: (usize, usize, usize) = (6, 24, 32);
 
-/// A death as gateways publish it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct DeathReport {
-    /// Short id of the server's incarnation.
-    pub server: ShortId,
-    /// Time since the death, in milliseconds.
-    pub age_ms: u32,
-    /// Shared parts of the requests that may have caused it.
-    pub suspects: Vec<PartId>,
-}
-
-/// A quarantine as gateways publish it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct QuarantineReport {
-    /// The part.
-    pub part: PartId,
-    /// Time since the quarantine began, in milliseconds.
-    pub age_ms: u32,
-    /// Time until the quarantine is over, in milliseconds.
-    pub left_ms: u32,
-    /// Number of quarantines of the part, this one included.
-    pub count: u32,
-}
-
-/// What a gateway publishes of deaths and their causes.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct PoisonReport {
-    /// Recent deaths without a known cause.
-    pub deaths: Vec<DeathReport>,
-    /// Suspects with a recent run that survived, and the time since it began, in milliseconds.
-    pub survivals: Vec<(PartId, u32)>,
-    /// Parts in quarantine.
-    pub quarantined: Vec<QuarantineReport>,
-}
-
 /// A server to be probed, since a connection to it broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Probe {
@@ -157,15 +120,6 @@
     }
 }
 
-/// Evidence against one part.
-#[derive(Debug, Default)]
-struct Evidence {
-    /// Times of the deaths that count, in order.
-    deaths: Vec<Mono>,
-    /// Highest position of the part among the suspects of a death.
-    position: usize,
-}
-
 /// Deaths of servers by the prompt parts that may have caused them.
 #[derive(Debug, Default)]
 pub struct PoisonTracker {
@@ -342,22 +296,6 @@
         self.release_bystanders(now);
     }
 
-    /// Ends the quarantines of parts all of whose deaths a part with more deaths explains.
-    fn release_bystanders(&mut self, now: Mono) {
-        let mut deaths: Vec<(PartId, BTreeSet<ShortId>)> = Vec::new();
-        for part in self.quarantines.keys() {
-            let own = self.deaths.iter();
-            let own = own.filter(|(_, death)| death.suspects.contains(part));
-            deaths.push((*part, own.map(|(server, _)| *server).collect()));
-        }
-        for (part, own) in deaths.iter().filter(|(_, own)| !own.is_empty()) {
-            let explains = |cause: &BTreeSet<ShortId>| own.is_subset(cause) && own != cause;
-            if deaths.iter().any(|(_, cause)| explains(cause)) {
-                self.release(*part, now);
-            }
-        }
-    }
-
     /// Returns what to publish.
     pub fn report(&self, now: Mono) -> PoisonReport {
         let age_ms = |at: Mono| whole_millis(now.saturating_sub(at));
@@ -365,7 +303,7 @@
             !self.is_explained(death) && now.saturating_sub(death.at) < PUBLISH_TIME
         });
         let mut deaths: Vec<(&ShortId, &Death)> = unexplained.collect();
-        deaths.sort_by_key(|(_, death)| std::cmp::Reverse(death.at));
+        deaths.sort_by_key(|(_, death)| Reverse(death.at));
         deaths.truncate(MAX_PUBLISHED.0);
         let evidence = if deaths.is_empty() {
             BTreeMap::new()
@@ -386,7 +324,7 @@
         survivals.truncate(MAX_PUBLISHED.1);
         let mut active: Vec<_> = self.quarantines.iter().collect();
         active.retain(|(_, quarantine)| quarantine.until > now);
-        active.sort_by_key(|(_, quarantine)| std::cmp::Reverse(quarantine.since));
+        active.sort_by_key(|(_, quarantine)| Reverse(quarantine.since));
         active.truncate(MAX_PUBLISHED.2);
         let deaths = deaths.into_iter().map(|(server, death)| DeathReport {
             server: *server,
@@ -447,101 +385,6 @@
             }
         }
     }
-
-    /// Returns the strongest suspects of a death.
-    fn rank_suspects(
-        &self,
-        mut suspects: Vec<PartId>,
-        most: usize,
-        evidence: &BTreeMap<PartId, Evidence>,
-    ) -> Vec<PartId> {
-        let deaths_of = |part: &PartId| evidence.get(part).map_or(0, |found| found.deaths.len());
-        if suspects.len() > most {
-            suspects
-                .sort_by_key(|part| (std::cmp::Reverse(deaths_of(part)), self.survivals.get(part)));
-            suspects.truncate(most);
-        }
-        suspects
-    }
-
-    /// Whether a part that was in quarantine at the time, or was quarantined for it, caused a death.
-    fn is_explained(&self, death: &Death) -> bool {
-        let mut causes = death
-            .suspects
-            .iter()
-            .filter_map(|part| self.quarantines.get(part));
-        causes.any(|quarantine| death.at <= quarantine.until)
-    }
-
-    fn evidence(&self) -> BTreeMap<PartId, Evidence> {
-        let mut deaths: Vec<&Death> = self.deaths.values().collect();
-        deaths.retain(|death| !self.is_explained(death));
-        deaths.sort_by_key(|death| death.at);
-        let mut evidence: BTreeMap<PartId, Evidence> = BTreeMap::new();
-        for death in deaths {
-            for (position, part) in death.suspects.iter().enumerate() {
-                let survived = self.survivals.get(part);
-                if survived.is_some_and(|began| *began >= death.at) {
-                    continue;
-                }
-                let against = evidence.entry(*part).or_default();
-                against.deaths.push(death.at);
-                against.position = against.position.max(position);
-            }
-        }
-        evidence
-    }
-
-    /// Returns the part with the strongest evidence if that is enough for a quarantine, and the
-    /// number of deaths. Parts with weaker evidence wait for a decision on it, which may explain
-    /// their deaths.
-    fn strongest_suspect(&self, now: Mono) -> Option<(PartId, usize)> {
-        let evidence = self.evidence();
-        let suspects = evidence.iter();
-        let suspects = suspects.filter(|(part, against)| self.is_enough(**part, against, now));
-        let strongest = suspects.max_by_key(|(part, against)| {
-            let survived = self.survivals.get(part).copied();
-            (
-                burst_count(&against.deaths),
-                std::cmp::Reverse(survived),
-                against.position,
-            )
-        });
-        let (part, against) = strongest?;
-        let first = against.deaths.first()?;
-        let is_reviewed = now.saturating_sub(*first) >= REVIEW_TIME;
-        let is_decided = is_reviewed || !self.survivals.contains_key(part);
-        is_decided.then_some((*part, against.deaths.len()))
-    }
-
-    fn is_enough(&self, part: PartId, against: &Evidence, now: Mono) -> bool {
-        let others = self.deaths.values().filter(|death| {
-            !death.suspects.contains(&part)
-                && !self.is_explained(death)
-                && now.saturating_sub(death.at) < UNSTABLE_TIME
-        });
-        let threshold = if self.quarantines.contains_key(&part) {
-            1
-        } else if others.count() < DEATH_THRESHOLD {
-            DEATH_THRESHOLD
-        } else {
-            DEATH_THRESHOLD_UNSTABLE
-        };
-        burst_count(&against.deaths) >= threshold
-    }
-}
-
-/// Counts deaths in time order; those that come at once count as one.
-fn burst_count(deaths: &[Mono]) -> usize {
-    let mut bursts = 0;
-    let mut burst_end = None;
-    for at in deaths {
-        if burst_end.is_none_or(|end| *at >= end) {
-            bursts += 1;
-            burst_end = Some(*at + BURST_TIME);
-        }
-    }
-    bursts
 }
 
 /// Adds parts to the suspects of a death; returns whether one of them was new.
--- a/crates/fleet/tests/testsuite/poison.rs
+++ b/crates/fleet/tests/testsuite/poison.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use primrose_fleet::place::PartId;
+use primrose_fleet::poison::QuarantineReport;
 use primrose_fleet::AttemptOutcome;
 use primrose_fleet::Decision;
 use primrose_fleet::Fleet;
@@ -309,3 +310,32 @@
     let decision = world.gateways[1].decide(&request, ms(world.now));
     assert!(matches!(decision, Decision::Refuse(_)));
 }
+
+/// Guards sound requests that share the first part of all requests with a bad part: at a gateway that
+/// has just started, both parts have the same deaths.
+#[test]
+fn first_part_that_was_quarantined_beside_the_cause_is_released() {
+    let mut world = World::new(2);
+    world.run(1, &[COMMON, 1]);
+    world.pass(300);
+    world.break_requests(0, &[&[COMMON, 2]], true);
+    for _ in 0..3 {
+        world.pass(300);
+        world.break_requests(0, &[&[COMMON, BAD]], true);
+    }
+    let now = ms(world.now);
+    for part in [COMMON, BAD] {
+        let quarantine = QuarantineReport {
+            part,
+            age_ms: 0,
+            left_ms: 60_000,
+            count: 1,
+        };
+        world.gateways[0].adopt_quarantine(quarantine, now);
+    }
+    world.pass(300);
+    for gateway in 0..2 {
+        assert!(world.is_refused(gateway, &[COMMON, BAD]));
+        assert!(!world.is_refused(gateway, &[COMMON, 1]));
+    }
+}
