--- a/crates/fleet/tests/testsuite/build.rs
+++ b/crates/fleet/tests/testsuite/build.rs
@@ -15,6 +15,7 @@
 use primrose_fleet::catalog::Route;
 use primrose_fleet::catalog::Tables;
 use primrose_fleet::catalog::Target;
+use primrose_fleet::digest::Digest;
 use primrose_fleet::entry::ServerEntry;
 use primrose_fleet::place::Prompt;
 use primrose_fleet::Fleet;
@@ -141,3 +142,23 @@
         tried: Vec::new(),
     }
 }
+
+/// Lets each gateway send its digests; gateway `n` of the slice is on host `n + 1`.
+pub(crate) fn exchange_digests(gateways: &mut [Fleet], now: u64) {
+    for from in 0..gateways.len() {
+        gateways[from].expire(ms(now));
+        // A new gateway knows the others by their seeds.
+        for to in (0..gateways.len()).filter(|to| *to != from) {
+            gateways[from].add_contact(ip(to as u8 + 1), ms(now));
+        }
+        for out in gateways[from].outgoing(ms(now)) {
+            let bytes = out.digest.encode().expect("a digest");
+            for (to, gateway) in gateways.iter_mut().enumerate() {
+                if to != from && out.receivers.contains(&ip(to as u8 + 1)) {
+                    let digest = Digest::decode(&bytes).expect("the same digest");
+                    gateway.merge(digest, ip(from as u8 + 1), ms(now));
+                }
+            }
+        }
+    }
+}
--- a/crates/fleet/tests/testsuite/limits.rs
+++ b/crates/fleet/tests/testsuite/limits.rs
@@ -1,6 +1,5 @@
 //! The limits that servers name hold over all gateways, and servers get most of what they allow.
 
-use primrose_fleet::digest::Digest;
 use primrose_fleet::AttemptOutcome;
 use primrose_fleet::Decision;
 use primrose_fleet::Fleet;
@@ -8,8 +7,8 @@
 use primrose_fleet::PlacementRequest;
 use primrose_fleet::RefusalReason;
 
+use crate::build::exchange_digests;
 use crate::build::fleet_with_servers;
-use crate::build::ip;
 use crate::build::ms;
 use crate::build::placement_request;
 use crate::build::prompt;
@@ -109,25 +108,6 @@
     day
 }
 
-fn exchange_digests(gateways: &mut [Fleet], now: u64) {
-    for from in 0..gateways.len() {
-        gateways[from].expire(ms(now));
-        // A new gateway knows the others by their seeds.
-        for to in (0..gateways.len()).filter(|to| *to != from) {
-            gateways[from].add_contact(ip(to as u8 + 1), ms(now));
-        }
-        for out in gateways[from].outgoing(ms(now)) {
-            let bytes = out.digest.encode().expect("a digest");
-            for (to, gateway) in gateways.iter_mut().enumerate() {
-                if to != from && out.receivers.contains(&ip(to as u8 + 1)) {
-                    let digest = Digest::decode(&bytes).expect("the same digest");
-                    gateway.merge(digest, ip(from as u8 + 1), ms(now));
-                }
-            }
-        }
-    }
-}
-
 /// Returns the most requests that one limited server got in a span.
 fn most_in_span(day: &Day) -> usize {
     let mut most = 0;
--- a/crates/fleet/tests/testsuite/poison.rs
+++ b/crates/fleet/tests/testsuite/poison.rs
@@ -12,8 +12,8 @@
 use primrose_fleet::PlacementRequest;
 use primrose_fleet::RefusalReason;
 
+use crate::build::exchange_digests;
 use crate::build::fleet_with_servers;
-use crate::build::ip;
 use crate::build::ms;
 use crate::build::placement_request;
 use crate::build::prompt;
@@ -107,24 +107,11 @@
         }
     }
 
-    fn exchange_digests(&mut self) {
-        let now = ms(self.now);
-        for from in 0..self.gateways.len() {
-            self.gateways[from].expire(now);
-            let digest = self.gateways[from].digest(now);
-            let bytes = digest.encode().expect("a digest");
-            for to in (0..self.gateways.len()).filter(|to| *to != from) {
-                let digest = primrose_fleet::digest::Digest::decode(&bytes).expect("the same");
-                self.gateways[to].merge(digest, ip(from as u8 + 1), now);
-            }
-        }
-    }
-
     /// Lets time pass, with an exchange of digests every 100 ms.
     fn pass(&mut self, millis: u64) {
         for _ in 0..millis / 100 {
             self.now += 100;
-            self.exchange_digests();
+            exchange_digests(&mut self.gateways, self.now);
         }
     }
 }
@@ -339,3 +326,20 @@
         assert!(!world.is_refused(gateway, &[COMMON, 1]));
     }
 }
+
+/// Guards against deaths that relays do not pass on.
+#[test]
+fn part_is_quarantined_in_a_large_fleet_with_relays() {
+    let mut world = World::new(24);
+    world.pass(3_000);
+    assert!(world.gateways.iter().any(Fleet::is_relay));
+    for gateway in [5, 11, 17] {
+        world.break_requests(gateway, &[&[COMMON, BAD]], true);
+        world.pass(300);
+    }
+    world.pass(1_500);
+    for gateway in 0..24 {
+        assert!(world.is_refused(gateway, &[COMMON, BAD]), "{gateway}");
+        assert!(!world.is_refused(gateway, &[COMMON, 1]), "{gateway}");
+    }
+}
