fleet: Name the bounds of digests and limits one by one

Pairs and triples of numbers as constants said nothing at their use; two comments did not say what they meant. No change of behaviour; the poison tests of the fleet crate and clippy passed.

--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -109,7 +109,8 @@
     pub queued_tokens: u64,
     /// Time at which the server was chosen.
     pub started: Mono,
-    /// Whether the response tells its intended end from the end of its connection.
+    /// Whether the response states its length or is sent in chunks. Otherwise it ends with its
+    /// connection, as it also would if the server crashed.
     pub end_certain: bool,
     pool: PoolId,
     first_event_at: Option<Mono>,
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -31,8 +31,10 @@
 const COUNT_DELAY: Duration = Duration::from_millis(200);
 /// Time for which the count of another gateway is used after its last digest.
 const COUNT_LIFETIME: Duration = Duration::from_secs(2);
-/// Gateways that share a limit: this many, and so many for each request a second.
-const SHARERS: (f64, f64) = (4.0, 2.0);
+/// Number of gateways that share a limit near zero.
+const MIN_SHARERS: f64 = 4.0;
+/// Further gateways that share a limit, for each request a second.
+const SHARERS_PER_RATE: f64 = 2.0;
 /// Least and greatest weight of a server whose limit is below the mean rate.
 const MIN_WEIGHT: f64 = 1.0 / 16.0;
 const MAX_LIMITED_WEIGHT: f64 = 0.5;
@@ -161,7 +163,7 @@
 /// Returns the number of gateways that share a limit.
 pub fn sharers(rate: f64) -> usize {
     // The bursts of all sharers stay below what servers tolerate beyond their limit.
-    (SHARERS.0 + SHARERS.1 * rate.max(MIN_RATE)) as usize
+    (MIN_SHARERS + SHARERS_PER_RATE * rate.max(MIN_RATE)) as usize
 }
 
 impl ServerLimits {
--- a/crates/fleet/src/poison/mod.rs
+++ b/crates/fleet/src/poison/mod.rs
@@ -47,9 +47,9 @@
 const DEATH_LIFETIME: Duration = Duration::from_secs(600);
 /// Maximum number of deaths that are remembered; the newest are preferred.
 const MAX_DEATHS: usize = 256;
-/// Maximum number of suspects of one death, and of those that are published; those of other deaths,
-/// and then those without a recent survival, are preferred.
-const MAX_SUSPECTS: (usize, usize) = (128, 20);
+/// Maximum number of suspects of one death; those of other deaths, and then those without a recent
+/// survival, are preferred.
+const MAX_SUSPECTS: usize = 128;
 /// Time within which a death has to be confirmed after a connection broke.
 const BREAK_LIFETIME: Duration = Duration::from_secs(10);
 /// Time after a reported death from which data of the server shows that it is alive. Earlier data
@@ -64,8 +64,14 @@
 const MAX_QUARANTINE: Duration = Duration::from_secs(24 * 3_600);
 /// Time for which a death is published.
 const PUBLISH_TIME: Duration = Duration::from_secs(5);
-/// Maximum number of deaths, of survivals and of quarantined parts in a digest.
-const MAX_PUBLISHED: (usize, usize, usize) = (6, 24, 32);
+/// Maximum number of deaths in a digest; the newest are preferred.
+const MAX_PUBLISHED_DEATHS: usize = 6;
+/// Maximum number of suspects of one death in a digest.
+const MAX_PUBLISHED_SUSPECTS: usize = 20;
+/// Maximum number of survivals in a digest; the newest are preferred.
+const MAX_PUBLISHED_SURVIVALS: usize = 24;
+/// Maximum number of quarantined parts in a digest; the newest are preferred.
+const MAX_PUBLISHED_QUARANTINES: usize = 32;
 
 /// A server to be probed, since a connection to it broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -304,7 +310,7 @@
         });
         let mut deaths: Vec<(&ShortId, &Death)> = unexplained.collect();
         deaths.sort_by_key(|(_, death)| Reverse(death.at));
-        deaths.truncate(MAX_PUBLISHED.0);
+        deaths.truncate(MAX_PUBLISHED_DEATHS);
         let evidence = if deaths.is_empty() {
             BTreeMap::new()
         } else {
@@ -321,15 +327,15 @@
             }
         }
         survivals.sort_by_key(|(_, age)| *age);
-        survivals.truncate(MAX_PUBLISHED.1);
+        survivals.truncate(MAX_PUBLISHED_SURVIVALS);
         let mut active: Vec<_> = self.quarantines.iter().collect();
         active.retain(|(_, quarantine)| quarantine.until > now);
         active.sort_by_key(|(_, quarantine)| Reverse(quarantine.since));
-        active.truncate(MAX_PUBLISHED.2);
+        active.truncate(MAX_PUBLISHED_QUARANTINES);
         let deaths = deaths.into_iter().map(|(server, death)| DeathReport {
             server: *server,
             age_ms: age_ms(death.at),
-            suspects: self.rank_suspects(death.suspects.clone(), MAX_SUSPECTS.1, &evidence),
+            suspects: self.rank_suspects(death.suspects.clone(), MAX_PUBLISHED_SUSPECTS, &evidence),
         });
         let quarantined = active
             .into_iter()
@@ -371,9 +377,9 @@
             return;
         }
         self.review_until = now + REVIEW_TIME * 2;
-        if death.suspects.len() > MAX_SUSPECTS.0 {
+        if death.suspects.len() > MAX_SUSPECTS {
             let suspects = std::mem::take(&mut death.suspects);
-            let kept = self.rank_suspects(suspects, MAX_SUSPECTS.0, &self.evidence());
+            let kept = self.rank_suspects(suspects, MAX_SUSPECTS, &self.evidence());
             if let Some(death) = self.deaths.get_mut(&server) {
                 death.suspects = kept;
             }
--- a/crates/primrosed/tests/testsuite/server_limits.rs
+++ b/crates/primrosed/tests/testsuite/server_limits.rs
@@ -126,7 +126,7 @@
     }
     assert!(refused > 0, "nothing was refused");
     is_limited.store(false, Ordering::SeqCst);
-    // The next request to each of them tells the gateway.
+    // Each server's next answer names no limit any more.
     send_for_span(&fixture, "again");
     let (_, refused) = send_for_span(&fixture, "again");
     assert_eq!(refused, 0, "refused though no server names a limit");
