gateway: Tell the eras of the platform's store apart

The store may come back from a copy some seconds old. What was written since is lost, and its revisions and leases are given out again; the header Store-Era then rises. Gateways kept three things from before:

- The revision from which a list is watched.
A gateway that reached the store again only after revisions had grown past it was not refused, and missed every change below it for good: tables and servers.
- The version of the list of servers, by which gateways compare what they know.
A gateway renewed it for up to eight seconds though it was gone, slept as long again after the 404, and if its id had been given to another gateway, it ended that one's lease when it stopped.

The client of the store now orders versions by era first, and refuses to watch from one of another era: the whole list is read again. Whichever call learns of the new era wakes the watches and the registration. A lease belongs to its era; it is neither renewed nor ended in another one. A restore counts as the end of an outage, so that servers that were not in the copy stay usable for the time they need to register again. The log names restores (store_restored).

Tests: store_restored, with the simulated store that can now be restored. Before, "revisions grow before the next call" and "cut off until revisions have grown" never saw the change, and the gateway never registered again.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -25,11 +25,24 @@
 pub type CallerRequestId = String;
 /// Id of an event within a stream.
 pub type EventId = u64;
-/// Revision of the platform's store; grows with each change.
+/// Number of the store's history. It grows when the store is restored from an older copy: what was
+/// written since the copy is lost, and its revisions and leases are given out again.
+pub type Era = u64;
+/// Place in the store's changes, ordered by era and then by revision. Values are made by the
+/// implementation of [`Platform`] and opaque to others.
 pub type Version = u64;
 /// Id of a lease at the platform.
 pub type LeaseId = u64;
 
+/// A lease of this gateway at the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lease {
+    /// Its id, which another lease may have in another era.
+    pub id: LeaseId,
+    /// Era in which it was taken.
+    pub era: Option<Era>,
+}
+
 /// A boxed future that runs on the thread that created it.
 pub type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
 
@@ -188,7 +201,10 @@
     /// The store no longer keeps the requested changes; the list has to be read anew.
     #[snafu(display("the platform no longer has the requested changes"))]
     Compacted,
-    /// The lease has expired or was revoked.
+    /// The store was restored from an older copy; what was read before may not be in it.
+    #[snafu(display("the platform's store was restored from an older copy"))]
+    Restored,
+    /// The lease has expired, was revoked or is of an earlier era.
     #[snafu(display("the lease has ended"))]
     LeaseEnded,
 }
@@ -198,7 +214,14 @@
     /// Reads all entries of a feed.
     fn list(&self, feed: Feed) -> LocalFuture<'_, Result<Batch, PlatformError>>;
 
-    /// Returns the changes after a revision; waits for one for at most `wait`.
+    /// Returns the newest era that the store has named; none if it has named none.
+    fn era(&self) -> Option<Era>;
+
+    /// Waits until the newest era is another one, and returns it.
+    fn era_change(&self, known: Option<Era>) -> LocalFuture<'_, Option<Era>>;
+
+    /// Returns the changes after a version; waits for one for at most `wait`. Fails with
+    /// [`PlatformError::Restored`] if the store is in another era.
     fn watch(
         &self,
         feed: Feed,
@@ -207,10 +230,10 @@
     ) -> LocalFuture<'_, Result<Batch, PlatformError>>;
 
     /// Adds this gateway to the list of gateways, under a new lease of length `ttl`.
-    fn register(&self, ttl: Duration) -> LocalFuture<'_, Result<LeaseId, PlatformError>>;
+    fn register(&self, ttl: Duration) -> LocalFuture<'_, Result<Lease, PlatformError>>;
 
     /// Renews a lease.
-    fn renew(&self, lease: LeaseId) -> LocalFuture<'_, Result<(), PlatformError>>;
+    fn renew(&self, lease: Lease) -> LocalFuture<'_, Result<(), PlatformError>>;
 
     /// Writes the quarantine of a prompt part, or removes it if there is none.
     fn write_quarantine(
@@ -220,5 +243,5 @@
     ) -> LocalFuture<'_, Result<(), PlatformError>>;
 
     /// Revokes a lease, which removes this gateway from the list.
-    fn deregister(&self, lease: LeaseId) -> LocalFuture<'_, Result<(), PlatformError>>;
+    fn deregister(&self, lease: Lease) -> LocalFuture<'_, Result<(), PlatformError>>;
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -59,6 +59,13 @@
         /// How long it was lost, in milliseconds.
         lost_ms: u64,
     },
+    /// The platform's store was restored from an older copy.
+    StoreRestored {
+        /// The feed whose list is read anew.
+        feed: String,
+        /// Era of the store.
+        era: u64,
+    },
     /// New tables are in force.
     TablesInForce {
         /// Generation of the new tables.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -3,6 +3,7 @@
 //! Each list is read once as a whole and then watched for changes. In large fleets, only followers
 //! watch tables and servers; see [`primrose_fleet::Fleet::is_follower`].
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 
 use crate::adapter::Batch;
 use crate::adapter::Feed;
+use crate::adapter::Lease;
 use crate::adapter::LocalFuture;
 use crate::adapter::PlatformError;
 use crate::adapter::PlatformEvent;
@@ -54,10 +56,16 @@
 const LEASE_TTL: Duration = Duration::from_secs(90);
 /// Interval between renewals of the lease, in small fleets and at most.
 const RENEW_INTERVAL: (Duration, Duration) = (Duration::from_secs(8), Duration::from_secs(30));
+/// Time within which the gateways register again after a restore of the store, for each gateway: the
+/// store limits the number of writes a second.
+const REGISTER_SPREAD: Duration = Duration::from_millis(10);
 /// Number of gateways up to which [`GATEWAY_LIST_INTERVAL`] and the first [`RENEW_INTERVAL`] apply;
 /// larger fleets scale them up.
 const UNSCALED_GATEWAYS: u32 = 8;
 
+/// The lease under which this gateway is registered, if it is.
+pub(crate) type LeaseCell = Rc<Cell<Option<Lease>>>;
+
 /// Progress of reading one feed.
 struct FeedState {
     feed: Feed,
@@ -95,7 +103,10 @@
                     tokio::time::sleep(pause_after_change(&shared, feed)).await;
                 }
             }
-            Err(PlatformError::Compacted) => {
+            Err(error @ (PlatformError::Compacted | PlatformError::Restored)) => {
+                if matches!(error, PlatformError::Restored) {
+                    record_restore(&shared, feed);
+                }
                 state.last_version = None;
                 // The pause bounds the calls to a store that discards its changes again at once.
                 tokio::time::sleep(retry_pause(0)).await;
@@ -207,6 +218,20 @@
     });
 }
 
+/// Records that the store was restored from an older copy. Servers that started after the copy are
+/// not listed until they register again.
+fn record_restore(shared: &Shared, feed: Feed) {
+    if feed == Feed::Servers {
+        let now = shared.now();
+        shared.fleet.borrow_mut().record_outage_end(now);
+    }
+    metrics::counter!("platform_restores", "feed" => feed.to_string()).increment(1);
+    shared.log.event(&Event::StoreRestored {
+        feed: feed.to_string(),
+        era: shared.platform.era().unwrap_or_default(),
+    });
+}
+
 fn apply_batch(shared: &Shared, feed: Feed, batch: Batch, is_full_list: bool) {
     let now = shared.now();
     let mut changed = false;
@@ -267,14 +292,21 @@
 }
 
 /// Keeps this gateway registered and reads the list of gateways, until the process ends.
-pub(crate) async fn keep_registered(shared: Rc<Shared>, lease: Rc<std::cell::Cell<Option<u64>>>) {
+pub(crate) async fn keep_registered(shared: Rc<Shared>, lease: LeaseCell) {
     let mut failures = 0;
     let mut last_listed: Option<Mono> = None;
     loop {
         match renew_registration(&shared, &lease, &mut last_listed).await {
             Ok(()) => {
                 failures = 0;
-                tokio::time::sleep(renew_interval(&shared)).await;
+                let era = lease.get().and_then(|lease| lease.era);
+                tokio::select! {
+                    () = tokio::time::sleep(renew_interval(&shared)) => {}
+                    _ = shared.platform.era_change(era) => {
+                        let spread = REGISTER_SPREAD * gateway_count(&shared);
+                        tokio::time::sleep(spread.mul_f64(rand::random())).await;
+                    }
+                }
             }
             Err(error) => {
                 failures += 1;
@@ -294,18 +326,19 @@
 
 async fn renew_registration(
     shared: &Shared,
-    lease: &std::cell::Cell<Option<u64>>,
+    lease: &LeaseCell,
     last_listed: &mut Option<Mono>,
 ) -> Result<(), PlatformError> {
     let platform = &shared.platform;
-    match lease.get() {
-        Some(lease_id) => match with_timeout(RESPONSE_MARGIN, platform.renew(lease_id)).await {
+    if let Some(current) = lease.get() {
+        match with_timeout(RESPONSE_MARGIN, platform.renew(current)).await {
             Err(PlatformError::LeaseEnded) => lease.set(None),
             other => other?,
-        },
-        None => lease.set(Some(
-            with_timeout(RESPONSE_MARGIN, platform.register(LEASE_TTL)).await?,
-        )),
+        }
+    }
+    if lease.get().is_none() {
+        let registered = with_timeout(RESPONSE_MARGIN, platform.register(LEASE_TTL)).await?;
+        lease.set(Some(registered));
     }
     let now = shared.now();
     let interval =
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -33,6 +33,7 @@
 use crate::control::ListenerRole;
 use crate::event::Event;
 use crate::feed;
+use crate::feed::LeaseCell;
 use crate::gossip;
 use crate::ingress;
 use crate::log::Log;
@@ -182,7 +183,7 @@
     let hangups = signal(SignalKind::hangup()).context(RuntimeSnafu)?;
     let listeners = Listeners::open(&config).await?;
     let grace = config.grace;
-    let lease = Rc::new(Cell::new(None));
+    let lease = LeaseCell::default();
     let shared = start(config, listeners, hangups, &lease)?;
     tokio::select! {
         _ = stop.recv() => {}
@@ -204,7 +205,7 @@
     config: Config,
     listeners: Listeners,
     hangups: Signal,
-    lease: &Rc<Cell<Option<u64>>>,
+    lease: &LeaseCell,
 ) -> Result<Rc<Shared>, StartError> {
     let clock = config.clock;
     let incarnation = config.fleet.incarnation;
--- a/crates/primrosed/tests/testsuite/main.rs
+++ b/crates/primrosed/tests/testsuite/main.rs
@@ -10,3 +10,4 @@
 mod settings;
 mod soak;
 mod store_faults;
+mod store_restored;
