gateway: Write quarantines again that a restore of the store has lost

A gateway writes a quarantine of a prompt part once, when it decides on it; all gateways read them when they start. After a restore of the store from a copy from before, the quarantine was in the gateways alone: restarted together, they would have let the part crash servers again. A release that was lost brought the quarantine back in the same way.

Gateways that write for the others repeat both when the era of the store changes.

--- a/crates/fleet/src/fleet/poison.rs
+++ b/crates/fleet/src/fleet/poison.rs
@@ -44,6 +44,11 @@
         self.poison.refused_for(&[part], now).is_some()
     }
 
+    /// Returns the quarantines in force, and the parts that were released lately.
+    pub fn quarantine_states(&self, now: Mono) -> (Vec<QuarantineReport>, Vec<PartId>) {
+        self.poison.states(now)
+    }
+
     /// Returns the number of prompt parts in quarantine.
     pub fn quarantined_count(&self, now: Mono) -> usize {
         self.poison.quarantined_count(now)
--- a/crates/fleet/src/poison/mod.rs
+++ b/crates/fleet/src/poison/mod.rs
@@ -231,6 +231,15 @@
         active.filter(|quarantine| quarantine.until > now).count()
     }
 
+    /// Returns the quarantines in force, and the parts that were released lately.
+    pub fn states(&self, now: Mono) -> (Vec<QuarantineReport>, Vec<PartId>) {
+        let active = self.quarantines.iter();
+        let active = active.filter(|(_, quarantine)| quarantine.until > now);
+        let reports = active.map(|(part, quarantine)| quarantine.report(*part, now));
+        let released = self.released.keys().copied();
+        (reports.collect(), released.collect())
+    }
+
     /// Returns the quarantines that began or were ended as wrong since the last call.
     pub fn take_changes(&mut self) -> Vec<QuarantineChange> {
         std::mem::take(&mut self.changes)
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,7 +1,8 @@
 //! Logs quarantines of prompt parts, and keeps them in the platform's store.
 //!
 //! Gateways tell one another of quarantines, but may all be restarted at once. The gateway that
-//! decides on a quarantine writes it to the store, and each gateway reads them when it starts.
+//! decides on a quarantine writes it to the store, and each gateway reads them when it starts. When
+//! the store was restored from an older copy, they are written again.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -68,6 +69,26 @@
     Ok(())
 }
 
+/// Repeats the writes to the store that a restore from an older copy may have undone.
+pub(crate) async fn write_after_restores(shared: Rc<Shared>) {
+    let mut era = shared.platform.era_change(None).await;
+    loop {
+        era = shared.platform.era_change(era).await;
+        if !shared.is_follower() {
+            continue;
+        }
+        let now = shared.now();
+        let (active, released) = shared.fleet.borrow().quarantine_states(now);
+        for quarantine in active {
+            let stored = to_stored(&shared, quarantine);
+            spawn_local(write(Rc::clone(&shared), stored.part, Some(stored)));
+        }
+        for part in released {
+            spawn_local(write(Rc::clone(&shared), part, None));
+        }
+    }
+}
+
 /// Logs the changes of quarantines since the last call, and writes those to the store that this
 /// gateway decided on.
 pub(crate) fn report_changes(shared: &Rc<Shared>) {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -255,6 +255,7 @@
     spawn_local(feed::follow(handle(), Feed::Tables));
     spawn_local(feed::follow(handle(), Feed::Servers));
     spawn_local(quarantine::load(handle()));
+    spawn_local(quarantine::write_after_restores(handle()));
     spawn_local(feed::keep_registered(handle(), Rc::clone(lease)));
     spawn_local(gossip::publish_digests(handle(), Rc::clone(&digests), port));
     spawn_local(gossip::receive_digests(handle(), digests));
--- a/crates/primrosed/tests/testsuite/store_restored.rs
+++ b/crates/primrosed/tests/testsuite/store_restored.rs
@@ -3,12 +3,15 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use primrose_soak::plan::StoreFault;
 use primrose_soak::store::Store;
 use serde_json::json;
 use serde_json::Value;
 
+use crate::gateway_fixture::call;
 use crate::gateway_fixture::config;
 use crate::gateway_fixture::reply;
 use crate::gateway_fixture::signed_headers_for;
@@ -23,6 +26,8 @@
 const OTHER_ENTRY: &str = "primrosehall/gateways/front-b-1";
 /// Length of the leases of the other gateway, longer than a test takes.
 const LEASE_TTL: Duration = Duration::from_secs(90);
+/// A quarantine that is in the store when the gateway starts.
+const QUARANTINE: &str = "primrosehall/quarantines/5c1e07a2";
 
 fn start_gateway() -> GatewayFixture {
     let server =
@@ -133,3 +138,23 @@
     assert!(store.value(OTHER_ENTRY).is_some(), "its lease was ended");
     assert!(store.value(OWN_ENTRY).is_none(), "its own lease goes on");
 }
+
+/// Guards against parts that crash servers again after all gateways were restarted.
+#[test]
+fn quarantine_that_a_restore_lost_is_written_again() {
+    let fixture = GatewayFixture::start_empty();
+    let copy = fixture.store.copy();
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+    let wall_ms = wall.expect("a time after 1970").as_millis();
+    let value = json!({ "sinceMs": wall_ms, "untilMs": wall_ms + 600_000, "count": 1 });
+    fixture.store.put(QUARANTINE, &value);
+    // Quarantines are read a second time some seconds after the start.
+    fixture.wait_until("adopted the quarantine", || {
+        let (_, page) = call(fixture.control, "GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n");
+        String::from_utf8_lossy(&page).contains("parts_quarantined 1")
+    });
+    fixture.store.restore(&copy);
+    fixture.wait_until("wrote the quarantine again", || {
+        fixture.store.value(QUARANTINE).is_some()
+    });
+}
