claim: Keep fresh claims after a restore of the service

The sweeper takes a claim for old if its version is at or below one that the service had reached hours ago. After a restore from an old copy versions start lower, so fresh claims looked old and were removed; a resent order would have run twice. Sweeper::reset was made for this, but nothing called it, and a lower version was ignored as that of an older entry.

A write of the sweeper's own that gets a lower version than one before now discards the checkpoints, and the sweeper writes before each removal. Ruled out: a service that has grown past its old version between two writes. The copy is then younger than the last write, and ages are wrong by minutes of six hours at most.

Test: claims_made_after_a_restore_are_kept (one claim removed before, none now). Found by reading; no report of callers.

--- a/crates/claim/src/sweep.rs
+++ b/crates/claim/src/sweep.rs
@@ -9,6 +9,10 @@
 //! router with the longest uptime should sweep. Two sweepers at once do no harm, because each
 //! removal is conditional on a version.
 //!
+//! A service that was restored from an old copy gives out versions again, so that a fresh record
+//! may have an old version. A sweeper writes to the service before it removes records: if the
+//! version of its write is lower than one before, it starts anew.
+//!
 //! The records are read in key ranges: those of one account whose digests share the first
 //! hexadecimal digit.
 
@@ -108,6 +112,15 @@
         }
     }
 
+    /// Records the version of a write that this process just made. If it is lower than one before,
+    /// the service was restored from an old copy, and the checkpoints no longer tell ages.
+    pub fn record_write(&mut self, version: Version, now: Mono) {
+        if version < self.newest {
+            self.reset();
+        }
+        self.record_version(version, now);
+    }
+
     /// Discards all checkpoints.
     ///
     /// To be called when the service was restored from an old copy, since its versions start again
--- a/crates/claim/tests/testsuite/sweep.rs
+++ b/crates/claim/tests/testsuite/sweep.rs
@@ -139,3 +139,18 @@
     sweeper.reset();
     assert_eq!(sweep(&harness, &mut sweeper), 0);
 }
+
+/// Guards against claims that are removed while fresh, since a restored service numbers them like
+/// old ones.
+#[test]
+fn claims_made_after_a_restore_are_kept() {
+    let harness = Harness::new();
+    let mut sweeper = sweeper();
+    let lost = harness.store.snapshot().index() + 1_000;
+    sweeper.record_write(lost, harness.clock.now());
+    harness.clock.advance(HOUR * 7);
+    make_claim(&harness, Some(ClaimAction::Release));
+    // The sweeper writes to the service before it removes anything.
+    sweeper.record_write(harness.store.snapshot().index(), harness.clock.now());
+    assert_eq!(sweep(&harness, &mut sweeper), 0);
+}
--- a/crates/primrosed/src/duty/sweep.rs
+++ b/crates/primrosed/src/duty/sweep.rs
@@ -69,6 +69,11 @@
             return Ok(());
         };
         let entries = self.store.list(&prefix)?;
+        if self.sweeper.sweep(&entries, now).is_empty() {
+            return Ok(());
+        }
+        // Shows whether the service was restored since the last write.
+        self.learn_version(now)?;
         for ops in self.sweeper.sweep(&entries, now) {
             // A claim that has changed since is kept and considered again in a later pass.
             self.store.commit(&ops)?;
@@ -84,7 +89,7 @@
         };
         if let CommitResult::Applied(written) = self.store.commit(&[op])? {
             for one in written {
-                self.sweeper.record_version(one.version, now);
+                self.sweeper.record_write(one.version, now);
             }
         }
         Ok(())
