fleet: Do not use a removed server again for an entry from before

After a restore from an older copy, the list of servers again holds entries of servers that had been removed since, until their leases run out. A listed server was used again whatever its entry, so gateways sent requests to servers that they had known to be gone; one that leaves without a notice still serves for a while, and takes them (DRAIN).

Servers number the entries that they write. The mark of a removed server now holds the number of its last entry, and the server is used again only for a later one. Entries without a number are used as before.

Test: removed_server_returns_only_with_an_entry_that_it_wrote_later (an older copy was used before).

--- a/crates/emulate/src/deployment.rs
+++ b/crates/emulate/src/deployment.rs
@@ -105,6 +105,7 @@
         slots: EngineConfig::default().slots as u32,
         leaving: false,
         born_ms: 1,
+        seq: 0,
     }
 }
 
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -43,4 +43,7 @@
     /// Start time in milliseconds of wall clock time, which distinguishes incarnations that share a
     /// name.
     pub born_ms: u64,
+    /// Number of this entry among those that the incarnation wrote; zero if entries have none.
+    #[serde(default)]
+    pub seq: u64,
 }
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -4,7 +4,8 @@
 //! no requests from the moment the mark is known; the mark holds for that incarnation of the
 //! server, even if older entries without it arrive later. An entry that disappeared during an
 //! outage of the platform may only have expired, so its server stays usable for the time that a
-//! live server needs to register again.
+//! live server needs to register again. The list may also go back to an older copy; a server that was
+//! removed is not used again for an entry that it had written before.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -112,6 +113,15 @@
     Removed(ServerId),
 }
 
+/// Removal of a server from the list.
+#[derive(Debug, Clone, Copy)]
+struct Removal {
+    since: Mono,
+    /// Number of its last known entry. The list may go back to an older copy, with entries up to
+    /// this one.
+    last_seq: u64,
+}
+
 /// All servers that a gateway knows.
 #[derive(Debug, Default)]
 pub struct Servers {
@@ -119,9 +129,9 @@
     by_id: BTreeMap<ServerId, Server>,
     /// Short ids of incarnations that were marked as leaving; the marks never expire.
     leaving_ids: HashMap<ShortId, Mono>,
-    /// Short ids of incarnations that were removed from the list; one that is listed again is used
-    /// again.
-    removed_ids: HashMap<ShortId, Mono>,
+    /// Short ids of incarnations that were removed from the list; one that writes an entry again is
+    /// used again.
+    removed_ids: HashMap<ShortId, Removal>,
     outage_end: Option<Mono>,
 }
 
@@ -129,6 +139,10 @@
     /// Adds or updates an entry of the list.
     pub fn upsert(&mut self, mut entry: ServerEntry, now: Mono) -> Vec<ServerChange> {
         let short_id = short_start_id(&entry);
+        let removal = self.removed_ids.get(&short_id);
+        if removal.is_some_and(|removal| (1..=removal.last_seq).contains(&entry.seq)) {
+            return Vec::new();
+        }
         entry.leaving |= self.leaving_ids.contains_key(&short_id);
         let mut changes = self.remove_replaced(&entry);
         if entry.leaving {
@@ -170,7 +184,11 @@
             return change.into_iter().collect();
         }
         // Published, since the other gateways may read the list less often.
-        self.removed_ids.insert(server.short_id, now);
+        let removal = Removal {
+            since: now,
+            last_seq: server.entry.seq,
+        };
+        self.removed_ids.insert(server.short_id, removal);
         self.by_id.remove(id);
         vec![ServerChange::Removed(id.to_owned())]
     }
@@ -225,12 +243,16 @@
             if self.removed_ids.contains_key(short_id) {
                 continue;
             }
-            self.removed_ids.insert(*short_id, now);
+            let mut servers = self.by_id.values();
+            let known = servers.find(|server| server.short_id == *short_id);
+            let removal = Removal {
+                since: now,
+                last_seq: known.map_or(0, |server| server.entry.seq),
+            };
+            self.removed_ids.insert(*short_id, removal);
             if self.may_return(now) {
                 continue;
             }
-            let mut servers = self.by_id.values();
-            let known = servers.find(|server| server.short_id == *short_id);
             if let Some(id) = known.map(|server| server.entry.id.clone()) {
                 self.by_id.remove(&id);
                 changes.push(ServerChange::Removed(id));
@@ -241,18 +263,20 @@
 
     /// Returns the leaving servers to publish.
     pub fn recent_leaving(&self, now: Mono) -> Vec<ShortId> {
-        recent(&self.leaving_ids, now)
+        let marks = self.leaving_ids.iter();
+        recent(marks.map(|(id, since)| (*since, *id)), now)
     }
 
     /// Returns the removed servers to publish.
     pub fn recent_removed(&self, now: Mono) -> Vec<ShortId> {
-        recent(&self.removed_ids, now)
+        let marks = self.removed_ids.iter();
+        recent(marks.map(|(id, removal)| (removal.since, *id)), now)
     }
 
     /// Removes the servers that are still missing some time after an outage.
     pub fn expire(&mut self, now: Mono) -> Vec<ServerChange> {
         self.removed_ids
-            .retain(|_, since| now.saturating_sub(*since) < REMOVED_LIFETIME);
+            .retain(|_, removal| now.saturating_sub(removal.since) < REMOVED_LIFETIME);
         if self.may_return(now) {
             return Vec::new();
         }
@@ -321,10 +345,9 @@
 }
 
 /// Returns the newest ids, as far as they were recorded recently enough to be published.
-fn recent(recorded: &HashMap<ShortId, Mono>, now: Mono) -> Vec<ShortId> {
-    let recent = recorded.iter();
-    let recent = recent.filter(|(_, since)| now.saturating_sub(**since) < MARK_PUBLISH_TIME);
-    let mut recent: Vec<(Mono, ShortId)> = recent.map(|(id, since)| (*since, *id)).collect();
+fn recent(recorded: impl Iterator<Item = (Mono, ShortId)>, now: Mono) -> Vec<ShortId> {
+    let recent = recorded.filter(|(since, _)| now.saturating_sub(*since) < MARK_PUBLISH_TIME);
+    let mut recent: Vec<(Mono, ShortId)> = recent.collect();
     recent.sort_unstable_by_key(|(since, id)| (std::cmp::Reverse(*since), *id));
     recent.truncate(MAX_PUBLISHED_MARKS);
     recent.into_iter().map(|(_, id)| id).collect()
--- a/crates/fleet/tests/testsuite/build.rs
+++ b/crates/fleet/tests/testsuite/build.rs
@@ -45,6 +45,7 @@
         slots: 48,
         leaving: false,
         born_ms: 1_000 + u64::from(number),
+        seq: 0,
     }
 }
 
--- a/crates/fleet/tests/testsuite/servers.rs
+++ b/crates/fleet/tests/testsuite/servers.rs
@@ -201,3 +201,52 @@
     ];
     assert_eq!(changes, expected);
 }
+
+/// Guards against requests to a server that has left, but is in an older copy of the list.
+#[test]
+fn removed_server_returns_only_with_an_entry_that_it_wrote_later() {
+    struct Case {
+        name: &'static str,
+        seq: u64,
+        reported: bool,
+        usable: bool,
+    }
+    let case = |name, seq, reported, usable| Case {
+        name,
+        seq,
+        reported,
+        usable,
+    };
+    let cases = [
+        case("an older copy", 6, false, false),
+        case("a copy of the last entry", 7, false, false),
+        case("a later entry", 8, false, true),
+        case("an entry without a number", 0, false, true),
+        case(
+            "an older copy after another gateway's report",
+            6,
+            true,
+            false,
+        ),
+        case(
+            "a later entry after another gateway's report",
+            8,
+            true,
+            true,
+        ),
+    ];
+    for case in cases {
+        let mut servers = Servers::default();
+        let mut entry = server("s1", MODELS, 1);
+        entry.seq = 7;
+        servers.upsert(entry.clone(), ms(1));
+        if case.reported {
+            servers.merge_removed(&[short_start_id(&entry)], ms(2));
+        } else {
+            servers.remove("s1", ms(2));
+        }
+        entry.seq = case.seq;
+        servers.replace(vec![entry], ms(3));
+        assert_eq!(servers.get("s1").is_some(), case.usable, "{}", case.name);
+    }
+}
