--- a/crates/primrosed/tests/testsuite/gateway_fixture.rs
+++ b/crates/primrosed/tests/testsuite/gateway_fixture.rs
@@ -323,6 +323,12 @@
     let mut stream = TcpStream::connect(addr).expect("connected");
     stream.set_read_timeout(Some(TIMEOUT)).expect("a timeout");
     stream.write_all(request.as_bytes()).expect("sent");
+    read_stream(&mut stream)
+}
+
+/// Reads until the final chunk or the end of the connection; returns the received text and whether
+/// the final chunk was received.
+pub(crate) fn read_stream(stream: &mut TcpStream) -> (String, bool) {
     let mut all = Vec::new();
     let mut block = [0; 4_096];
     loop {
--- a/crates/primrosed/tests/testsuite/main.rs
+++ b/crates/primrosed/tests/testsuite/main.rs
@@ -11,3 +11,4 @@
 mod soak;
 mod store_faults;
 mod store_restored;
+mod stream_versions;
