fleet: Resume a stream within its answer only at a server of the same build

Callers got answers whose first events came from servers of one software version and the rest from another. The version in a server's entry was not read, so a stream that broke off was placed like a new request.

A server's build is its pool and its version. A stream keeps the build that sent its first events, and only servers of that build are candidates; a server that may be silent is left only for one of these, too. If there is none, the stream breaks off, and the refusal says no_server_of_build. The log names the version when a server joins.

Tests: stream_goes_on_only_at_a_server_of_its_build (new), and the two "server" cases of stream_versions, which failed before. Seven cases of it, in which callers take streams up, still fail.

--- a/crates/emulate/src/deployment.rs
+++ b/crates/emulate/src/deployment.rs
@@ -44,6 +44,7 @@
         arrived: now,
         deadline: now + class.timeout,
         tried: Vec::new(),
+        build: None,
     }
 }
 
@@ -104,6 +105,7 @@
         zone: zone_name(number % pattern.zones),
         slots: EngineConfig::default().slots as u32,
         leaving: false,
+        version: "v1".to_owned(),
         born_ms: 1,
         seq: 0,
     }
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -12,6 +12,15 @@
 /// Hash of the name of an account, zone or address, or of a server's name and start time.
 pub type ShortId = u32;
 
+/// Software version of the servers of a pool, as a hash of both names. What servers of two builds
+/// write does not fit together in one stream.
+pub type BuildId = ShortId;
+
+/// Returns the id of a build.
+pub fn build_id(pool: &str, version: &str) -> BuildId {
+    short_id(pool).rotate_left(1) ^ short_id(version)
+}
+
 /// Returns the short id of a name. Two names that collide share their sums, which only makes
 /// decisions less accurate.
 pub fn short_id(name: &str) -> ShortId {
@@ -40,6 +49,9 @@
     pub slots: u32,
     /// Whether it accepts no new requests.
     pub leaving: bool,
+    /// Version of its software; empty if the entry names none.
+    #[serde(default)]
+    pub version: String,
     /// Start time in milliseconds of wall clock time, which distinguishes incarnations that share a
     /// name.
     pub born_ms: u64,
@@ -47,3 +59,10 @@
     #[serde(default)]
     pub seq: u64,
 }
+
+impl ServerEntry {
+    /// Returns the build that the server runs.
+    pub fn build(&self) -> BuildId {
+        build_id(&self.pool, &self.version)
+    }
+}
--- a/crates/fleet/src/fleet/admission.rs
+++ b/crates/fleet/src/fleet/admission.rs
@@ -19,6 +19,7 @@
 use crate::place::Candidate;
 use crate::place::Choice;
 use crate::server::Load;
+use crate::server::Server;
 
 /// Time of a plain call (a request without a prompt), assumed before the first one.
 pub(super) const INITIAL_CALL_TIME: Duration = Duration::from_millis(30);
@@ -83,7 +84,11 @@
         }
         let candidates = self.candidates(request, now);
         if candidates.is_empty() {
-            return refuse(RefusalReason::NoServer, RETRY_AFTER_NO_SERVER);
+            let reason = match request.build {
+                Some(_) => RefusalReason::NoServerOfBuild,
+                None => RefusalReason::NoServer,
+            };
+            return refuse(reason, RETRY_AFTER_NO_SERVER);
         }
         if !candidates.iter().any(|candidate| candidate.within_limit) {
             let wait = self.wait_for_limits(&candidates, now);
@@ -126,12 +131,8 @@
         }
         let current = placement.server.as_str();
         let servers = self.servers.iter();
-        let mut others = servers.filter(|server| {
-            server.entry.pool == request.pool
-                && server.accepts_requests()
-                && !server.health.is_paused(now)
-                && server.entry.id != current
-        });
+        let mut others = servers
+            .filter(|server| is_eligible(server, request, now) && server.entry.id != current);
         others.any(|server| !request.tried.contains(&server.entry.id))
     }
 
@@ -230,10 +231,7 @@
         }
     }
 
-    pub(super) fn server_of(
-        &mut self,
-        placement: &Placement,
-    ) -> Option<&mut crate::server::Server> {
+    pub(super) fn server_of(&mut self, placement: &Placement) -> Option<&mut Server> {
         let server = self.servers.get_mut(&placement.server)?;
         (server.entry.born_ms == placement.born_ms).then_some(server)
     }
@@ -247,13 +245,7 @@
         let mut candidates = Vec::new();
         for server in self.servers.iter_mut() {
             let entry = &server.entry;
-            if entry.pool != request.pool
-                || !server.accepts_requests()
-                || server.health.is_paused(now)
-            {
-                continue;
-            }
-            if request.tried.contains(&entry.id) {
+            if !is_eligible(server, request, now) || request.tried.contains(&entry.id) {
                 continue;
             }
             let mut load = server.local_load;
@@ -374,6 +366,7 @@
             server: server.entry.id.clone(),
             born_ms: server.entry.born_ms,
             addr: server.entry.addr,
+            build: server.build,
             load,
             predicted: choice.wait,
             queued_tokens,
@@ -386,6 +379,14 @@
     }
 }
 
+/// Whether a server may run a request, apart from earlier attempts at it.
+fn is_eligible(server: &Server, request: &PlacementRequest, now: Mono) -> bool {
+    server.entry.pool == request.pool
+        && server.accepts_requests()
+        && !server.health.is_paused(now)
+        && request.build.is_none_or(|build| build == server.build)
+}
+
 /// Returns the fraction of the objective that a request of an account over its fair share may wait;
 /// it decreases with the excess.
 fn over_share_wait_fraction(excess: f64) -> f64 {
--- a/crates/fleet/src/fleet/gossip.rs
+++ b/crates/fleet/src/fleet/gossip.rs
@@ -106,6 +106,12 @@
         self.servers.upsert(entry, now)
     }
 
+    /// Returns the version of a server's software, if the server is known.
+    pub fn server_version(&self, id: &str) -> Option<String> {
+        let server = self.servers.get(id)?;
+        Some(server.entry.version.clone())
+    }
+
     /// Removes a server whose entry was removed from the platform's list.
     pub fn remove_server(&mut self, id: &str, now: Mono) -> Vec<ServerChange> {
         self.servers.remove(id, now)
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -40,6 +40,7 @@
 use crate::crash::CrashTracker;
 use crate::demand::Demand;
 use crate::digest::Digest;
+use crate::entry::BuildId;
 use crate::entry::ShortId;
 use crate::health::AnswerCounts;
 use crate::limit::ServerLimits;
@@ -90,6 +91,8 @@
     pub deadline: Mono,
     /// Servers at which earlier attempts failed.
     pub tried: Vec<ServerId>,
+    /// Build that began the stream; none if the request begins it.
+    pub build: Option<BuildId>,
 }
 
 /// A request placed on a server; passed to [`Fleet::finish_attempt`] when the attempt ends.
@@ -101,6 +104,8 @@
     pub born_ms: u64,
     /// Address of the server.
     pub addr: SocketAddr,
+    /// Build that the server runs.
+    pub build: BuildId,
     /// Load of the request.
     pub load: Load,
     /// Predicted time to the first event or the response.
@@ -149,6 +154,9 @@
     /// The pool has no server that can be used.
     #[display("no_server")]
     NoServer,
+    /// No usable server runs the build that began the stream.
+    #[display("no_server_of_build")]
+    NoServerOfBuild,
     /// The request would wait too long.
     #[display("overload")]
     Overload,
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -18,6 +18,7 @@
 use serde::Serialize;
 
 use crate::entry::short_start_id;
+use crate::entry::BuildId;
 use crate::entry::ServerEntry;
 use crate::entry::ShortId;
 use crate::health::Health;
@@ -69,6 +70,8 @@
     pub entry: ServerEntry,
     /// Short id of this incarnation.
     pub short_id: ShortId,
+    /// Build that it runs.
+    pub build: BuildId,
     /// Load of this gateway's requests.
     pub local_load: Load,
     /// Outcomes of this gateway's requests.
@@ -85,6 +88,7 @@
     fn new(entry: ServerEntry) -> Self {
         Self {
             short_id: short_start_id(&entry),
+            build: entry.build(),
             entry,
             local_load: Load::default(),
             health: Health::default(),
@@ -153,6 +157,7 @@
             Some(server) if server.entry.born_ms == entry.born_ms => {
                 let newly_leaving = entry.leaving && !server.entry.leaving;
                 server.missing = false;
+                server.build = entry.build();
                 server.entry = entry;
                 newly_leaving.then(|| ServerChange::Leaving(server.entry.id.clone()))
             }
--- a/crates/fleet/tests/testsuite/build.rs
+++ b/crates/fleet/tests/testsuite/build.rs
@@ -44,6 +44,7 @@
         zone: "a".to_owned(),
         slots: 48,
         leaving: false,
+        version: "v1".to_owned(),
         born_ms: 1_000 + u64::from(number),
         seq: 0,
     }
@@ -141,6 +142,7 @@
         arrived: now,
         deadline: now + ms(8_000),
         tried: Vec::new(),
+        build: None,
     }
 }
 
--- a/crates/fleet/tests/testsuite/placement.rs
+++ b/crates/fleet/tests/testsuite/placement.rs
@@ -9,11 +9,14 @@
 use primrose_fleet::prefill::PrefillModel;
 use primrose_fleet::server::Load;
 use primrose_fleet::Decision;
+use primrose_fleet::RefusalReason;
 
 use crate::build::fleet_with_servers;
 use crate::build::ms;
 use crate::build::placement_request;
 use crate::build::prompt;
+use crate::build::server;
+use crate::build::MODELS;
 
 fn candidates(count: u32) -> Vec<Candidate> {
     let candidate = |short_id| Candidate {
@@ -140,3 +143,52 @@
         Decision::Refuse(_)
     ));
 }
+
+/// Guards against a stream that goes on at a server of another software version.
+#[test]
+fn stream_goes_on_only_at_a_server_of_its_build() {
+    struct Case {
+        name: &'static str,
+        /// Version of the servers besides the one that began the stream, which is of v1.
+        others: &'static [&'static str],
+        goes_on: bool,
+    }
+    let cases = [
+        Case {
+            name: "other versions only",
+            others: &["v1.1", "v2", "v1.1"],
+            goes_on: false,
+        },
+        Case {
+            name: "one of the same version",
+            others: &["v1.1", "v1.1", "v1", "v1.1"],
+            goes_on: true,
+        },
+    ];
+    for case in cases {
+        let mut fleet = fleet_with_servers(1, 1, None);
+        let mut request = placement_request("a", prompt(1), ms(1));
+        let Decision::Send(placement) = fleet.decide(&request, ms(1)) else {
+            panic!("{}: refused", case.name);
+        };
+        for (number, version) in case.others.iter().enumerate() {
+            let mut entry = server(&format!("other-{number}"), MODELS, number as u8 + 1);
+            entry.version = (*version).to_owned();
+            fleet.upsert_server(entry, ms(2));
+        }
+        request.build = Some(placement.build);
+        let can_move = fleet.can_move(&request, &placement, ms(3));
+        assert_eq!(can_move, case.goes_on, "{}", case.name);
+        request.tried.push(placement.server);
+        let version = match fleet.decide(&request, ms(3)) {
+            Decision::Send(next) => fleet.server_version(&next.server),
+            Decision::Refuse(refusal) => {
+                let expected = RefusalReason::NoServerOfBuild;
+                assert_eq!(refusal.reason, expected, "{}", case.name);
+                None
+            }
+        };
+        let expected = case.goes_on.then(|| "v1".to_owned());
+        assert_eq!(version, expected, "{}", case.name);
+    }
+}
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -88,6 +88,9 @@
         server: String,
         /// What changed.
         change: &'static str,
+        /// Version of its software, if the server is known.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        version: Option<String>,
         /// Version of the server list that is known.
         list_version: u64,
         /// Source of the change.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -75,6 +75,7 @@
                 Ok(ServerResponse::Stream(start)) => {
                     guard.record_events();
                     self.first_event_at = Some(self.shared.now());
+                    self.request.build = Some(guard.placement.build);
                     let head = start.head();
                     let streamed = StreamedJob::new(self, head.status, &guard.placement);
                     let body = ResponseBody::stream(|chunks| {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -132,6 +132,7 @@
         arrived,
         deadline,
         tried: Vec::new(),
+        build: None,
     };
     Ok(Job {
         shared: Rc::clone(shared),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -110,6 +110,7 @@
             self.log.event(&Event::Server {
                 server: server.clone(),
                 change,
+                version: self.fleet.borrow().server_version(server),
                 list_version,
                 source: source.to_owned(),
             });
