gateway: Take up a stream only at the build that began it

A request with Last-Event-Id was placed like any other.

Cause, and its class: a fact about a stream (which build began it) that no one kept, though any gateway may have to act on it later. So it is now kept where it outlives each of them:

- The gateway that forwards the first event records the build of the stream, by the id of the caller's attempt.
Callers name it (Resumes).
- While a pool has servers of several builds, or had them within the time in which a stream may be taken up, gateways publish their records in two digests each.
Relays pass on those of their own zone, to which callers come back.
- The gateways that write for others store the builds in service when they change, and in such times their records once a second, under their leases.
Each gateway reads that at its start.
- If nobody knows a stream, it goes on only if all servers that can have begun it are of one build; else it is refused at once, as unknown_build, with 503: it has not run.
A process that has not yet read what was stored refuses, too.
- A stream also keeps its pool; a route with several pools chose one anew.

Logs: `resumes` in `sent`.

Ruled out: asking the servers (they drop a run with its connection); fixing the build of a stream by a hash of its id (it would decide the placement of all streams, and does not hold while servers change).

--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -22,6 +22,7 @@
 use crate::entry::ShortId;
 use crate::health::AnswerCounts;
 use crate::limit::LimitReport;
+use crate::origin::OriginReport;
 use crate::place::PartId;
 use crate::poison::DeathReport;
 use crate::poison::PoisonReport;
@@ -133,6 +134,8 @@
     pub poison: PoisonReport,
     /// Limits that servers named. Older builds neither send nor read it.
     pub limits: Vec<LimitReport>,
+    /// Builds that began streams. Older builds of the gateway neither send nor read it.
+    pub origins: OriginReport,
     /// Incarnations of servers that were recently marked as leaving.
     pub leaving: Vec<ShortId>,
     /// Incarnations of servers that were recently removed from the list.
@@ -156,6 +159,7 @@
     #[serde(default)] WireRelay,
     #[serde(default)] WirePoison,
     #[serde(default)] Vec<(ShortId, Option<u64>, u32, u32)>,
+    #[serde(default)] OriginReport,
 );
 
 /// Encoded form of [`PoisonReport`].
@@ -323,6 +327,7 @@
             WireRelay::from(&self.relay),
             WirePoison::from(&self.poison),
             limits.collect(),
+            self.origins.clone(),
         );
         let mut bytes = Vec::with_capacity(MAX_BYTES);
         ciborium::into_writer(&wire, &mut bytes).context(EncodeSnafu)?;
@@ -332,8 +337,19 @@
     /// Decodes a digest.
     pub fn decode(bytes: &[u8]) -> Result<Self, DigestError> {
         let wire: Wire = ciborium::from_reader(bytes).context(DecodeSnafu)?;
-        let Wire(head, list, servers, accounts, broken_runs, marks, peers, relay, poison, limits) =
-            wire;
+        let Wire(
+            head,
+            list,
+            servers,
+            accounts,
+            broken_runs,
+            marks,
+            peers,
+            relay,
+            poison,
+            limits,
+            origins,
+        ) = wire;
         let (writer, seq, generation) = head;
         let (list_version, members_version, zone, list_unreadable) = list;
         let (leaving, removed) = marks;
@@ -375,6 +391,7 @@
             relay: relay.into(),
             poison: poison.into(),
             limits: limits.collect(),
+            origins,
         })
     }
 }
--- a/crates/fleet/src/fleet/exchange.rs
+++ b/crates/fleet/src/fleet/exchange.rs
@@ -166,6 +166,7 @@
             });
         }
         let mut combined = self.combined(&own, DigestScope::Zone, now);
+        combined.origins.clear();
         combined.trim();
         for (other_zone, receivers) in self.other_relays(now) {
             let mut digest = combined.clone();
--- a/crates/fleet/src/fleet/gossip.rs
+++ b/crates/fleet/src/fleet/gossip.rs
@@ -90,6 +90,9 @@
         if tables.generation <= previous {
             return None;
         }
+        let limits = tables.routes.iter().map(|route| route.time_limit);
+        let longest = limits.max().unwrap_or_default();
+        self.origins.set_time_limit(longest);
         self.catalog = Some(Arc::new(Catalog::new(tables)));
         Some(previous)
     }
@@ -179,6 +182,7 @@
                 });
             }
         }
+        let origins = self.origins_to_publish(now);
         let mut digest = Digest {
             writer: self.config.incarnation,
             seq: self.seq,
@@ -192,6 +196,7 @@
             broken_runs: self.crashes.to_publish(now),
             poison: self.poison.report(now),
             limits: self.limits.report(now),
+            origins,
             leaving: self.servers.recent_leaving(now),
             removed: self.servers.recent_removed(now),
             peers: self.peers.values().map(|peer| peer.ip).collect(),
@@ -239,6 +244,7 @@
         }
         self.poison.merge(&digest.poison, now);
         self.limits.merge(digest.writer, &digest.limits, now);
+        self.merge_origins(&digest, now);
         let previous = self.peers.remove(&digest.writer).map(|peer| peer.digest);
         let previous = previous.filter(|digest| self.counts(digest));
         let current = Some(&digest).filter(|digest| self.counts(digest));
@@ -271,6 +277,7 @@
         self.crashes.expire(now);
         self.poison.expire(now);
         self.limits.expire(now);
+        self.expire_origins(now);
         self.divide_limits(now);
         self.review_deaths(now);
         self.servers.expire(now)
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod poison;
 mod roles;
+mod streams;
 
 pub use exchange::Outgoing;
 pub use follow::SnapshotScope;
@@ -44,6 +45,7 @@
 use crate::entry::ShortId;
 use crate::health::AnswerCounts;
 use crate::limit::ServerLimits;
+use crate::origin::StreamOrigins;
 use crate::place::PartId;
 use crate::place::PrefixCache;
 use crate::place::Prompt;
@@ -154,6 +156,9 @@
     /// The pool has no server that can be used.
     #[display("no_server")]
     NoServer,
+    /// It is not known which build began the stream.
+    #[display("unknown_build")]
+    UnknownBuild,
     /// No usable server runs the build that began the stream.
     #[display("no_server_of_build")]
     NoServerOfBuild,
@@ -235,6 +240,7 @@
     crashes: CrashTracker,
     poison: PoisonTracker,
     limits: ServerLimits,
+    origins: StreamOrigins,
     peers: HashMap<Incarnation, Peer>,
     /// Addresses at which there may be a gateway, with the time at which each was first mentioned in
     /// a digest, was last configured or listed by the platform, or last sent a digest.
@@ -270,6 +276,7 @@
             crashes: CrashTracker::default(),
             poison: PoisonTracker::default(),
             limits: ServerLimits::default(),
+            origins: StreamOrigins::default(),
             peers: HashMap::new(),
             contacts: HashMap::new(),
             peer_sums: HashMap::new(),
--- /dev/null
+++ b/crates/fleet/src/fleet/streams.rs
@@ -0,0 +1,84 @@
+//! Origins of streams: at which build a stream goes on that a caller takes up.
+
+use primrose_core::clock::Mono;
+use primrose_core::id::PoolId;
+
+use super::roles::Role;
+use super::Fleet;
+use crate::catalog::Route;
+use crate::digest::Digest;
+use crate::digest::DigestScope;
+use crate::entry::BuildId;
+use crate::origin::OriginHistory;
+use crate::origin::OriginReport;
+use crate::origin::StreamId;
+
+/// Maximum number of records in the digest of one gateway; more follow in the next ones.
+const MAX_PUBLISHED: usize = 50;
+/// Maximum number of records in the digest of a relay.
+const MAX_RELAYED: usize = 2_000;
+
+impl Fleet {
+    /// Records the build of a stream whose first event has arrived.
+    pub fn record_stream(&mut self, stream: StreamId, build: BuildId, now: Mono) {
+        self.origins.record(stream, build, now);
+    }
+
+    /// Returns the pool and the build at which a stream of a route goes on; `stream` is none if the
+    /// caller does not name it. None if it is not known which build began it.
+    pub fn stream_origin(
+        &self,
+        stream: Option<StreamId>,
+        route: &Route,
+        now: Mono,
+    ) -> Option<(PoolId, BuildId)> {
+        let pools: Vec<&PoolId> = route.targets.iter().map(|target| &target.pool).collect();
+        self.origins.find(stream, &pools, now)
+    }
+
+    /// Whether a pool has servers of several builds, or had them lately.
+    pub fn has_mixed_builds(&self, now: Mono) -> bool {
+        self.origins.is_mixed(now)
+    }
+
+    /// Returns the origins of streams to store.
+    pub fn origin_history(&self, now: Mono) -> OriginHistory {
+        self.origins.history(now)
+    }
+
+    /// Adds origins of streams that were stored before this gateway started.
+    pub fn restore_origins(&mut self, history: &OriginHistory, now: Mono) {
+        self.origins.restore(history, now);
+    }
+
+    /// Records that all stored origins are known.
+    pub fn complete_origins(&mut self) {
+        self.origins.complete_past();
+    }
+
+    /// Updates the builds in service, and drops old origins.
+    pub(super) fn expire_origins(&mut self, now: Mono) {
+        let listed = self.servers.iter();
+        let listed = listed.map(|server| (server.build, &server.entry.pool));
+        self.origins.record_builds(listed, now);
+        self.origins.expire(now);
+    }
+
+    /// Returns the origins for the next digest.
+    pub(super) fn origins_to_publish(&mut self, now: Mono) -> OriginReport {
+        let limit = match self.role {
+            Role::Relay => MAX_RELAYED,
+            Role::Mesh | Role::Member { .. } => MAX_PUBLISHED,
+        };
+        self.origins.report(limit, now)
+    }
+
+    /// Merges the origins that a digest publishes. A relay passes those of its zone on: callers
+    /// come back to gateways of the same zone.
+    pub(super) fn merge_origins(&mut self, digest: &Digest, now: Mono) {
+        let is_member =
+            digest.relay.scope == DigestScope::Gateway && digest.zone == self.own_zone();
+        let forward = is_member && self.role == Role::Relay;
+        self.origins.merge(&digest.origins, forward, now);
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 mod fleet;
 pub mod health;
 pub mod limit;
+pub mod origin;
 pub mod place;
 pub mod poison;
 pub mod prefill;
--- /dev/null
+++ b/crates/fleet/src/origin.rs
@@ -0,0 +1,264 @@
+//! Which build began each stream, so that a caller may take it up at any gateway.
+//!
+//! A caller whose stream broke off names the attempt that brought its first event. Any gateway may
+//! get the request, and the one that began the stream may be gone. So each gateway records the
+//! build of every stream that it begins, and publishes the records while a pool has servers of
+//! several builds, or had them lately. If nobody knows a stream, but all servers that can have begun
+//! it are of one build, it goes on at that build.
+//!
+//! A gateway that has just started does not know which builds there were before. It reads that from
+//! the platform's store; see [`StreamOrigins::history`].
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use primrose_core::clock::Mono;
+use primrose_core::id::PoolId;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::entry::BuildId;
+
+/// Hash of the id of the caller's attempt that brought a stream's first event.
+pub type StreamId = u64;
+
+/// Shortest and longest time after its beginning within which a caller may take a stream up.
+const LIFETIME_RANGE: (Duration, Duration) = (Duration::from_secs(30), Duration::from_secs(600));
+/// That time as a multiple of the longest time limit of a route.
+const LIFETIME_LIMITS: u32 = 2;
+/// Interval at which old records are dropped.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of digests that publish a record; one of them may be lost.
+const PUBLISH_COUNT: u8 = 2;
+/// Maximum number of streams that are remembered.
+const MAX_STREAMS: usize = 200_000;
+
+/// Returns the id of the stream that a caller's attempt began.
+pub fn stream_id(attempt: &str) -> StreamId {
+    xxh3_64(attempt.as_bytes())
+}
+
+/// Streams by the build that began them.
+pub type OriginReport = BTreeMap<BuildId, Vec<StreamId>>;
+
+/// What a gateway must know after a restart.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OriginHistory {
+    /// Builds that may have begun streams lately, with their pools.
+    pub builds: BTreeMap<BuildId, PoolId>,
+    /// Recent streams; empty if each pool has one build only.
+    pub streams: OriginReport,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Origin {
+    build: BuildId,
+    began: Mono,
+}
+
+#[derive(Debug)]
+struct Build {
+    pool: PoolId,
+    last_listed: Mono,
+}
+
+/// A record to be published.
+#[derive(Debug, Clone, Copy)]
+struct Unpublished {
+    stream: StreamId,
+    origin: Origin,
+    /// Number of digests that shall still publish it.
+    left: u8,
+}
+
+/// Builds that began streams.
+#[derive(Debug)]
+pub struct StreamOrigins {
+    /// Time after its beginning within which a caller may take a stream up.
+    lifetime: Duration,
+    last_expired: Mono,
+    streams: HashMap<StreamId, Origin>,
+    /// Oldest first.
+    unpublished: VecDeque<Unpublished>,
+    builds: BTreeMap<BuildId, Build>,
+    /// Time of the first list of servers.
+    first_listed: Option<Mono>,
+    /// Whether the builds of the time before are known.
+    knows_past: bool,
+}
+
+impl Default for StreamOrigins {
+    fn default() -> Self {
+        Self {
+            lifetime: LIFETIME_RANGE.0,
+            last_expired: Mono::ZERO,
+            streams: HashMap::new(),
+            unpublished: VecDeque::new(),
+            builds: BTreeMap::new(),
+            first_listed: None,
+            knows_past: false,
+        }
+    }
+}
+
+impl StreamOrigins {
+    /// Sets how long streams are remembered, by the longest time limit of a route.
+    pub fn set_time_limit(&mut self, limit: Duration) {
+        let lifetime = limit.saturating_mul(LIFETIME_LIMITS);
+        self.lifetime = lifetime.clamp(LIFETIME_RANGE.0, LIFETIME_RANGE.1);
+    }
+
+    /// Records a stream that this gateway began or continued.
+    pub fn record(&mut self, stream: StreamId, build: BuildId, now: Mono) {
+        if self.add(stream, build, now) {
+            self.publish(stream, build, now);
+        }
+    }
+
+    /// Records the builds of the listed servers.
+    pub fn record_builds<'a>(
+        &mut self,
+        listed: impl Iterator<Item = (BuildId, &'a PoolId)>,
+        now: Mono,
+    ) {
+        for (build, pool) in listed {
+            self.first_listed.get_or_insert(now);
+            let known = self.builds.entry(build).or_insert_with(|| Build {
+                pool: pool.clone(),
+                last_listed: now,
+            });
+            known.last_listed = now;
+        }
+    }
+
+    /// Adds records that another gateway published; `forward` publishes those that are new.
+    pub fn merge(&mut self, report: &OriginReport, forward: bool, now: Mono) {
+        for (build, streams) in report {
+            for stream in streams {
+                if self.add(*stream, *build, now) && forward {
+                    self.publish(*stream, *build, now);
+                }
+            }
+        }
+    }
+
+    /// Adds what was stored before this gateway started.
+    pub fn restore(&mut self, history: &OriginHistory, now: Mono) {
+        for (build, pool) in &history.builds {
+            self.builds.entry(*build).or_insert_with(|| Build {
+                pool: pool.clone(),
+                last_listed: now,
+            });
+        }
+        self.merge(&history.streams, false, now);
+    }
+
+    /// Records that all that was stored before this gateway started is known.
+    pub fn complete_past(&mut self) {
+        self.knows_past = true;
+    }
+
+    /// Returns the pool and the build at which a stream goes on; `stream` is none if the caller does
+    /// not name it, and `pools` are those that may have begun it. None if that is not known.
+    pub fn find(
+        &self,
+        stream: Option<StreamId>,
+        pools: &[&PoolId],
+        now: Mono,
+    ) -> Option<(PoolId, BuildId)> {
+        let known = stream.and_then(|stream| self.streams.get(&stream));
+        if let Some(origin) = known.filter(|origin| self.is_recent(origin.began, now)) {
+            let build = self.builds.get(&origin.build)?;
+            return Some((build.pool.clone(), origin.build));
+        }
+        let began_before_start = self.first_listed.is_none_or(|at| self.is_recent(at, now));
+        if began_before_start && !self.knows_past {
+            return None;
+        }
+        let builds = self.recent_builds(now);
+        let mut possible = builds.filter(|(_, pool)| pools.contains(pool));
+        let (build, pool) = possible.next()?;
+        possible.next().is_none().then(|| (pool.clone(), build))
+    }
+
+    /// Whether a pool has servers of several builds, or had them lately.
+    pub fn is_mixed(&self, now: Mono) -> bool {
+        let mut pools: Vec<&PoolId> = self.recent_builds(now).map(|(_, pool)| pool).collect();
+        pools.sort_unstable();
+        pools.windows(2).any(|pair| pair[0] == pair[1])
+    }
+
+    /// Returns the records to publish in the next digest, `limit` at most.
+    pub fn report(&mut self, limit: usize, now: Mono) -> OriginReport {
+        let mut report = OriginReport::new();
+        if self.unpublished.is_empty() || !self.is_mixed(now) {
+            return report;
+        }
+        let count = self.unpublished.len().min(limit);
+        for mut record in self.unpublished.drain(..count).collect::<Vec<_>>() {
+            let streams = report.entry(record.origin.build).or_default();
+            streams.push(record.stream);
+            record.left -= 1;
+            if record.left > 0 {
+                self.unpublished.push_back(record);
+            }
+        }
+        report
+    }
+
+    /// Returns what has to be stored for the time after a restart of all gateways.
+    pub fn history(&self, now: Mono) -> OriginHistory {
+        let builds = self.recent_builds(now);
+        let builds = builds.map(|(build, pool)| (build, pool.clone())).collect();
+        let mut streams = OriginReport::new();
+        if self.is_mixed(now) {
+            for (stream, origin) in &self.streams {
+                streams.entry(origin.build).or_default().push(*stream);
+            }
+        }
+        OriginHistory { builds, streams }
+    }
+
+    /// Drops streams that callers no longer take up, and builds that cannot have begun others.
+    pub fn expire(&mut self, now: Mono) {
+        if now.saturating_sub(self.last_expired) < EXPIRE_INTERVAL {
+            return;
+        }
+        self.last_expired = now;
+        let is_recent = |at: Mono| now.saturating_sub(at) < self.lifetime;
+        self.streams.retain(|_, origin| is_recent(origin.began));
+        self.unpublished
+            .retain(|record| is_recent(record.origin.began));
+        self.builds.retain(|_, build| is_recent(build.last_listed));
+    }
+
+    fn recent_builds(&self, now: Mono) -> impl Iterator<Item = (BuildId, &PoolId)> {
+        let recent = self.builds.iter();
+        let recent = recent.filter(move |(_, build)| self.is_recent(build.last_listed, now));
+        recent.map(|(id, build)| (*id, &build.pool))
+    }
+
+    fn is_recent(&self, at: Mono, now: Mono) -> bool {
+        now.saturating_sub(at) < self.lifetime
+    }
+
+    /// Adds a record; returns whether it is new.
+    fn add(&mut self, stream: StreamId, build: BuildId, now: Mono) -> bool {
+        let is_full = self.streams.len() >= MAX_STREAMS;
+        if is_full || self.streams.contains_key(&stream) {
+            return false;
+        }
+        let origin = Origin { build, began: now };
+        self.streams.insert(stream, origin);
+        true
+    }
+
+    fn publish(&mut self, stream: StreamId, build: BuildId, now: Mono) {
+        self.unpublished.push_back(Unpublished {
+            stream,
+            origin: Origin { build, began: now },
+            left: PUBLISH_COUNT,
+        });
+    }
+}
--- a/crates/fleet/tests/testsuite/main.rs
+++ b/crates/fleet/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod follow;
 mod gossip;
 mod limits;
+mod origins;
 mod placement;
 mod poison;
 mod poison_days;
--- a/crates/gateway/examples/logcost.rs
+++ b/crates/gateway/examples/logcost.rs
@@ -28,6 +28,7 @@
                 account: Some("account-17".to_owned()),
                 route: "r-9t5iywb".to_owned(),
                 server: "i-0135a4d924".to_owned(),
+                resumes: None,
                 tried: 0,
                 predicted_ms: 121,
                 waiting_tokens: 13_300,
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -17,6 +17,7 @@
 use primrose_fleet::catalog::ApiKey;
 use primrose_fleet::catalog::Tables;
 use primrose_fleet::entry::ServerEntry;
+use primrose_fleet::origin::OriginHistory;
 use primrose_fleet::place::PartId;
 use primrose_fleet::place::Prompt;
 use snafu::Snafu;
@@ -61,6 +62,8 @@
     pub parts: Vec<PartId>,
     /// Last event that the caller has received, if it resumes a stream.
     pub last_event_id: Option<EventId>,
+    /// Attempt that brought the stream's first event, if the caller resumes a stream and names it.
+    pub resumes: Option<CallerRequestId>,
 }
 
 /// A request head with a header that is missing or cannot be parsed.
@@ -127,6 +130,9 @@
     /// The quarantined prompt parts. Reads of this list may be some seconds old.
     #[display("quarantines")]
     Quarantines,
+    /// Builds that began streams, as gateways stored them.
+    #[display("origins")]
+    Origins,
 }
 
 /// Wall-clock time in milliseconds since the Unix epoch.
@@ -158,6 +164,8 @@
     Gateway(IpAddr),
     /// A quarantined prompt part.
     Quarantine(StoredQuarantine),
+    /// Builds that began streams at one gateway.
+    Origins(OriginHistory),
     /// An entry that cannot be decoded.
     UnusableEntry {
         /// Name of the entry.
@@ -242,6 +250,14 @@
         quarantine: Option<StoredQuarantine>,
     ) -> LocalFuture<'_, Result<(), PlatformError>>;
 
+    /// Writes which builds began streams, under a lease of this gateway. The entry of an earlier
+    /// process stays until its lease ends.
+    fn write_origins<'a>(
+        &'a self,
+        lease: Lease,
+        history: &'a OriginHistory,
+    ) -> LocalFuture<'a, Result<(), PlatformError>>;
+
     /// Revokes a lease, which removes this gateway from the list.
     fn deregister(&self, lease: Lease) -> LocalFuture<'_, Result<(), PlatformError>>;
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -121,6 +121,9 @@
         route: String,
         /// The selected server.
         server: String,
+        /// Attempt of the caller that brought the first event of the stream, if it resumes one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        resumes: Option<String>,
         /// Number of servers that were tried before.
         tried: usize,
         /// Expected wait in milliseconds.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -162,7 +162,7 @@
 fn pause_after_change(shared: &Shared, feed: Feed) -> Duration {
     match feed {
         Feed::Tables => TABLES_PAUSE,
-        Feed::Servers | Feed::Gateways | Feed::Quarantines => {
+        Feed::Servers | Feed::Gateways | Feed::Quarantines | Feed::Origins => {
             if shared.fleet.borrow().gateway_count() <= MAX_ALL_FOLLOW {
                 SERVERS_PAUSE.0
             } else {
@@ -172,7 +172,7 @@
     }
 }
 
-fn retry_pause(failures: u32) -> Duration {
+pub(crate) fn retry_pause(failures: u32) -> Duration {
     let pause = RETRY_PAUSE.0 * (1 << failures.min(5));
     let pause = pause.min(RETRY_PAUSE.1);
     // Jitter, so that gateways that failed together do not retry together.
@@ -251,8 +251,8 @@
                 shared.log_changes(&changes, "platform");
             }
             PlatformEvent::Gateway(ip) => shared.fleet.borrow_mut().add_contact(ip, now),
-            // Read by a task of its own.
-            PlatformEvent::Quarantine(_) => {}
+            // Read by tasks of their own.
+            PlatformEvent::Quarantine(_) | PlatformEvent::Origins(_) => {}
             PlatformEvent::UnusableEntry { name, reason } => {
                 shared.log.event(&Event::EntryUnusable { name, reason });
             }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -11,6 +11,8 @@
 use http::Response;
 use http::StatusCode;
 use primrose_core::clock::Mono;
+use primrose_fleet::entry::BuildId;
+use primrose_fleet::origin::stream_id;
 use primrose_fleet::AttemptOutcome;
 use primrose_fleet::Decision;
 use primrose_fleet::Placement;
@@ -75,7 +77,7 @@
                 Ok(ServerResponse::Stream(start)) => {
                     guard.record_events();
                     self.first_event_at = Some(self.shared.now());
-                    self.request.build = Some(guard.placement.build);
+                    self.record_build(guard.placement.build);
                     let head = start.head();
                     let streamed = StreamedJob::new(self, head.status, &guard.placement);
                     let body = ResponseBody::stream(|chunks| {
@@ -93,6 +95,20 @@
         }
     }
 
+    /// Records which build began the stream, or continues it.
+    fn record_build(&mut self, build: BuildId) {
+        self.request.build = Some(build);
+        let head = &self.request_head;
+        let named = head
+            .resumes
+            .as_ref()
+            .filter(|_| head.last_event_id.is_some());
+        let stream = stream_id(named.unwrap_or(&head.id));
+        let now = self.shared.now();
+        let mut fleet = self.shared.fleet.borrow_mut();
+        fleet.record_stream(stream, build, now);
+    }
+
     /// Selects a server and logs the decision.
     pub(crate) fn decide(&self) -> Result<Placement, Refusal> {
         let now = self.shared.now();
@@ -109,6 +125,7 @@
                     account: self.request.account.clone(),
                     route: self.request.route.name.clone(),
                     server: placement.server.clone(),
+                    resumes: self.request_head.resumes.clone(),
                     tried: self.request.tried.len(),
                     predicted_ms: millis(placement.predicted),
                     waiting_tokens: placement.queued_tokens,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod ingress;
 mod job;
 pub mod log;
+mod origins;
 pub mod overload;
 mod probe;
 mod quarantine;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -37,6 +37,7 @@
 use crate::gossip;
 use crate::ingress;
 use crate::log::Log;
+use crate::origins;
 use crate::overload;
 use crate::overload::LoadShedder;
 use crate::quarantine;
@@ -256,6 +257,8 @@
     spawn_local(feed::follow(handle(), Feed::Servers));
     spawn_local(quarantine::load(handle()));
     spawn_local(quarantine::write_after_restores(handle()));
+    spawn_local(origins::load(handle()));
+    spawn_local(origins::store(handle(), Rc::clone(lease)));
     spawn_local(feed::keep_registered(handle(), Rc::clone(lease)));
     spawn_local(gossip::publish_digests(handle(), Rc::clone(&digests), port));
     spawn_local(gossip::receive_digests(handle(), digests));
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -18,9 +18,13 @@
 use primrose_core::clock::Mono;
 use primrose_core::fingerprint::fingerprint;
 use primrose_core::id::AccountId;
+use primrose_core::id::PoolId;
 use primrose_fleet::catalog::Catalog;
 use primrose_fleet::catalog::Route;
+use primrose_fleet::entry::BuildId;
+use primrose_fleet::origin::stream_id;
 use primrose_fleet::PlacementRequest;
+use primrose_fleet::RefusalReason;
 
 use crate::adapter::RequestHead;
 use crate::body::ResponseBody;
@@ -42,6 +46,10 @@
 /// Retry-After while the thread does not keep up. The retry reaches another gateway.
 const RETRY_AFTER_SHED: Duration = Duration::from_millis(20);
 
+/// Retry-After of a stream that cannot go on here since the build that began it is not known or not
+/// used any more. Another gateway may know more.
+const RETRY_AFTER_UNKNOWN_BUILD: Duration = Duration::from_millis(500);
+
 /// Serves one request.
 pub(crate) async fn serve(
     shared: Rc<Shared>,
@@ -119,7 +127,14 @@
         let reply = Reply::not_run("the gateway is overloaded", RETRY_AFTER_SHED);
         return Err(refuse(&request_head, reply));
     }
-    let pool = route.pool(rand::random()).cloned().unwrap_or_default();
+    let (pool, build) = match resumed_origin(shared, &request_head, &route) {
+        Ok(Some((pool, build))) => (pool, Some(build)),
+        Ok(None) => (
+            route.pool(rand::random()).cloned().unwrap_or_default(),
+            None,
+        ),
+        Err(reply) => return Err(refuse(&request_head, reply)),
+    };
     let caller = account.as_deref().unwrap_or_default();
     let fingerprint = fingerprint(caller, http_head.uri.path(), &body);
     let request = PlacementRequest {
@@ -132,7 +147,7 @@
         arrived,
         deadline,
         tried: Vec::new(),
-        build: None,
+        build,
     };
     Ok(Job {
         shared: Rc::clone(shared),
@@ -146,6 +161,31 @@
     })
 }
 
+/// Returns the pool and the build at which a stream goes on that the caller resumes; none if the
+/// request begins a stream or returns none.
+fn resumed_origin(
+    shared: &Shared,
+    request_head: &RequestHead,
+    route: &Route,
+) -> Result<Option<(PoolId, BuildId)>, Reply> {
+    let is_resumable = route.kind.is_stream() && route.kind.is_repeatable();
+    if !is_resumable || request_head.last_event_id.is_none() {
+        return Ok(None);
+    }
+    let stream = request_head.resumes.as_deref().map(stream_id);
+    let fleet = shared.fleet.borrow();
+    let origin = fleet.stream_origin(stream, route, shared.now());
+    let (pool, build) = origin.ok_or_else(|| {
+        let reason = RefusalReason::UnknownBuild.to_string();
+        Reply::not_run(reason, RETRY_AFTER_UNKNOWN_BUILD)
+    })?;
+    if !route.targets.iter().any(|target| target.pool == pool) {
+        let reason = RefusalReason::NoServerOfBuild.to_string();
+        return Err(Reply::not_run(reason, RETRY_AFTER_UNKNOWN_BUILD));
+    }
+    Ok(Some((pool, build)))
+}
+
 /// Finds the route and the client account of a request.
 fn resolve_route(
     catalog: &Catalog,
--- a/crates/gateway/tests/testsuite/log.rs
+++ b/crates/gateway/tests/testsuite/log.rs
@@ -134,6 +134,7 @@
         account: Some("account-17".to_owned()),
         route: "r-9t5iywb".to_owned(),
         server: server.clone(),
+        resumes: None,
         tried: 0,
         predicted_ms: 121,
         waiting_tokens: 13_300,
