gateway: Store the origins of streams three times a second, and only one's own

Ruled out: recording the build when a request is sent, before its first event. A request that fails there and goes to a server of another build would leave a wrong record behind.

Logs: `resumes` in `refused`, and the event origins_read with the number of streams known after the start; metric stream_origins.

--- a/crates/fleet/src/fleet/streams.rs
+++ b/crates/fleet/src/fleet/streams.rs
@@ -36,11 +36,6 @@
         self.origins.find(stream, &pools, now)
     }
 
-    /// Whether a pool has servers of several builds, or had them lately.
-    pub fn has_mixed_builds(&self, now: Mono) -> bool {
-        self.origins.is_mixed(now)
-    }
-
     /// Returns the origins of streams to store.
     pub fn origin_history(&self, now: Mono) -> OriginHistory {
         self.origins.history(now)
@@ -51,6 +46,11 @@
         self.origins.restore(history, now);
     }
 
+    /// Returns the number of streams whose origins are remembered.
+    pub fn known_streams(&self) -> usize {
+        self.origins.stream_count()
+    }
+
     /// Records that all stored origins are known.
     pub fn complete_origins(&mut self) {
         self.origins.complete_past();
--- a/crates/fleet/src/origin.rs
+++ b/crates/fleet/src/origin.rs
@@ -47,7 +47,7 @@
 pub struct OriginHistory {
     /// Builds that may have begun streams lately, with their pools.
     pub builds: BTreeMap<BuildId, PoolId>,
-    /// Recent streams; empty if each pool has one build only.
+    /// Recent streams of one gateway or zone; empty if each pool has one build only.
     pub streams: OriginReport,
 }
 
@@ -55,6 +55,8 @@
 struct Origin {
     build: BuildId,
     began: Mono,
+    /// Whether this gateway publishes and stores the record; for others, their gateways do.
+    is_own: bool,
 }
 
 #[derive(Debug)]
@@ -111,9 +113,7 @@
 
     /// Records a stream that this gateway began or continued.
     pub fn record(&mut self, stream: StreamId, build: BuildId, now: Mono) {
-        if self.add(stream, build, now) {
-            self.publish(stream, build, now);
-        }
+        self.add(stream, build, true, now);
     }
 
     /// Records the builds of the listed servers.
@@ -132,13 +132,12 @@
         }
     }
 
-    /// Adds records that another gateway published; `forward` publishes those that are new.
+    /// Adds records that another gateway published; with `forward`, those that are new are published
+    /// and stored as if they were this gateway's own.
     pub fn merge(&mut self, report: &OriginReport, forward: bool, now: Mono) {
         for (build, streams) in report {
             for stream in streams {
-                if self.add(*stream, *build, now) && forward {
-                    self.publish(*stream, *build, now);
-                }
+                self.add(*stream, *build, forward, now);
             }
         }
     }
@@ -159,6 +158,11 @@
         self.knows_past = true;
     }
 
+    /// Returns the number of streams that are remembered.
+    pub fn stream_count(&self) -> usize {
+        self.streams.len()
+    }
+
     /// Returns the pool and the build at which a stream goes on; `stream` is none if the caller does
     /// not name it, and `pools` are those that may have begun it. None if that is not known.
     pub fn find(
@@ -207,13 +211,13 @@
         report
     }
 
-    /// Returns what has to be stored for the time after a restart of all gateways.
+    /// Returns what this gateway has to store for the time after a restart of all gateways.
     pub fn history(&self, now: Mono) -> OriginHistory {
         let builds = self.recent_builds(now);
         let builds = builds.map(|(build, pool)| (build, pool.clone())).collect();
         let mut streams = OriginReport::new();
         if self.is_mixed(now) {
-            for (stream, origin) in &self.streams {
+            for (stream, origin) in self.streams.iter().filter(|(_, origin)| origin.is_own) {
                 streams.entry(origin.build).or_default().push(*stream);
             }
         }
@@ -243,22 +247,24 @@
         now.saturating_sub(at) < self.lifetime
     }
 
-    /// Adds a record; returns whether it is new.
-    fn add(&mut self, stream: StreamId, build: BuildId, now: Mono) -> bool {
+    /// Adds a record unless it is known.
+    fn add(&mut self, stream: StreamId, build: BuildId, is_own: bool, now: Mono) {
         let is_full = self.streams.len() >= MAX_STREAMS;
         if is_full || self.streams.contains_key(&stream) {
-            return false;
+            return;
         }
-        let origin = Origin { build, began: now };
+        let origin = Origin {
+            build,
+            began: now,
+            is_own,
+        };
         self.streams.insert(stream, origin);
-        true
-    }
-
-    fn publish(&mut self, stream: StreamId, build: BuildId, now: Mono) {
-        self.unpublished.push_back(Unpublished {
-            stream,
-            origin: Origin { build, began: now },
-            left: PUBLISH_COUNT,
-        });
+        if is_own {
+            self.unpublished.push_back(Unpublished {
+                stream,
+                origin,
+                left: PUBLISH_COUNT,
+            });
+        }
     }
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -105,6 +105,7 @@
     metrics::gauge!("gateways_heard").set(fleet.gateway_count() as f64);
     let quarantined = fleet.quarantined_count(shared.now());
     metrics::gauge!("parts_quarantined").set(quarantined as f64);
+    metrics::gauge!("stream_origins").set(fleet.known_streams() as f64);
     metrics::gauge!("tables_generation").set(fleet.generation() as f64);
     metrics::gauge!("server_list_version").set(fleet.list_version() as f64);
     metrics::gauge!("follows_platform").set(f64::from(u8::from(shared.is_follower())));
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -66,6 +66,13 @@
         /// Era of the store.
         era: u64,
     },
+    /// The origins of streams were read from the platform's store after the start.
+    OriginsRead {
+        /// Streams whose origins are known now.
+        streams: usize,
+        /// Calls that failed before.
+        failures: u32,
+    },
     /// New tables are in force.
     TablesInForce {
         /// Generation of the new tables.
@@ -145,6 +152,9 @@
         account: Option<String>,
         /// Route of the request, if known.
         route: Option<String>,
+        /// Attempt of the caller that brought the first event of the stream, if it resumes one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        resumes: Option<String>,
         /// Status of the response.
         status: u16,
         /// Reason of the refusal.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -145,7 +145,7 @@
     with_timeout(limit, call).await
 }
 
-fn gateway_count(shared: &Shared) -> u32 {
+pub(crate) fn gateway_count(shared: &Shared) -> u32 {
     u32::try_from(shared.fleet.borrow().gateway_count()).unwrap_or(u32::MAX)
 }
 
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -289,6 +289,7 @@
         request: record.request_head.id.clone(),
         account: record.request.and_then(|request| request.account.clone()),
         route: record.request.map(|request| request.route.name.clone()),
+        resumes: record.request_head.resumes.clone(),
         status: record.reply.status.as_u16(),
         reason: record.reply.reason.clone(),
         predicted_ms: millis(record.predicted),
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -3,7 +3,7 @@
 //! Gateways tell one another where streams began, but may all be killed at once, and callers then
 //! take their streams up at processes that know none of them. So each gateway that writes for the
 //! others stores the builds in service whenever they change, and, while a pool has several builds,
-//! the recent streams at short intervals. Each gateway reads all of that when it starts.
+//! its recent streams at short intervals; a relay stores those of its zone. Each gateway reads all of that when it starts.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +15,7 @@
 use crate::adapter::PlatformError;
 use crate::adapter::PlatformEvent;
 use crate::event::Event;
+use crate::feed::gateway_count;
 use crate::feed::retry_pause;
 use crate::feed::with_timeout;
 use crate::feed::LeaseCell;
@@ -24,9 +25,12 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Interval at which changes are looked for.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Minimum time between two writes of streams. Those begun since the last one are lost if all
-/// gateways are killed.
-const STREAMS_INTERVAL: Duration = Duration::from_secs(1);
+/// Minimum and maximum time between two writes of streams. Those begun since the last one cannot go on
+/// if all gateways are killed.
+const STREAMS_INTERVAL: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(2));
+/// Number of gateways up to which the minimum applies; larger fleets scale it up, since the store
+/// limits the number of writes a second.
+const UNSCALED_GATEWAYS: u32 = 12;
 /// Time from the first read to the second, which finds what others wrote during the start.
 const SECOND_READ_DELAY: Duration = Duration::from_millis(1_200);
 
@@ -41,6 +45,8 @@
             tokio::time::sleep(retry_pause(failures)).await;
         }
         shared.fleet.borrow_mut().complete_origins();
+        let streams = shared.fleet.borrow().known_streams();
+        shared.log.event(&Event::OriginsRead { streams, failures });
     }
 }
 
@@ -62,6 +68,12 @@
     Ok(())
 }
 
+fn streams_interval(shared: &Shared) -> Duration {
+    let gateways = gateway_count(shared).max(UNSCALED_GATEWAYS);
+    let (least, most) = STREAMS_INTERVAL;
+    (least * gateways / UNSCALED_GATEWAYS).min(most)
+}
+
 /// Stores origins until the process ends.
 pub(crate) async fn store(shared: Rc<Shared>, lease: LeaseCell) {
     let mut written: Option<(Lease, OriginHistory)> = None;
@@ -85,7 +97,7 @@
                 let has_streams = !history.streams.is_empty();
                 written = Some((current, history));
                 if has_streams {
-                    tokio::time::sleep(STREAMS_INTERVAL).await;
+                    tokio::time::sleep(streams_interval(&shared)).await;
                 }
             }
             Err(error) => {
