fleet: Store young origins of other gateways, too

Most streams that a kill of all gateways breaks off are younger than a second, so what counts is how soon a record reaches the store. Each gateway now also stores the records of others from the last two seconds: with several gateways that write at different times, one is always about to. It writes every 0.5 s instead of 0.3 s.

The unknown ones are mostly those whose first event came in the last 0.2 s before a kill, and those that waited long for it.

--- a/crates/fleet/src/origin.rs
+++ b/crates/fleet/src/origin.rs
@@ -27,6 +27,9 @@
 const LIFETIME_RANGE: (Duration, Duration) = (Duration::from_secs(30), Duration::from_secs(600));
 /// That time as a multiple of the longest time limit of a route.
 const LIFETIME_LIMITS: u32 = 2;
+/// Time for which a gateway also stores the records of others: one of many is about to write at any
+/// time, so that the records reach the store sooner.
+const FOREIGN_STORE_TIME: Duration = Duration::from_secs(2);
 /// Interval at which old records are dropped.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of digests that publish a record; one of them may be lost.
@@ -47,7 +50,7 @@
 pub struct OriginHistory {
     /// Builds that may have begun streams lately, with their pools.
     pub builds: BTreeMap<BuildId, PoolId>,
-    /// Recent streams of one gateway or zone; empty if each pool has one build only.
+    /// Recent streams; empty if each pool has one build only.
     pub streams: OriginReport,
 }
 
@@ -55,7 +58,7 @@
 struct Origin {
     build: BuildId,
     began: Mono,
-    /// Whether this gateway publishes and stores the record; for others, their gateways do.
+    /// Whether this gateway publishes the record; for others, their gateways do.
     is_own: bool,
 }
 
@@ -217,7 +220,10 @@
         let builds = builds.map(|(build, pool)| (build, pool.clone())).collect();
         let mut streams = OriginReport::new();
         if self.is_mixed(now) {
-            for (stream, origin) in self.streams.iter().filter(|(_, origin)| origin.is_own) {
+            let is_stored = |origin: &Origin| {
+                origin.is_own || now.saturating_sub(origin.began) < FOREIGN_STORE_TIME
+            };
+            for (stream, origin) in self.streams.iter().filter(|(_, origin)| is_stored(origin)) {
                 streams.entry(origin.build).or_default().push(*stream);
             }
         }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -27,7 +27,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum and maximum time between two writes of streams. Those begun since the last one cannot go on
 /// if all gateways are killed.
-const STREAMS_INTERVAL: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(2));
+const STREAMS_INTERVAL: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(2));
 /// Number of gateways up to which the minimum applies; larger fleets scale it up, since the store
 /// limits the number of writes a second.
 const UNSCALED_GATEWAYS: u32 = 12;
