gateway: Read origins a second time only while streams are stored

On the grown Utility each of 76 gateways read the stored origins twice at its start, and wrote the builds before it knew whether it writes for the others. The second read is now made only while builds are mixed, and the first write waits a second.

--- a/crates/fleet/src/fleet/streams.rs
+++ b/crates/fleet/src/fleet/streams.rs
@@ -36,6 +36,11 @@
         self.origins.find(stream, &pools, now)
     }
 
+    /// Whether a pool has servers of several builds, or had them lately.
+    pub fn has_mixed_builds(&self, now: Mono) -> bool {
+        self.origins.is_mixed(now)
+    }
+
     /// Returns the origins of streams to store.
     pub fn origin_history(&self, now: Mono) -> OriginHistory {
         self.origins.history(now)
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -31,23 +31,32 @@
 /// Number of gateways up to which the minimum applies; larger fleets scale it up, since the store
 /// limits the number of writes a second.
 const UNSCALED_GATEWAYS: u32 = 12;
+/// Time from the start to the first write. By then a gateway of a large fleet knows whether it writes
+/// for the others.
+const FIRST_WRITE_DELAY: Duration = Duration::from_secs(1);
 /// Time from the first read to the second, which finds what others wrote during the start.
 const SECOND_READ_DELAY: Duration = Duration::from_millis(1_200);
 
-/// Reads the origins in the store after the start of the gateway.
+/// Reads the origins in the store after the start of the gateway; twice, if streams are stored now.
 pub(crate) async fn load(shared: Rc<Shared>) {
-    for delay in [Duration::ZERO, SECOND_READ_DELAY] {
-        tokio::time::sleep(delay).await;
-        let mut failures = 0;
-        while let Err(error) = read(&shared).await {
-            ::log::debug!("failed to read the origins of streams: {error}");
-            failures += 1;
-            tokio::time::sleep(retry_pause(failures)).await;
-        }
-        shared.fleet.borrow_mut().complete_origins();
-        let streams = shared.fleet.borrow().known_streams();
-        shared.log.event(&Event::OriginsRead { streams, failures });
+    read_until_known(&shared).await;
+    tokio::time::sleep(SECOND_READ_DELAY).await;
+    let is_mixed = shared.fleet.borrow().has_mixed_builds(shared.now());
+    if is_mixed {
+        read_until_known(&shared).await;
+    }
+}
+
+async fn read_until_known(shared: &Shared) {
+    let mut failures = 0;
+    while let Err(error) = read(shared).await {
+        ::log::debug!("failed to read the origins of streams: {error}");
+        failures += 1;
+        tokio::time::sleep(retry_pause(failures)).await;
     }
+    shared.fleet.borrow_mut().complete_origins();
+    let streams = shared.fleet.borrow().known_streams();
+    shared.log.event(&Event::OriginsRead { streams, failures });
 }
 
 async fn read(shared: &Shared) -> Result<(), PlatformError> {
@@ -76,6 +85,7 @@
 
 /// Stores origins until the process ends.
 pub(crate) async fn store(shared: Rc<Shared>, lease: LeaseCell) {
+    tokio::time::sleep(FIRST_WRITE_DELAY).await;
     let mut written: Option<(Lease, OriginHistory)> = None;
     let mut failures = 0;
     loop {
