--- a/crates/primrosed/tests/testsuite/gateway_fixture.rs
+++ b/crates/primrosed/tests/testsuite/gateway_fixture.rs
@@ -10,9 +10,11 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::net::UdpSocket;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -20,6 +22,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use primrose_fleet::Fleet;
+use primrose_fleet::FleetConfig;
 use primrose_soak::server::accept;
 use primrose_soak::store::Store;
 use primrose_soak::store::StoreEndpoint;
@@ -94,6 +98,11 @@
     })
 }
 
+/// First of the ports for the exchange between gateways, at which they receive digests.
+const DIGEST_PORT: u16 = 7_400;
+/// Interval between two digests of announced gateways.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// A gateway process and its simulated platform.
 pub(crate) struct GatewayFixture {
     pub(crate) store: Arc<Store>,
@@ -104,6 +113,8 @@
     pub(crate) control: SocketAddr,
     child: Child,
     settings: std::path::PathBuf,
+    /// Ends the announcement of other gateways.
+    stopped: Arc<AtomicBool>,
 }
 
 /// Number of fixtures created by this process.
@@ -155,6 +166,7 @@
             control,
             child,
             settings,
+            stopped: Arc::default(),
         };
         fixture.wait_until_listening();
         fixture
@@ -209,6 +221,36 @@
         number.and_then(|kb| kb.parse().ok()).expect("a peak")
     }
 
+    /// Announces as many other gateways until the fixture is dropped.
+    pub(crate) fn announce_gateways(&mut self, count: u32) {
+        let ip = unique_ip();
+        let socket = UdpSocket::bind((ip, 0)).expect("a port for digests");
+        let target = SocketAddr::new(self.control.ip(), DIGEST_PORT);
+        let mut fleet = Fleet::new(FleetConfig {
+            incarnation: 1,
+            zone: "a".to_owned(),
+            ip: ip.into(),
+            capacity: 120,
+            retry_permille: 200,
+            retry_slack: 56,
+        });
+        let stop = Arc::clone(&self.stopped);
+        std::thread::spawn(move || {
+            let started = Instant::now();
+            while !stop.load(Ordering::SeqCst) {
+                let mut digest = fleet.digest(started.elapsed());
+                digest.relay.gateways = count;
+                let bytes = digest.encode().expect("encodes");
+                // Nothing listens after the end of the gateway.
+                let _ = socket.send_to(&bytes, target);
+                std::thread::sleep(ANNOUNCE_INTERVAL);
+            }
+        });
+        self.wait_until("heard of the others", || {
+            self.status()["gateways"] == json!(count + 1)
+        });
+    }
+
     /// Sends a termination signal.
     pub(crate) fn terminate(&self) {
         let pid = self.child.id().to_string();
@@ -240,6 +282,7 @@
 
 impl Drop for GatewayFixture {
     fn drop(&mut self) {
+        self.stopped.store(true, Ordering::SeqCst);
         // Both fail if the process has already exited.
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -257,7 +300,7 @@
     json!({
         "nodeName": "front-a-1", "ip": front.ip(), "zone": "a",
         "listen": { "front": front, "ready": ready, "control": control },
-        "internalPortRange": [7_400, 7_415], "seeds": [control], "limits": { "maxFds": 64, "memoryMb": 260 },
+        "internalPortRange": [DIGEST_PORT, 7_415], "seeds": [control], "limits": { "maxFds": 64, "memoryMb": 260 },
         "bounds": { "graceS": 8, "budgetRatio": 0.2, "budgetSlack": 56, "new": 1 },
         "platform": { "address": store, "form": "kv" },
     })
--- a/crates/primrosed/tests/testsuite/store_faults.rs
+++ b/crates/primrosed/tests/testsuite/store_faults.rs
@@ -108,3 +108,42 @@
     fixture.wait_until("became ready", || fixture.status()["ready"] == json!(true));
     assert!(recovered_at.elapsed() < MAX_ACTIVATION_TIME);
 }
+
+/// Numbers of other gateways: a small fleet, the largest in which all read the tables, a large one.
+const OTHER_GATEWAYS: [u32; 3] = [0, 11, 75];
+
+fn check_lost_watch(others: u32) {
+    let server =
+        Server::start(|seen, stream| reply(stream, "200 OK", &signed_headers_for(seen), "done"));
+    let mut fixture = GatewayFixture::start(&[("plain", &server)]);
+    if others > 0 {
+        fixture.announce_gateways(others);
+    }
+    let is_in_force = |version: u64| fixture.status()["generation"] == json!(version);
+    fixture.store.put("op/config", &config(2));
+    fixture.wait_until("applied version 2", || is_in_force(2));
+    // The next watch is under way.
+    std::thread::sleep(Duration::from_millis(200));
+    fixture.store_endpoint.fault.set(StoreFault::Silent);
+    fixture.store.put("op/config", &config(3));
+    std::thread::sleep(Duration::from_millis(200));
+    fixture.store_endpoint.fault.set(StoreFault::Well);
+    let recovered_at = Instant::now();
+    fixture.wait_until("applied version 3", || is_in_force(3));
+    let elapsed = recovered_at.elapsed();
+    assert!(
+        elapsed < MAX_ACTIVATION_TIME,
+        "{others} others: {elapsed:?}"
+    );
+}
+
+/// Guards against tables that come into force late in a large fleet, where a watch whose answer was
+/// lost went on for ten seconds.
+#[test]
+fn tables_are_soon_in_force_after_the_answer_to_a_watch_was_lost() {
+    std::thread::scope(|scope| {
+        for others in OTHER_GATEWAYS {
+            scope.spawn(move || check_lost_watch(others));
+        }
+    });
+}
