--- a/crates/primrosed/tests/testsuite/gateway_fixture.rs
+++ b/crates/primrosed/tests/testsuite/gateway_fixture.rs
@@ -24,6 +24,7 @@
 
 use primrose_fleet::Fleet;
 use primrose_fleet::FleetConfig;
+use primrose_soak::proxy::Proxy;
 use primrose_soak::server::accept;
 use primrose_soak::store::Store;
 use primrose_soak::store::StoreEndpoint;
@@ -108,6 +109,8 @@
     pub(crate) store: Arc<Store>,
     /// Endpoint through which the gateway reaches the store; faults are injected here.
     pub(crate) store_endpoint: Arc<StoreEndpoint>,
+    /// Links between the gateway and the store.
+    pub(crate) store_links: Arc<Proxy>,
     pub(crate) front: SocketAddr,
     pub(crate) ready: SocketAddr,
     pub(crate) control: SocketAddr,
@@ -150,6 +153,7 @@
         let store = Arc::new(Store::default());
         let store_endpoint = Arc::new(StoreEndpoint::default());
         let address = store.listen(Arc::clone(&store_endpoint));
+        let (store_links, address) = Proxy::start(address);
         let ip = unique_ip();
         let [front, ready, control] =
             [7_001, 7_002, 7_003].map(|port| SocketAddr::from((ip, port)));
@@ -161,6 +165,7 @@
         let fixture = Self {
             store,
             store_endpoint,
+            store_links,
             front,
             ready,
             control,
--- a/crates/primrosed/tests/testsuite/store_faults.rs
+++ b/crates/primrosed/tests/testsuite/store_faults.rs
@@ -147,3 +147,24 @@
         }
     });
 }
+
+/// Guards against a second wait for a dead connection: after a timeout, the next call took an idle
+/// connection that had fallen silent with the first.
+#[test]
+fn changes_are_soon_known_after_all_connections_fell_silent() {
+    let server =
+        Server::start(|seen, stream| reply(stream, "200 OK", &signed_headers_for(seen), "done"));
+    // Just started, the gateway has idle connections from its first calls.
+    let fixture = GatewayFixture::start(&[("plain", &server)]);
+    fixture.store_links.silence_connections();
+    fixture.store.put("op/config", &config(2));
+    fixture.store.put("servers/i-1", &server.entry("models"));
+    let silenced_at = Instant::now();
+    fixture.wait_until("applied the changes", || {
+        let status = fixture.status();
+        let servers = status["servers"].as_array().map(Vec::len);
+        status["generation"] == json!(2) && servers == Some(2)
+    });
+    let elapsed = silenced_at.elapsed();
+    assert!(elapsed < MAX_ACTIVATION_TIME, "{elapsed:?}");
+}
