primrosed: Shorten the watch of the documents

What operators would see: after the connections of all watching routers have fallen silent, an edit is in force after 13 s; 11 s is the most. Now it waits 6 s.

Test: an_edit_comes_into_force_in_time_after_all_watches_fell_silent: 12.8 s before; passes now. The simulated key-value service can leave pending requests without an answer.

--- a/crates/local/tests/testsuite/documents.rs
+++ b/crates/local/tests/testsuite/documents.rs
@@ -1,11 +1,17 @@
 //! The tables in force: forward only, everywhere, through outages.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use primrose_local::TABLES_KEY;
 use primrose_store::store::Op;
 use primrose_store::store::Store;
 
 use crate::fixture;
 
+/// Time within which an accepted edit must be in force on every router.
+const MAX_ACTIVATION_TIME: Duration = Duration::from_secs(11);
+
 fn all_have(deployment: &primrose_local::Deployment, generation: u64) -> bool {
     let places = 0..deployment.places();
     places
@@ -66,3 +72,25 @@
     deployment.replace(0).unwrap();
     wait(&deployment, "the empty router has the tables of its peer");
 }
+
+/// Guards against an edit that comes into force too late after the connections of all watching
+/// routers have fallen silent: each waited 13 s for its watch.
+#[test]
+fn an_edit_comes_into_force_in_time_after_all_watches_fell_silent() {
+    let deployment = fixture::start(1, 1);
+    deployment.edit_tables(2).unwrap();
+    let wait = |what, generation| {
+        deployment
+            .wait(what, fixture::PATIENCE, |d| all_have(d, generation))
+            .unwrap();
+    };
+    wait("generation 2 is in force", 2);
+    // The next watches are under way.
+    std::thread::sleep(Duration::from_millis(500));
+    deployment.kv().silence_pending();
+    deployment.edit_tables(3).unwrap();
+    let edited_at = Instant::now();
+    wait("generation 3 is in force", 3);
+    let elapsed = edited_at.elapsed();
+    assert!(elapsed < MAX_ACTIVATION_TIME, "{elapsed:?}");
+}
--- a/crates/primrosed/src/duty/watch.rs
+++ b/crates/primrosed/src/duty/watch.rs
@@ -21,8 +21,10 @@
 use crate::reporter::Reporter;
 use crate::snapshots::Snapshots;
 
-/// Maximum time that one watch waits for a change.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time that one watch waits for a change. A lost reply goes unnoticed for this time plus the
+/// timeouts of the call; with a second call, the sum must stay below the 11 s within which an edit
+/// must be in force.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(6);
 /// Interval between two reads of a router that does not watch.
 const POLL_INTERVAL: Duration = Duration::from_secs(30);
 /// Interval at which a router that does not watch checks whether it should.
--- a/crates/standin/src/kv/mod.rs
+++ b/crates/standin/src/kv/mod.rs
@@ -103,4 +103,10 @@
     pub fn stall(&self, stalled: bool) {
         self.core.stall(stalled);
     }
+
+    /// Never answers the requests that are pending now, and keeps their connections open; new
+    /// requests are answered.
+    pub fn silence_pending(&self) {
+        self.core.silence_pending();
+    }
 }
--- a/crates/standin/src/kv/serve.rs
+++ b/crates/standin/src/kv/serve.rs
@@ -1,5 +1,7 @@
 //! The HTTP interface of the key-value service.
 
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -38,6 +40,8 @@
     store: Arc<MemoryStore>,
     signal: Signal,
     stalled: watch::Sender<bool>,
+    /// Number of times that the pending requests were silenced.
+    silenced: AtomicU32,
 }
 
 impl Core {
@@ -46,6 +50,7 @@
         Arc::new(Self {
             signal: Signal::new(store.peek_state_version()),
             stalled: watch::Sender::new(false),
+            silenced: AtomicU32::new(0),
             store,
             config,
         })
@@ -59,6 +64,10 @@
         self.stalled.send_replace(stalled);
     }
 
+    pub(super) fn silence_pending(&self) {
+        self.silenced.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// Wakes blocking queries if the state has changed since the last call.
     pub(super) fn notify_if_changed(&self) {
         let version = self.store.peek_state_version();
@@ -82,11 +91,15 @@
     }
 
     async fn process(self: Arc<Self>, request: Request<Bytes>) -> Option<Reply> {
+        let received = self.silenced.load(Ordering::SeqCst);
         let mut stalled = self.stalled.subscribe();
         // `self` owns the sender, so waiting cannot fail.
         let _ = stalled.wait_for(|stalled| !stalled).await;
         let answer = self.route(request).await;
         self.notify_if_changed();
+        if self.silenced.load(Ordering::SeqCst) != received {
+            std::future::pending::<()>().await;
+        }
         match answer {
             Ok(reply) => Some(reply),
             Err(StoreError::Lost { .. }) => None,
