--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -16,6 +16,7 @@
 use primrose_fleet::snapshot::Snapshot;
 use primrose_fleet::SnapshotScope;
 use tokio::net::UdpSocket;
+use tokio::task::JoinSet;
 
 use crate::control::SNAPSHOT_PATH;
 use crate::feed::adopt_tables;
@@ -24,10 +25,13 @@
 
 /// How often it is checked whether another gateway has newer state.
 const SNAPSHOT_CHECK_INTERVAL: Duration = Duration::from_millis(300);
-/// Timeout for fetching a snapshot.
-const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(700);
-/// Consecutive failures to fetch a snapshot after which the platform is read instead.
-const MAX_SNAPSHOT_FAILURES: u32 = 3;
+/// Timeout for fetching a snapshot. A fetch takes several rounds of this gateway's thread, and a round
+/// may take some 0.3 s while the gateway does not keep up.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time after which a snapshot is fetched from another gateway, too.
+const NEXT_SOURCE_DELAY: Duration = Duration::from_millis(600);
+/// Consecutive fetches without an answer after which the platform is read instead.
+const MAX_UNANSWERED: u32 = 3;
 /// Maximum length of a snapshot; it holds some hundred routes and servers.
 const MAX_SNAPSHOT_BYTES: usize = 4 << 20;
 
@@ -87,33 +91,58 @@
 
 /// Fetches tables and servers from gateways with newer state until the process ends.
 pub(crate) async fn fetch_snapshots(shared: Rc<Shared>) {
-    let mut failures = 0;
+    let mut fetches = JoinSet::new();
+    let mut last_begun = None;
+    let mut unanswered = 0;
     loop {
-        tokio::time::sleep(SNAPSHOT_CHECK_INTERVAL).await;
-        let scope = snapshot_scope(&shared);
-        let Some(ip) = shared.fleet.borrow().snapshot_source(scope) else {
-            failures = 0;
+        tokio::select! {
+            () = tokio::time::sleep(SNAPSHOT_CHECK_INTERVAL) => {}
+            Some(ended) = fetches.join_next() => {
+                if let Ok(Some(snapshot)) = ended {
+                    unanswered = 0;
+                    shared.snapshots_unavailable.set(false);
+                    apply_snapshot(&shared, snapshot, snapshot_scope(&shared));
+                }
+            }
+        }
+        let source = shared
+            .fleet
+            .borrow()
+            .snapshot_source(snapshot_scope(&shared));
+        let Some(ip) = source else {
+            unanswered = 0;
+            fetches.abort_all();
             continue;
         };
-        let reason = match tokio::time::timeout(SNAPSHOT_TIMEOUT, fetch_snapshot(&shared, ip)).await
-        {
-            Ok(Ok(snapshot)) => {
-                failures = 0;
-                shared.snapshots_unavailable.set(false);
-                apply_snapshot(&shared, snapshot, scope);
-                continue;
-            }
-            Ok(Err(reason)) => reason,
-            Err(_) => "no answer in time".to_owned(),
+        let now = shared.now();
+        let pause = if fetches.is_empty() {
+            SNAPSHOT_CHECK_INTERVAL
+        } else {
+            NEXT_SOURCE_DELAY
         };
-        ::log::debug!("failed to read the snapshot of {ip}: {reason}");
-        failures += 1;
-        shared
-            .snapshots_unavailable
-            .set(failures >= MAX_SNAPSHOT_FAILURES);
+        if last_begun.is_none_or(|at| now.saturating_sub(at) >= pause) {
+            last_begun = Some(now);
+            unanswered += 1;
+            shared
+                .snapshots_unavailable
+                .set(unanswered > MAX_UNANSWERED);
+            fetches.spawn_local(fetch_in_time(Rc::clone(&shared), ip));
+        }
     }
 }
 
+/// Fetches the snapshot of one gateway; none if that fails or takes too long.
+async fn fetch_in_time(shared: Rc<Shared>, ip: IpAddr) -> Option<Snapshot> {
+    let fetched = tokio::time::timeout(SNAPSHOT_TIMEOUT, fetch_snapshot(&shared, ip)).await;
+    let reason = match fetched {
+        Ok(Ok(snapshot)) => return Some(snapshot),
+        Ok(Err(reason)) => reason,
+        Err(_) => "no answer in time".to_owned(),
+    };
+    ::log::debug!("failed to read the snapshot of {ip}: {reason}");
+    None
+}
+
 fn snapshot_scope(shared: &Shared) -> SnapshotScope {
     let is_list_unreadable = shared.fleet.borrow().list_unreadable_since().is_some();
     if is_list_unreadable || !shared.fleet.borrow().is_ready() {
--- a/crates/primrosed/tests/testsuite/gateway_fixture.rs
+++ b/crates/primrosed/tests/testsuite/gateway_fixture.rs
@@ -24,6 +24,7 @@
 
 use primrose_fleet::Fleet;
 use primrose_fleet::FleetConfig;
+use primrose_platform::tables;
 use primrose_soak::proxy::Proxy;
 use primrose_soak::server::accept;
 use primrose_soak::store::Store;
@@ -104,6 +105,14 @@
 /// Interval between two digests of announced gateways.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Another gateway, which has newer tables.
+pub(crate) struct SnapshotPeer {
+    /// Configuration in the platform's format.
+    pub(crate) tables: Value,
+    /// Time after which it answers.
+    pub(crate) delay: Duration,
+}
+
 /// A gateway process and its simulated platform.
 pub(crate) struct GatewayFixture {
     pub(crate) store: Arc<Store>,
@@ -120,6 +129,18 @@
     stopped: Arc<AtomicBool>,
 }
 
+/// Returns the state of another gateway.
+fn peer_fleet(ip: Ipv4Addr) -> Fleet {
+    Fleet::new(FleetConfig {
+        incarnation: 1,
+        zone: "a".to_owned(),
+        ip: ip.into(),
+        capacity: 120,
+        retry_permille: 200,
+        retry_slack: 56,
+    })
+}
+
 /// Number of fixtures created by this process.
 static FIXTURE_COUNT: AtomicU32 = AtomicU32::new(0);
 
@@ -229,16 +250,33 @@
     /// Announces as many other gateways until the fixture is dropped.
     pub(crate) fn announce_gateways(&mut self, count: u32) {
         let ip = unique_ip();
+        let fleet = peer_fleet(ip);
+        self.send_digests(ip, fleet, count);
+        self.wait_until("heard of the others", || {
+            self.status()["gateways"] == json!(count + 1)
+        });
+    }
+
+    /// Announces another gateway with newer tables until the fixture is dropped.
+    pub(crate) fn announce_snapshot(&mut self, peer: SnapshotPeer) {
+        let ip = unique_ip();
+        let mut fleet = peer_fleet(ip);
+        let bytes = peer.tables.to_string().into_bytes();
+        fleet.adopt_tables(tables::decode(&bytes).expect("valid tables"));
+        let snapshot = fleet.snapshot().encode().expect("encodes");
+        let addr = SocketAddr::new(ip.into(), self.control.port());
+        let listener = TcpListener::bind(addr).expect("a port for snapshots");
+        accept(listener, move |_, stream| {
+            std::thread::sleep(peer.delay);
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", snapshot.len());
+            stream.write_all(head.as_bytes()).is_ok() && stream.write_all(&snapshot).is_ok()
+        });
+        self.send_digests(ip, fleet, 1);
+    }
+
+    fn send_digests(&self, ip: Ipv4Addr, mut fleet: Fleet, count: u32) {
         let socket = UdpSocket::bind((ip, 0)).expect("a port for digests");
         let target = SocketAddr::new(self.control.ip(), DIGEST_PORT);
-        let mut fleet = Fleet::new(FleetConfig {
-            incarnation: 1,
-            zone: "a".to_owned(),
-            ip: ip.into(),
-            capacity: 120,
-            retry_permille: 200,
-            retry_slack: 56,
-        });
         let stop = Arc::clone(&self.stopped);
         std::thread::spawn(move || {
             let started = Instant::now();
@@ -251,9 +289,6 @@
                 std::thread::sleep(ANNOUNCE_INTERVAL);
             }
         });
-        self.wait_until("heard of the others", || {
-            self.status()["gateways"] == json!(count + 1)
-        });
     }
 
     /// Sends a termination signal.
--- a/crates/primrosed/tests/testsuite/store_faults.rs
+++ b/crates/primrosed/tests/testsuite/store_faults.rs
@@ -14,6 +14,7 @@
 use crate::gateway_fixture::signed_headers_for;
 use crate::gateway_fixture::GatewayFixture;
 use crate::gateway_fixture::Server;
+use crate::gateway_fixture::SnapshotPeer;
 
 /// Required maximum time until a changed configuration is active.
 const MAX_ACTIVATION_TIME: Duration = Duration::from_secs(3);
@@ -168,3 +169,30 @@
     let elapsed = silenced_at.elapsed();
     assert!(elapsed < MAX_ACTIVATION_TIME, "{elapsed:?}");
 }
+
+/// Response times of another gateway, as a gateway sees them that does not keep up.
+const SNAPSHOT_DELAYS: [Duration; 2] = [Duration::from_millis(10), Duration::from_millis(1_200)];
+
+/// Guards against old tables at a gateway that does not keep up: the fetch of a snapshot timed out
+/// after 0.7 s each time, and was begun anew.
+#[test]
+fn tables_of_another_gateway_are_soon_in_force_though_fetching_them_is_slow() {
+    for delay in SNAPSHOT_DELAYS {
+        let server = Server::start(|seen, stream| {
+            reply(stream, "200 OK", &signed_headers_for(seen), "done")
+        });
+        let mut fixture = GatewayFixture::start(&[("plain", &server)]);
+        fixture.store_endpoint.fault.set(StoreFault::Refusing);
+        let peer = SnapshotPeer {
+            tables: config(2),
+            delay,
+        };
+        fixture.announce_snapshot(peer);
+        let announced_at = Instant::now();
+        fixture.wait_until("applied version 2", || {
+            fixture.status()["generation"] == json!(2)
+        });
+        let elapsed = announced_at.elapsed();
+        assert!(elapsed < MAX_ACTIVATION_TIME, "{delay:?}: {elapsed:?}");
+    }
+}
