--- a/crates/primrosed/tests/testsuite/gateway_fixture.rs
+++ b/crates/primrosed/tests/testsuite/gateway_fixture.rs
@@ -268,7 +268,10 @@
         let listener = TcpListener::bind(addr).expect("a port for snapshots");
         accept(listener, move |_, stream| {
             std::thread::sleep(peer.delay);
-            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", snapshot.len());
+            let head = format!(
+                "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n",
+                snapshot.len()
+            );
             stream.write_all(head.as_bytes()).is_ok() && stream.write_all(&snapshot).is_ok()
         });
         self.send_digests(ip, fleet, 1);
