fleet: Admit nothing of an account far over its fair share

Cause: beyond an excess of a half, an account could always wait a quarter of the objective, however far it was over; with many requests it always found a server with a shorter queue. Class: a bound that stops to grow with what it bounds. The allowed wait now falls to nothing. The size of a request does not count for the excess, so that an idle fleet runs requests larger than a share.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -141,7 +141,8 @@
     ) -> ShareUsage {
         let totals = self.fleet_sums(now);
         let asked: Vec<u64> = totals.values().map(|sums| sums.asked).collect();
-        let used = totals.get(&account).map_or(0, |sums| sums.granted) + tokens;
+        let own_granted = totals.get(&account).map_or(0, |sums| sums.granted);
+        let used = own_granted + tokens;
         let capacity = rate * WINDOW.as_secs();
         if used <= max_min_share(capacity, asked.clone()) {
             return ShareUsage::WithinQuota;
@@ -151,8 +152,10 @@
         if used <= fair_share {
             ShareUsage::WithinFairShare
         } else {
+            // The size of the request itself does not make an account exceed its share by more.
+            let excess = own_granted as f64 / fair_share.max(1) as f64 - 1.0;
             ShareUsage::OverFairShare {
-                excess: used as f64 / fair_share.max(1) as f64 - 1.0,
+                excess: excess.max(0.0),
             }
         }
     }
--- a/crates/fleet/src/fleet/admission.rs
+++ b/crates/fleet/src/fleet/admission.rs
@@ -31,15 +31,13 @@
 /// Fraction of the objective that a request of an account over its quota but within its fair share
 /// may wait; the rest is left to accounts within their quotas.
 const WAIT_FRACTION_WITHIN_FAIR_SHARE: f64 = 0.6;
-/// Fraction of the objective that a request of an account far over its fair share may wait: such an
-/// account is served only while servers have spare capacity.
-const WAIT_FRACTION_OVER_FAIR_SHARE: f64 = 0.25;
-/// Excess over the fair share, as a fraction of it, at which the allowed wait reaches its minimum.
-/// Up to there the allowed wait decreases linearly: with a single step, all accounts over their
-/// fair share would get capacity in proportion to their demand. In the load patterns of the
-/// `uneven_demand` tests of the emulate crate, 0.5 gave the fewest intervals in which an account
-/// gets less than half of its fair share, and the most useful work.
-const MAX_EXCESS: f64 = 0.5;
+/// Excess over the fair share, as a fraction of it, from which on an account's requests are refused
+/// at once. Up to there the allowed wait decreases linearly to nothing. With a single step, all
+/// accounts over their fair share would get capacity in proportion to their demand; with a lower
+/// bound of the wait, an account with many requests would always find a server with a short queue.
+/// While the others get all they ask for, the fair share is what the largest account gets, so that
+/// its excess stays near zero and spare capacity is used.
+const MAX_EXCESS: f64 = 1.25;
 /// Fraction of the objective that a request of an account within its quota may wait for those ahead
 /// of it, however large it is itself.
 const QUEUE_FRACTION_LARGE: f64 = 0.2;
@@ -390,9 +388,7 @@
 /// Returns the fraction of the objective that a request of an account over its fair share may wait;
 /// it decreases with the excess.
 fn over_share_wait_fraction(excess: f64) -> f64 {
-    let position = (excess / MAX_EXCESS).min(1.0);
-    WAIT_FRACTION_WITHIN_FAIR_SHARE
-        + (WAIT_FRACTION_OVER_FAIR_SHARE - WAIT_FRACTION_WITHIN_FAIR_SHARE) * position
+    WAIT_FRACTION_WITHIN_FAIR_SHARE * (1.0 - excess / MAX_EXCESS).max(0.0)
 }
 
 fn refuse(reason: RefusalReason, retry_after: Duration) -> Decision {
