fleet: Compare demand with the token rate of the time that it covers

Cause: sums of the first second were compared with the tokens of four, so that every account was within its share. The rate now counts for the time that the sums cover. After a restart among others the fair share goes by what all gateways sent.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -20,6 +20,10 @@
 /// Time over which shares are computed; about the time in which callers notice a shortfall.
 pub const WINDOW: Duration = Duration::from_secs(4);
 
+/// Time by which the sums of the others are late in a large fleet. The token rate of this time is
+/// given out at once after the start.
+const SUMS_DELAY: Duration = Duration::from_millis(500);
+
 /// Tokens of one account over the last [`WINDOW`].
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TokenSums {
@@ -64,11 +68,14 @@
     local: HashMap<ShortId, Account>,
     /// Totals of the sums that other gateways sent.
     remote: HashMap<ShortId, TokenSums>,
+    /// Time of this gateway's first request.
+    began: Option<Mono>,
 }
 
 impl Demand {
     /// Records a request of an account.
     pub fn record_request(&mut self, account: ShortId, tokens: u64, now: Mono) {
+        self.began.get_or_insert(now);
         let account = self.local.entry(account).or_insert_with(Account::new);
         account.asked.add(tokens, now);
     }
@@ -130,6 +137,16 @@
         used as f64 / max_min_share(granted, asked).max(1) as f64
     }
 
+    /// Returns the time that the sums cover, which is short after the start. With the tokens of a whole
+    /// window, every account would be within its share at first, however much it requests. After a
+    /// restart among others, whose sums cover a whole window, the fair share goes by what they sent.
+    fn covered_time(&self, now: Mono) -> Duration {
+        let since = self
+            .began
+            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        (since + SUMS_DELAY).min(WINDOW)
+    }
+
     /// Classifies the usage of an account that requests `tokens` more, where all accounts share
     /// `rate` tokens a second.
     pub fn share_usage(
@@ -143,7 +160,7 @@
         let asked: Vec<u64> = totals.values().map(|sums| sums.asked).collect();
         let own_granted = totals.get(&account).map_or(0, |sums| sums.granted);
         let used = own_granted + tokens;
-        let capacity = rate * WINDOW.as_secs();
+        let capacity = (rate as f64 * self.covered_time(now).as_secs_f64()) as u64;
         if used <= max_min_share(capacity, asked.clone()) {
             return ShareUsage::WithinQuota;
         }
