fleet: Share what servers begin to answer, not what was sent to them

While servers fall behind, an account that fills them seemed to be within its share (FAIR, grown Co-op): the share was computed of the tokens sent, which grew with what the account sent. Digests now also tell the tokens of requests that servers began to answer; the share is computed of these. Older builds neither send nor read the number; beside them shares are lower, down to the configured rate.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -19,7 +19,6 @@
 
 /// Time over which shares are computed; about the time in which callers notice a shortfall.
 pub const WINDOW: Duration = Duration::from_secs(4);
-
 /// Time by which the sums of the others are late in a large fleet. The token rate of this time is
 /// given out at once after the start.
 const SUMS_DELAY: Duration = Duration::from_millis(500);
@@ -68,6 +67,10 @@
     local: HashMap<ShortId, Account>,
     /// Totals of the sums that other gateways sent.
     remote: HashMap<ShortId, TokenSums>,
+    /// Tokens of this gateway's requests that servers began to answer.
+    begun: Option<Window>,
+    /// Total of the tokens that servers began to answer for other gateways.
+    remote_begun: u64,
     /// Time of this gateway's first request.
     began: Option<Mono>,
 }
@@ -86,6 +89,22 @@
         account.granted.add(tokens, now);
     }
 
+    /// Records that a server began to answer a request.
+    pub fn record_begun(&mut self, tokens: u64, now: Mono) {
+        let begun = self.begun.get_or_insert_with(|| Window::new(WINDOW));
+        begun.add(tokens, now);
+    }
+
+    /// Returns the tokens of this gateway's requests that servers recently began to answer.
+    pub fn local_begun(&mut self, now: Mono) -> u64 {
+        self.begun.as_mut().map_or(0, |begun| begun.sum(now))
+    }
+
+    /// Replaces the previous begun tokens of another gateway by its current ones.
+    pub fn merge_begun(&mut self, previous: u64, current: u64) {
+        self.remote_begun = self.remote_begun.saturating_sub(previous) + current;
+    }
+
     /// Returns the sums of the accounts that recently sent requests to this gateway.
     pub fn local_sums(&mut self, now: Mono) -> Vec<(ShortId, TokenSums)> {
         let mut sums = Vec::with_capacity(self.local.len());
@@ -116,6 +135,7 @@
     /// Drops the sums of all other gateways.
     pub fn clear_remote(&mut self) {
         self.remote.clear();
+        self.remote_begun = 0;
     }
 
     /// Returns the sums of all accounts over the fleet.
@@ -164,8 +184,10 @@
         if used <= max_min_share(capacity, asked.clone()) {
             return ShareUsage::WithinQuota;
         }
-        let granted: u64 = totals.values().map(|sums| sums.granted).sum();
-        let fair_share = max_min_share(granted.max(capacity), asked);
+        // What was sent may be more than servers process: it would raise the share while they fall
+        // behind.
+        let begun = self.local_begun(now) + self.remote_begun;
+        let fair_share = max_min_share(begun.max(capacity), asked);
         if used <= fair_share {
             ShareUsage::WithinFairShare
         } else {
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -136,6 +136,8 @@
     pub limits: Vec<LimitReport>,
     /// Builds that began streams. Older builds of the gateway neither send nor read it.
     pub origins: OriginReport,
+    /// Tokens of recent requests that servers began to answer. Older builds neither send nor read it.
+    pub begun: u64,
     /// Incarnations of servers that were recently marked as leaving.
     pub leaving: Vec<ShortId>,
     /// Incarnations of servers that were recently removed from the list.
@@ -160,6 +162,7 @@
     #[serde(default)] WirePoison,
     #[serde(default)] Vec<(ShortId, Option<u64>, u32, u32)>,
     #[serde(default)] OriginReport,
+    #[serde(default)] u64,
 );
 
 /// Encoded form of [`PoisonReport`].
@@ -328,6 +331,7 @@
             WirePoison::from(&self.poison),
             limits.collect(),
             self.origins.clone(),
+            self.begun,
         );
         let mut bytes = Vec::with_capacity(MAX_BYTES);
         ciborium::into_writer(&wire, &mut bytes).context(EncodeSnafu)?;
@@ -349,6 +353,7 @@
             poison,
             limits,
             origins,
+            begun,
         ) = wire;
         let (writer, seq, generation) = head;
         let (list_version, members_version, zone, list_unreadable) = list;
@@ -392,6 +397,7 @@
             poison: poison.into(),
             limits: limits.collect(),
             origins,
+            begun,
         })
     }
 }
--- a/crates/fleet/src/fleet/admission.rs
+++ b/crates/fleet/src/fleet/admission.rs
@@ -142,7 +142,12 @@
         now: Mono,
     ) {
         match placement.first_event_at {
-            None => self.record_first_event(placement, now),
+            None => {
+                if let Some(prompt) = &request.prompt {
+                    self.demand.record_begun(prompt.service(), now);
+                }
+                self.record_first_event(placement, now);
+            }
             Some(began) => self.record_survival(request, placement, began, now),
         }
     }
--- a/crates/fleet/src/fleet/combine.rs
+++ b/crates/fleet/src/fleet/combine.rs
@@ -47,7 +47,9 @@
             zone_load: (1, u32::from(own.relay.overloaded)),
             ..RelayInfo::default()
         };
+        let mut begun = 0;
         for digest in counted.chain([own]) {
+            begun += digest.begun;
             for row in &digest.servers {
                 let sum = sums.entry(row.server).or_insert(ServerRow {
                     server: row.server,
@@ -84,6 +86,7 @@
         Digest {
             servers: sums.into_values().collect(),
             accounts: accounts.into_iter().collect(),
+            begun,
             peers: Vec::new(),
             relay: info,
             ..own.clone()
@@ -167,6 +170,7 @@
             digest.accounts[index].1.remove(*tokens);
         }
     }
+    digest.begun = digest.begun.saturating_sub(writer.begun);
     digest.relay.gateways = digest.relay.gateways.saturating_sub(1);
     digest
         .relay
--- a/crates/fleet/src/fleet/gossip.rs
+++ b/crates/fleet/src/fleet/gossip.rs
@@ -193,6 +193,7 @@
             list_unreadable: self.list_unreadable_since.is_some(),
             servers,
             accounts: self.demand.local_sums(now),
+            begun: self.demand.local_begun(now),
             broken_runs: self.crashes.to_publish(now),
             poison: self.poison.report(now),
             limits: self.limits.report(now),
@@ -386,6 +387,8 @@
             rows.unwrap_or_default()
         };
         self.demand.merge(&accounts(previous), &accounts(current));
+        let begun = |digest: Option<&Digest>| digest.map_or(0, |digest| digest.begun);
+        self.demand.merge_begun(begun(previous), begun(current));
         for row in previous.into_iter().flat_map(|digest| &digest.servers) {
             if let Some((load, counts)) = self.peer_sums.get_mut(&row.server) {
                 load.remove(row.load);
