gateway: Heed servers that say in their answers that they leave or want no requests

New on the platform: a server that leaves says so in its answers, often before or without any word in the list (DRAIN), and one that turns a request away with 503 may say for how long it wants none of this gateway (BUDGET). The first is a mark like those of the list: for the incarnation, for good, published to the other gateways. The second lasts for this gateway alone, and answers to earlier requests do not end it. If no other server is left, the request is refused at once as declined, with the time until one takes requests again, a second at most, since another gateway may be able to send.

Tests: server_wishes. Before, the server that leaves got further requests in all three cases, and one good answer ended the pause; the case beside another server passed before, too.

--- a/crates/fleet/src/fleet/admission.rs
+++ b/crates/fleet/src/fleet/admission.rs
@@ -20,6 +20,7 @@
 use crate::place::Choice;
 use crate::server::Load;
 use crate::server::Server;
+use crate::server::ServerChange;
 
 /// Time of a plain call (a request without a prompt), assumed before the first one.
 pub(super) const INITIAL_CALL_TIME: Duration = Duration::from_millis(30);
@@ -82,11 +83,7 @@
         }
         let candidates = self.candidates(request, now);
         if candidates.is_empty() {
-            let reason = match request.build {
-                Some(_) => RefusalReason::NoServerOfBuild,
-                None => RefusalReason::NoServer,
-            };
-            return refuse(reason, RETRY_AFTER_NO_SERVER);
+            return self.refuse_without_candidates(request, now);
         }
         if !candidates.iter().any(|candidate| candidate.within_limit) {
             let wait = self.wait_for_limits(&candidates, now);
@@ -274,6 +271,36 @@
         candidates
     }
 
+    fn refuse_without_candidates(&self, request: &PlacementRequest, now: Mono) -> Decision {
+        let servers = self.servers.iter().filter(|server| {
+            let is_tried = request.tried.contains(&server.entry.id);
+            may_run(server, request) && !is_tried
+        });
+        let declined = servers.map(|server| server.health.declined_time(now));
+        let declined = declined.filter(|time| !time.is_zero()).min();
+        match (declined, request.build) {
+            // Another gateway may be able to send to them before.
+            (Some(time), _) => {
+                let after = time.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_NO_SERVER);
+                refuse(RefusalReason::Declined, after)
+            }
+            (None, Some(_)) => refuse(RefusalReason::NoServerOfBuild, RETRY_AFTER_NO_SERVER),
+            (None, None) => refuse(RefusalReason::NoServer, RETRY_AFTER_NO_SERVER),
+        }
+    }
+
+    /// Records that a server wants no requests of this gateway for some time.
+    pub fn record_declined(&mut self, placement: &Placement, time: Duration, now: Mono) {
+        if let Some(server) = self.server_of(placement) {
+            server.health.record_declined(time, now);
+        }
+    }
+
+    /// Records that a server said that it leaves; returns the changes that this causes.
+    pub fn record_leaving(&mut self, placement: &Placement, now: Mono) -> Vec<ServerChange> {
+        self.servers.merge_leaving(&[placement.short_id], now)
+    }
+
     fn choose(
         &mut self,
         request: &PlacementRequest,
@@ -370,6 +397,7 @@
             born_ms: server.entry.born_ms,
             addr: server.entry.addr,
             build: server.build,
+            short_id: server.short_id,
             load,
             predicted: choice.wait,
             queued_tokens,
@@ -384,9 +412,13 @@
 
 /// Whether a server may run a request, apart from earlier attempts at it.
 fn is_eligible(server: &Server, request: &PlacementRequest, now: Mono) -> bool {
+    may_run(server, request) && !server.health.is_paused(now)
+}
+
+/// Whether a server is of the right kind for a request, and is not about to leave.
+fn may_run(server: &Server, request: &PlacementRequest) -> bool {
     server.entry.pool == request.pool
         && server.accepts_requests()
-        && !server.health.is_paused(now)
         && request.build.is_none_or(|build| build == server.build)
 }
 
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -119,6 +119,8 @@
     /// Whether the response states its length or is sent in chunks. Otherwise it ends with its
     /// connection, as it also would if the server crashed.
     pub end_certain: bool,
+    /// Short id of the server's incarnation.
+    short_id: ShortId,
     pool: PoolId,
     first_event_at: Option<Mono>,
     /// Whether the run has lasted for [`SURVIVAL_TIME`](crate::poison::SURVIVAL_TIME).
@@ -168,6 +170,9 @@
     /// The request would wait too long for an account that is over its fair share.
     #[display("over_share")]
     OverShare,
+    /// The servers that could run the request said that they want none for now.
+    #[display("declined")]
+    Declined,
     /// No server has enough memory and a free slot.
     #[display("no_room")]
     NoRoom,
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -27,6 +27,8 @@
     /// Consecutive attempts that found the server unreachable.
     connect_failures: u32,
     paused_until: Option<Mono>,
+    /// Until when the server wants no requests. Answers to earlier requests do not end this.
+    declined_until: Option<Mono>,
 }
 
 impl Default for Health {
@@ -36,6 +38,7 @@
             failed: Window::new(WINDOW),
             connect_failures: 0,
             paused_until: None,
+            declined_until: None,
         }
     }
 }
@@ -83,15 +86,28 @@
         self.paused_until = Some(now + pause.min(MAX_PAUSE));
     }
 
+    /// Records that the server wants no requests for some time.
+    pub fn record_declined(&mut self, time: Duration, now: Mono) {
+        self.declined_until = self.declined_until.max(Some(now + time));
+    }
+
+    /// Returns for how long the server wants no requests; zero if it takes them.
+    pub fn declined_time(&self, now: Mono) -> Duration {
+        let until = self.declined_until;
+        until.map_or(Duration::ZERO, |until| until.saturating_sub(now))
+    }
+
     /// Whether the server gets no requests for now.
     pub fn is_paused(&self, now: Mono) -> bool {
-        self.paused_until.is_some_and(|until| now < until)
+        let is_unreachable = self.paused_until.is_some_and(|until| now < until);
+        is_unreachable || !self.declined_time(now).is_zero()
     }
 
     /// Makes the current request the probe of a server whose pause has ended: no other request is
     /// sent there for `MIN_PAUSE`, unless the server is recorded as reachable sooner.
     pub fn claim_probe(&mut self, now: Mono) {
-        if self.connect_failures > 0 && !self.is_paused(now) {
+        let is_unreachable = self.paused_until.is_some_and(|until| now < until);
+        if self.connect_failures > 0 && !is_unreachable {
             self.paused_until = Some(now + MIN_PAUSE);
         }
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -249,6 +249,7 @@
     }
     if status != StatusCode::MISDIRECTED_REQUEST {
         guard.record_limit(info.limit);
+        guard.record_wishes(info.leaving, info.declined_for);
     }
     if info.not_run {
         // Dropping the body closes the connection; reading it to reuse the connection does not pay.
--- a/crates/gateway/src/guard.rs
+++ b/crates/gateway/src/guard.rs
@@ -1,6 +1,7 @@
 //! A guard that reports the end of an attempt to the fleet state, also when the attempt is dropped.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use primrose_fleet::AttemptOutcome;
 use primrose_fleet::Placement;
@@ -46,6 +47,21 @@
         fleet.record_limit(&self.placement, rate, now);
     }
 
+    /// Records what the server says of itself in its response: that it leaves, or for how long it
+    /// wants no requests.
+    pub(crate) fn record_wishes(&self, leaving: bool, declined_for: Option<Duration>) {
+        let now = self.shared.now();
+        let mut fleet = self.shared.fleet.borrow_mut();
+        if let Some(time) = declined_for {
+            fleet.record_declined(&self.placement, time, now);
+        }
+        if leaving {
+            let changes = fleet.record_leaving(&self.placement, now);
+            drop(fleet);
+            self.shared.log_changes(&changes, "server");
+        }
+    }
+
     /// Records that data has arrived from the server.
     pub(crate) fn record_activity(&self) {
         let now = self.shared.now();
--- a/crates/primrosed/tests/testsuite/main.rs
+++ b/crates/primrosed/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod processes;
 mod router_fixture;
 mod server_limits;
+mod server_wishes;
 mod settings;
 mod soak;
 mod store_faults;
