--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -218,7 +218,8 @@
         let ahead = candidate.load.running.saturating_sub(slots - 1);
         let wait = call_time + call_time * ahead / slots;
         // A server with free slots runs a call at once, but lower utilization is still preferred.
-        let utilization_cost = call_time * candidate.load.running / (slots * 4);
+        let utilization = f64::from(candidate.load.running) / f64::from(slots);
+        let utilization_cost = call_time.mul_f64(utilization / 4.0);
         let cost = wait + utilization_cost + zone_and_failure_cost(candidate);
         let choice = Choice {
             index,
--- a/crates/primrosed/tests/testsuite/gateway.rs
+++ b/crates/primrosed/tests/testsuite/gateway.rs
@@ -333,6 +333,62 @@
     );
 }
 
+/// Guards against a gateway that ends, or stops to follow the list, for one odd entry in it.
+#[test]
+fn a_gateway_goes_on_with_any_entry_in_the_list_of_servers() {
+    const NESTING: usize = 100_000;
+    struct Case {
+        name: &'static str,
+        field: &'static str,
+        value: String,
+    }
+    let case = |name, field, value: &str| Case {
+        name,
+        field,
+        value: value.to_owned(),
+    };
+    let nested = "[".repeat(NESTING) + &"]".repeat(NESTING);
+    let cases = [
+        case("nested", "extra", &nested),
+        case("nested number", "slots", &nested),
+        case("slots times four overflows", "slots", "1073741824"),
+        case("most slots", "slots", "4294967295"),
+        case("no slots", "slots", "0"),
+        case("too many slots", "slots", "4294967296"),
+        case("number without end", "slots", "1e999"),
+        case("negative slots", "slots", "-1"),
+        case("port out of range", "address", "\"127.0.0.1:70000\""),
+        case("port zero", "address", "\"127.0.0.1:0\""),
+        case("latest start", "born", "18446744073709551615"),
+        case("latest entry", "seq", "18446744073709551615"),
+        case("start out of range", "born", "18446744073709551616"),
+    ];
+    let server = healthy_server();
+    let fixture = GatewayFixture::start(&[("plain", &server)]);
+    let other = healthy_server();
+    for (number, case) in cases.iter().enumerate() {
+        let mut entry = other.entry("plain");
+        entry[case.field] = json!("VALUE");
+        let text = entry.to_string().replace("\"VALUE\"", &case.value);
+        fixture.store.put_bytes("servers/i-odd", text.as_bytes());
+        let version = number as u64 + 2;
+        fixture.store.put("op/config", &config(version));
+        // Written after the entry, so that the list has been read up to it.
+        let marker = format!("servers/marker-{number}");
+        fixture.store.put(&marker, &other.entry("marker"));
+        fixture.wait_until(case.name, || {
+            let status = fixture.status().to_string();
+            status.contains(&format!("marker-{number}"))
+                && fixture.status()["generation"] == json!(version)
+        });
+        for _ in 0..4 {
+            let (line, _) = call(fixture.front, &request("GET", "again", "", ""));
+            assert!(line.contains("200"), "{}: {line}", case.name);
+        }
+        fixture.store.remove("servers/i-odd");
+    }
+}
+
 #[test]
 fn unreadable_tables_leave_the_active_ones_unchanged() {
     let server = healthy_server();
