store: Decode each registration of the host list by itself

Here a registration that is nested very deeply, or holds a number too large, made the product's daemon reject the whole host list, since all registrations were parsed as values first. They are now kept as text until each is decoded by itself; an odd one is skipped with a warning.

Test: an_odd_registration_does_not_hide_the_other_hosts, which failed before.

--- a/crates/store/src/consul/wire.rs
+++ b/crates/store/src/consul/wire.rs
@@ -12,6 +12,7 @@
 use primrose_core::host::HostState;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_json::value::RawValue;
 
 use crate::store::CommitResult;
 use crate::store::Conflict;
@@ -221,10 +222,11 @@
 /// An instance that fails a check is skipped; one in maintenance is leaving. An instance that
 /// cannot be decoded is skipped with a warning, so that one bad registration does not hide others.
 pub fn decode_hosts(bytes: &[u8]) -> Result<Vec<Host>, String> {
-    let instances: Vec<serde_json::Value> = parse(bytes)?;
+    // Raw, since an instance with deep nesting or a number too large fails to parse as any value.
+    let instances: Vec<&RawValue> = parse(bytes)?;
     let mut hosts = Vec::new();
     for instance in instances {
-        match serde_json::from_value(instance) {
+        match serde_json::from_str(instance.get()) {
             Ok(health) => hosts.extend(decode_host(health)),
             Err(error) => log::warn!("skipping an invalid entry of the host list: {error}"),
         }
--- a/crates/store/tests/testsuite/decoders.rs
+++ b/crates/store/tests/testsuite/decoders.rs
@@ -125,3 +125,32 @@
         assert_eq!(state, case.state, "{} {}", case.check, case.status);
     }
 }
+
+/// Guards against a host list that is not followed any more for one odd registration in it.
+#[test]
+fn an_odd_registration_does_not_hide_the_other_hosts() {
+    const NESTING: usize = 10_000;
+    let nested = "[".repeat(NESTING) + &"]".repeat(NESTING);
+    let odd = [
+        nested.as_str(),
+        "1e999",
+        "-1e999",
+        "18446744073709551616",
+        r#"{"Node":{"Node":"h0","Address":"10.0.0.9"},"Service":{"Service":"x","Port":70000}}"#,
+        r#"{"Node":{"Node":"h0","Address":"10.0.0.9"},"Service":{"Service":"x","Port":1e999}}"#,
+        r#"{"Node":{"Node":"h0","Address":"nowhere"},"Service":{"Service":"x","Port":80}}"#,
+        "null",
+    ];
+    let good = r#"{"Node":{"Node":"h1","Address":"10.0.0.1"},"Service":{"Service":"x","Port":80}}"#;
+    for odd in odd {
+        let reply = format!("[{odd},{good}]");
+        let hosts = decode_hosts(reply.as_bytes());
+        let name = &odd[..odd.len().min(90)];
+        let ids: Vec<String> = hosts
+            .unwrap_or_else(|error| panic!("{name}: {error}"))
+            .into_iter()
+            .map(|host| host.id)
+            .collect();
+        assert_eq!(ids, ["h1"], "{name}");
+    }
+}
