front: Do not take an earlier refusal for that of the attempt

What callers of similar systems saw: 'not run, try again' for requests that a server ran. Cause: a faulty server writes an earlier refusal again on a kept connection. The product's daemon believed any refusal on any connection; unrepeatable requests were safe, since they get a connection of their own, but repeatable ones were reported as not run while they may run. A refusal now counts if it names the attempt, or if it names none and is the first response on its connection. Simulated servers name it.

Test: a_refusal_that_may_be_that_of_an_earlier_request_proves_nothing, which failed before.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -33,7 +33,7 @@
 use primrose_conn::ConnectionPool;
 use primrose_conn::SendError;
 
-/// Request header that identifies the attempt to a backend server.
+/// Header that identifies the attempt to a backend server, which repeats it in a refusal.
 pub const ATTEMPT_ID: &str = "x-attempt-id";
 /// Response header of a backend server that refused a request without running it.
 pub const NOT_RUN: &str = "x-not-run";
@@ -216,6 +216,10 @@
     reporter: &mut Reporter,
 ) -> Result<(), ExchangeError> {
     if response.headers().contains_key(NOT_RUN) {
+        if !is_about(call, &response) {
+            let reason = "a refusal that may be that of an earlier request";
+            return Err(ExchangeError::after_send(reason));
+        }
         return Err(ExchangeError {
             stage: FailureStage::RefusedNotRun,
             reason: "the server refused the request".to_owned(),
@@ -250,6 +254,15 @@
     Ok(())
 }
 
+/// Whether a response is certainly about this attempt: it names it, or names none and is the first on
+/// its connection.
+fn is_about(call: &Call, response: &Response<Incoming>) -> bool {
+    match response.headers().get(ATTEMPT_ID) {
+        Some(id) => id.as_bytes() == call.conn.attempt.to_string().as_bytes(),
+        None => call.new_connection,
+    }
+}
+
 fn media_type(response: &Response<Incoming>) -> String {
     let value = response.headers().get(CONTENT_TYPE);
     let text = value.and_then(|value| value.to_str().ok());
--- a/crates/front/tests/testsuite/outcomes.rs
+++ b/crates/front/tests/testsuite/outcomes.rs
@@ -1,5 +1,9 @@
 //! Orders to plain services: the reported outcome compared with the service's own record.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,6 +12,7 @@
 use primrose_front::Limits;
 use primrose_request::ClaimReply;
 use primrose_request::Event;
+use primrose_request::FailureStage;
 use primrose_request::Settlement;
 use primrose_standin::plain::Plain;
 use primrose_standin::plain::PlainConfig;
@@ -174,3 +179,54 @@
         assert_eq!(reply.header("x-error-code"), Some(case.code));
     }
 }
+
+/// A server that answers the first request on a connection, and then writes a refusal.
+fn refuse_second(refusal_of: Option<&'static str>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            std::thread::spawn(move || {
+                let mut block = [0; 4_096];
+                for number in 0.. {
+                    if !matches!(stream.read(&mut block), Ok(length) if length > 0) {
+                        return;
+                    }
+                    let named = refusal_of.map(|id| format!("x-attempt-id: {id}\r\n"));
+                    let named = named.unwrap_or_default();
+                    let text = if number == 0 {
+                        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}".to_owned()
+                    } else {
+                        format!(
+                            "HTTP/1.1 503 Busy\r\nx-not-run: true\r\n{named}content-length: 0\r\n\r\n"
+                        )
+                    };
+                    stream.write_all(text.as_bytes()).unwrap();
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Guards against "not run" for a request that may run: a faulty server writes the refusal of an
+/// earlier request again, on a kept connection.
+#[test]
+fn a_refusal_that_may_be_that_of_an_earlier_request_proves_nothing() {
+    for refusal_of in [None, Some("7")] {
+        let addr = refuse_second(refusal_of);
+        let fixture = fixture::start(Limits::default());
+        fixture.broker.grant(addr);
+        let text = fixture::chat(false, 3);
+        let first = fixture::send(fixture.front.addr(), &text);
+        assert_eq!(first.status, 200, "{first:?}");
+        fixture.broker.grant(addr);
+        fixture::send(fixture.front.addr(), &text);
+        let refused = Seen::Retry(FailureStage::RefusedNotRun);
+        let seen = fixture.broker.seen();
+        assert!(!seen.contains(&refused), "{refusal_of:?}: {seen:?}");
+        let failed = Seen::Retry(FailureStage::AfterSend);
+        assert!(seen.contains(&failed), "{refusal_of:?}: {seen:?}");
+    }
+}
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -18,7 +18,7 @@
 //! | `GET /orders/state` | `{fence, model, version, loading, role}` |
 //! | `GET /healthz` | 200 |
 //!
-//! A request that is refused before it runs gets status 503 and the header `x-not-run: true`.
+//! A request that is refused before it runs gets status 503, the header `x-not-run: true` and its `x-attempt-id`.
 
 mod cache;
 mod chat;
--- a/crates/standin/src/engine/serve.rs
+++ b/crates/standin/src/engine/serve.rs
@@ -89,14 +89,14 @@
         let admission = Admission {
             crashes_engine: contains(&body, self.crash_marker.as_bytes()),
             request,
-            attempt,
+            attempt: attempt.clone(),
             key,
         };
         let (sender, events) = mpsc::unbounded_channel();
         let id = {
             let mut state = self.lock();
             let Some(id) = state.admit(admission, Instant::now()) else {
-                return Some(http::refusal());
+                return Some(http::refusal(attempt.as_deref()));
             };
             state.subscribe(id, sender, 0);
             id
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -26,6 +26,8 @@
 
 /// Header of a reply to a request that the server refused before running it.
 const NOT_RUN: &str = "x-not-run";
+/// Header that identifies the attempt.
+const ATTEMPT_ID: &str = "x-attempt-id";
 
 /// HTTP response of a stand-in.
 pub(crate) type Reply = Response<BoxBody<Bytes, io::Error>>;
@@ -75,13 +77,16 @@
     json(status, &ErrorBody { error })
 }
 
-/// Creates the reply to a request that is refused before it runs.
-pub(crate) fn refusal() -> Reply {
+/// Creates the reply to a request that is refused before it runs; names the attempt, if it has an id.
+pub(crate) fn refusal(attempt: Option<&str>) -> Reply {
     let status = StatusCode::SERVICE_UNAVAILABLE;
     let mut reply = error(status, "not accepting requests");
     reply
         .headers_mut()
         .insert(NOT_RUN, HeaderValue::from_static("true"));
+    if let Some(attempt) = attempt.and_then(|id| HeaderValue::from_str(id).ok()) {
+        reply.headers_mut().insert(ATTEMPT_ID, attempt);
+    }
     reply
 }
 
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -196,7 +196,7 @@
         match fault {
             Some(PlainFault::Refuse) => {
                 self.lock().refused += 1;
-                return Some(http::refusal());
+                return Some(http::refusal(Some(&attempt)));
             }
             Some(PlainFault::Drop) => {
                 self.lock().refused += 1;
