gateway: Do not take a refusal without an id for that of the request

Not run was told for a request that may run: a faulty server writes an earlier refusal again on a kept connection, without an id. A refusal with another id was told apart before; one without any now counts only as the first response on its connection.

Test: the second case of a_late_refusal_of_an_earlier_request_is_not_taken_for_the_next, 503 before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -187,7 +187,7 @@
         error = wait_error(job, guard) => return Err(error.into()),
     };
     guard.record_activity();
-    check_response(job, guard, answer).await
+    check_response(job, guard, answer, fresh).await
 }
 
 fn classify_send_error(error: SendError) -> Failure {
@@ -230,21 +230,28 @@
     Ok(request)
 }
 
-/// Checks that a response belongs to this request and is signed by the server.
+/// Checks that a response belongs to this request and is signed by the server; `fresh` tells whether
+/// the connection was opened for this request.
 async fn check_response(
     job: &Job,
     guard: &PlacementGuard,
     answer: PooledResponse,
+    fresh: bool,
 ) -> Result<PooledResponse, Failure> {
     let (head, body) = answer.response.into_parts();
     let info = job.shared.protocol.parse_response(&head);
     let status = head.status;
     // Checked before all else: a late refusal of an earlier request on the connection does not say
-    // that this one has not run.
-    if info.id.is_some_and(|id| id != job.request_head.id) {
+    // that this one has not run. A refusal without an id may be such a one, unless it is the first
+    // response on its connection.
+    let is_about_this = match &info.id {
+        Some(id) => *id == job.request_head.id,
+        None => fresh || !info.not_run,
+    };
+    if !is_about_this {
         return Err(Failure::maybe_run(
             AttemptOutcome::Failed,
-            "the answer is to another request",
+            "the answer may be to another request",
         ));
     }
     if status != StatusCode::MISDIRECTED_REQUEST {
--- a/crates/primrosed/tests/testsuite/faulty_servers.rs
+++ b/crates/primrosed/tests/testsuite/faulty_servers.rs
@@ -33,8 +33,7 @@
 /// Endless answers that run at the same time.
 const PARALLEL_CALLS: u32 = 6;
 
-#[test]
-fn a_late_refusal_of_an_earlier_request_is_not_taken_for_the_next() {
+fn check_late_refusal(id_header: &'static str) {
     let calls = Arc::new(AtomicU32::new(0));
     let count = Arc::clone(&calls);
     let server = || {
@@ -45,8 +44,8 @@
                 chunk(stream, "id: 1\ndata: token\n\n");
                 return chunk(stream, "");
             }
-            let headers = "primrosehall-request-id: first\r\nprimrosehall-not-executed: 1\r\n";
-            reply(stream, "503 Service Unavailable", headers, "")
+            let headers = format!("{id_header}primrosehall-not-executed: 1\r\n");
+            reply(stream, "503 Service Unavailable", &headers, "")
         })
     };
     let (one, two) = (server(), server());
@@ -55,14 +54,21 @@
     let (answer, whole) = call_stream(fixture.front, &first);
     assert!(whole, "{answer}");
     let (line, _) = call(fixture.front, &request("POST", "stream", PROMPT, "x"));
-    assert!(line.contains("502"), "{line}");
+    assert!(line.contains("502"), "{id_header:?}: {line}");
     let runs = calls.load(Ordering::SeqCst);
     assert_eq!(
         runs, 2,
-        "the second request may have run and is not sent again"
+        "{id_header:?}: the second request may have run and is not sent again"
     );
 }
 
+#[test]
+fn a_late_refusal_of_an_earlier_request_is_not_taken_for_the_next() {
+    for id_header in ["primrosehall-request-id: first\r\n", ""] {
+        check_late_refusal(id_header);
+    }
+}
+
 /// Writes the same bytes until the connection is closed.
 fn repeat(stream: &mut TcpStream, bytes: &[u8]) -> bool {
     while stream.write_all(bytes).is_ok() {}
