fleet: Take up an unknown stream only while the list of servers is recent

What callers of similar systems saw: streams that had begun on servers of a new software version went on at another one (ORDER), through a gateway that was cut off or stood still while those servers joined. Here, a stream that nobody knows goes on where one build alone is known, and a gateway out of step may know one only. It now has to have confirmed its list of servers within 2.5 s: by its own read, counted from its beginning, or by the digest of a relay, but not by digests that waited while it stood still. Otherwise the stream is refused at once as unknown_build, and has not run.

Tests: two cases out of step in unknown_stream_goes_on_only_if_one_build_can_have_begun_it, and digests_that_waited_do_not_confirm_the_list; all fail without the check. The product's other daemon resumes a stream at the server that holds it only, so it has no counterpart.

--- a/crates/fleet/src/fleet/gossip.rs
+++ b/crates/fleet/src/fleet/gossip.rs
@@ -246,6 +246,7 @@
         self.poison.merge(&digest.poison, now);
         self.limits.merge(digest.writer, &digest.limits, now);
         self.merge_origins(&digest, now);
+        self.confirm_list_by(&digest, now);
         let previous = self.peers.remove(&digest.writer).map(|peer| peer.digest);
         let previous = previous.filter(|digest| self.counts(digest));
         let current = Some(&digest).filter(|digest| self.counts(digest));
@@ -262,6 +263,7 @@
 
     /// Drops expired state; returns the changes of servers that this caused.
     pub fn expire(&mut self, now: Mono) -> Vec<ServerChange> {
+        self.note_time(now);
         let timed_out: Vec<_> = self
             .peers
             .iter()
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -237,6 +237,12 @@
     list_version: u64,
     /// List version of the last known join or removal of a server.
     members_version: u64,
+    /// Time at which the known list of servers was last certainly complete.
+    list_confirmed: Option<Mono>,
+    /// Time of the last call of `expire`.
+    last_expired: Mono,
+    /// Time until which digests may have waited while this process stood still.
+    catching_up_until: Mono,
     /// Time since which the list of servers cannot be read.
     list_unreadable_since: Option<Mono>,
     pools: HashMap<PoolId, PoolState>,
@@ -274,6 +280,9 @@
             servers: Servers::default(),
             list_version: 0,
             members_version: 0,
+            list_confirmed: None,
+            last_expired: Mono::ZERO,
+            catching_up_until: Mono::ZERO,
             list_unreadable_since: None,
             pools: HashMap::new(),
             prefix_cache: PrefixCache::default(),
--- a/crates/fleet/src/fleet/streams.rs
+++ b/crates/fleet/src/fleet/streams.rs
@@ -33,7 +33,8 @@
         now: Mono,
     ) -> Option<(PoolId, BuildId)> {
         let pools: Vec<&PoolId> = route.targets.iter().map(|target| &target.pool).collect();
-        self.origins.find(stream, &pools, now)
+        self.origins
+            .find(stream, &pools, self.is_list_recent(now), now)
     }
 
     /// Whether a pool has servers of several builds, or had them lately.
--- a/crates/fleet/src/origin.rs
+++ b/crates/fleet/src/origin.rs
@@ -167,11 +167,13 @@
     }
 
     /// Returns the pool and the build at which a stream goes on; `stream` is none if the caller does
-    /// not name it, and `pools` are those that may have begun it. None if that is not known.
+    /// not name it, and `pools` are those that may have begun it. `knows_all` tells whether no other
+    /// build can have been listed since. None if that is not known.
     pub fn find(
         &self,
         stream: Option<StreamId>,
         pools: &[&PoolId],
+        knows_all: bool,
         now: Mono,
     ) -> Option<(PoolId, BuildId)> {
         let known = stream.and_then(|stream| self.streams.get(&stream));
@@ -180,7 +182,7 @@
             return Some((build.pool.clone(), origin.build));
         }
         let began_before_start = self.first_listed.is_none_or(|at| self.is_recent(at, now));
-        if began_before_start && !self.knows_past {
+        if !knows_all || began_before_start && !self.knows_past {
             return None;
         }
         let builds = self.recent_builds(now);
--- a/crates/fleet/tests/testsuite/origins.rs
+++ b/crates/fleet/tests/testsuite/origins.rs
@@ -4,6 +4,7 @@
 
 use primrose_core::clock::Mono;
 use primrose_fleet::catalog::RequestKind;
+use primrose_fleet::digest::DigestScope;
 use primrose_fleet::entry::build_id;
 use primrose_fleet::entry::BuildId;
 use primrose_fleet::origin::stream_id;
@@ -11,6 +12,7 @@
 
 use crate::build::exchange_digests;
 use crate::build::fleet;
+use crate::build::ip;
 use crate::build::ms;
 use crate::build::route;
 use crate::build::server;
@@ -37,7 +39,8 @@
     origin.map(|(_, build)| build)
 }
 
-/// Guards against streams that go on at a build that may not have begun them.
+/// Guards against streams that go on at a build that may not have begun them; also at a gateway that
+/// was out of step while servers of another build joined, and knows one build only.
 #[test]
 fn unknown_stream_goes_on_only_if_one_build_can_have_begun_it() {
     struct Case {
@@ -45,6 +48,8 @@
         /// Versions of the servers at the start, and of those that are left when the caller comes.
         versions: (&'static [&'static str], &'static [&'static str]),
         knows_past: bool,
+        /// Whether the list of servers was confirmed when the caller comes; else only at the start.
+        in_step: bool,
         /// Time from the start to the caller's request.
         after: Duration,
         found: Option<&'static str>,
@@ -53,9 +58,14 @@
         name,
         versions,
         knows_past,
+        in_step: true,
         after,
         found,
     };
+    let out_of_step = |name, after| Case {
+        in_step: false,
+        ..case(name, (&["v1"], &["v1"]), true, after, None)
+    };
     let (one, two): (&[&str], &[&str]) = (&["v1"], &["v1", "v1.1"]);
     let soon = ms(2_000);
     let cases = [
@@ -78,6 +88,8 @@
             Some("v1"),
         ),
         case("no server", (&[], &[]), true, soon, None),
+        out_of_step("cut off for three seconds", ms(3_000)),
+        out_of_step("cut off for long", LONG_AFTER),
     ];
     for case in cases {
         let mut fleet = fleet(1, None);
@@ -92,8 +104,12 @@
         if case.knows_past {
             fleet.complete_origins();
         }
+        fleet.confirm_list(ms(1));
         let now = ms(1) + case.after;
         fleet.expire(now);
+        if case.in_step {
+            fleet.confirm_list(now);
+        }
         let expected = case.found.map(build);
         for stream in [None, Some("unknown")] {
             assert_eq!(found(&fleet, stream, now), expected, "{}", case.name);
@@ -174,6 +190,39 @@
     after.expire(now);
     after.restore_origins(&history, now);
     after.complete_origins();
+    after.confirm_list(now);
     assert_eq!(found(&after, Some("begun"), now), Some(build("v1.1")));
     assert_eq!(found(&after, Some("unknown"), now), None);
 }
+
+/// Guards against a gateway that takes digests which waited while it stood still for news.
+#[test]
+fn digests_that_waited_do_not_confirm_the_list() {
+    let start = ms(1_000);
+    let mut relay = fleet(2, None);
+    relay.advance_list_version(5);
+    let mut gateway = fleet(1, None);
+    add_server(&mut gateway, "v1", start);
+    gateway.advance_list_version(5);
+    gateway.expire(start - ms(500));
+    gateway.expire(start);
+    gateway.complete_origins();
+    let mut hear = |gateway: &mut Fleet, now: Mono| {
+        let mut view = relay.digest(now);
+        view.relay.scope = DigestScope::Fleet;
+        gateway.merge(view, ip(2), now);
+    };
+    hear(&mut gateway, start);
+    let known = Some(build("v1"));
+    assert_eq!(found(&gateway, Some("unknown"), start), known);
+    let woken = start + ms(4_000);
+    hear(&mut gateway, woken);
+    assert_eq!(found(&gateway, Some("unknown"), woken), None);
+    gateway.expire(woken);
+    hear(&mut gateway, woken);
+    assert_eq!(found(&gateway, Some("unknown"), woken), None);
+    let caught_up = woken + ms(600);
+    gateway.expire(caught_up);
+    hear(&mut gateway, caught_up);
+    assert_eq!(found(&gateway, Some("unknown"), caught_up), known);
+}
