--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -72,13 +72,13 @@
     /// Total of the tokens that servers began to answer for other gateways.
     remote_begun: u64,
     /// Time of this gateway's first request.
-    began: Option<Mono>,
+    first_request: Option<Mono>,
 }
 
 impl Demand {
     /// Records a request of an account.
     pub fn record_request(&mut self, account: ShortId, tokens: u64, now: Mono) {
-        self.began.get_or_insert(now);
+        self.first_request.get_or_insert(now);
         let account = self.local.entry(account).or_insert_with(Account::new);
         account.asked.add(tokens, now);
     }
@@ -159,10 +159,10 @@
 
     /// Returns the time that the sums cover, which is short after the start. With the tokens of a whole
     /// window, every account would be within its share at first, however much it requests. After a
-    /// restart among others, whose sums cover a whole window, the fair share goes by what they sent.
+    /// restart among others, whose sums cover a whole window, the fair share goes by those.
     fn covered_time(&self, now: Mono) -> Duration {
         let since = self
-            .began
+            .first_request
             .map_or(Duration::ZERO, |at| now.saturating_sub(at));
         (since + SUMS_DELAY).min(WINDOW)
     }
