review: streams go on at another version at a machine that is cut off

One machine of two is cut off from the store and from the other one; workers of a newer version join, and the other machine, which began streams there, is killed. The first machine continues them at workers of the older version: its list of servers counts as recent for 2.5 s. Code: fleet/src/origin.rs (find) and fleet/src/fleet/follow.rs (is_list_recent).

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod store;
 mod truncated;
+mod versions;
 mod worker;
 
 use std::path::Path;
@@ -44,6 +45,7 @@
     };
     let verdict: Verdict = match name {
         "truncated" => truncated::play(&fleet, has_trouble),
+        "versions" => versions::play(&fleet, has_trouble),
         _ => Err(format!("no case has the name {name}")),
     };
     let (line, code) = match verdict {
