review: after leases ran out, a new process continues streams at another version

The store is down for 1.2 s and leases run out. As planned work, workers of a newer version replace the old ones and one machine is restarted. That machine continues streams of the old version at workers of the new one. Gateways notice the end of their leases only at the next renewal (gateway/src/feed.rs), cannot write the origins of streams until then (gateway/src/origins.rs), and the new process takes the empty list for complete (fleet/src/origin.rs).

--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -66,6 +66,12 @@
         let _ = self.0.wait();
     }
 
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        let command = format!("kill -TERM {}", self.pid());
+        let _ = Command::new("sh").args(["-c", &command]).status();
+    }
+
     /// Whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.0.try_wait(), Ok(None))
@@ -87,9 +93,16 @@
 pub struct Worker {
     pub id: String,
     process: Arc<Mutex<Process>>,
+    /// Whether it has stopped writing its entry.
+    has_left: Arc<AtomicBool>,
 }
 
 impl Worker {
+    /// Stops writing the entry; the worker serves on.
+    pub fn leave(&self) {
+        self.has_left.store(true, Ordering::SeqCst);
+    }
+
     /// Ends the process at once, as a crash does.
     pub fn crash(&self) {
         self.process.lock().unwrap().kill();
@@ -304,20 +317,27 @@
         let process = Arc::new(Mutex::new(Process(child)));
         self.store.put(&format!("servers/{id}"), &format!("{entry}1}}"));
         self.record.line(&format!("worker {id} ({service} {version}) is registered"));
-        self.keep_registered(id.to_owned(), entry, Arc::downgrade(&process));
-        Ok(Worker {
+        let worker = Worker {
             id: id.to_owned(),
             process,
-        })
+            has_left: Arc::default(),
+        };
+        self.keep_registered(&worker, entry);
+        Ok(worker)
     }
 
-    fn keep_registered(&self, id: String, entry: String, process: Weak<Mutex<Process>>) {
+    fn keep_registered(&self, worker: &Worker, entry: String) {
         let (store, record) = (Arc::clone(&self.store), Arc::clone(&self.record));
+        let (id, has_left) = (worker.id.clone(), Arc::clone(&worker.has_left));
+        let process: Weak<Mutex<Process>> = Arc::downgrade(&worker.process);
         std::thread::spawn(move || {
             let key = format!("servers/{id}");
             for seq in 2_u64.. {
                 std::thread::sleep(HEARTBEAT);
                 let Some(process) = process.upgrade() else { return };
+                if has_left.load(Ordering::SeqCst) {
+                    return;
+                }
                 if process.lock().unwrap().has_ended() {
                     break;
                 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 mod client;
 mod fleet;
 mod http;
+mod lapsed;
 mod store;
 mod truncated;
 mod versions;
@@ -46,6 +47,7 @@
     let verdict: Verdict = match name {
         "truncated" => truncated::play(&fleet, has_trouble),
         "versions" => versions::play(&fleet, has_trouble),
+        "lapsed" => lapsed::play(&fleet, has_trouble),
         _ => Err(format!("no case has the name {name}")),
     };
     let (line, code) = match verdict {
