review: random bytes without end are passed on as a stream

A worker in trouble sends the head of a stream and then random bytes. The gateway passes them on as events: the limit on bytes without a whole event (gateway/src/split.rs) is not reached, since random bytes hold two line feeds in a row every 64 KiB.

--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -65,6 +65,9 @@
     Ok(Some(request))
 }
 
+/// Longest body that a client reads; it closes the connection then.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
 /// A response as its reader sees it.
 #[derive(Debug, Clone, Default)]
 pub struct Answer {
@@ -119,6 +122,9 @@
             return true;
         }
         body.extend_from_slice(&chunk[..length]);
+        if body.len() > MAX_BODY_BYTES {
+            return false;
+        }
     }
 }
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod fleet;
+mod garbage;
 mod http;
 mod lapsed;
 mod store;
@@ -48,6 +49,7 @@
         "truncated" => truncated::play(&fleet, has_trouble),
         "versions" => versions::play(&fleet, has_trouble),
         "lapsed" => lapsed::play(&fleet, has_trouble),
+        "garbage" => garbage::play(&fleet, has_trouble),
         _ => Err(format!("no case has the name {name}")),
     };
     let (line, code) = match verdict {
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -31,6 +31,8 @@
     pub gap: Duration,
     /// Time between the two halves of a plain answer.
     pub work: Duration,
+    /// Each stream of this number is bytes without end that are no answer; none if zero.
+    pub garbage: u64,
     /// Each answer of this number has neither a length nor chunks; none if zero.
     pub unframed: u64,
 }
@@ -50,6 +52,7 @@
             events: number("events", "20"),
             gap: Duration::from_millis(number("gap", "40")),
             work: Duration::from_millis(number("work", "30")),
+            garbage: number("garbage", "0"),
             unframed: number("unframed", "0"),
         }
     }
@@ -61,8 +64,11 @@
     let answers = AtomicU64::new(0);
     serve(listener, move |request, stream| {
         let number = answers.fetch_add(1, Ordering::SeqCst) + 1;
-        let is_unframed = plan.unframed > 0 && number % plan.unframed == 0;
-        respond(&plan, request, stream, is_unframed)
+        let is_nth = |nth: u64| nth > 0 && number % nth == 0;
+        if is_nth(plan.garbage) && request.second_word().starts_with("/stream") {
+            return send_garbage(request, stream);
+        }
+        respond(&plan, request, stream, is_nth(plan.unframed))
     });
     // The process also ends if its owner was killed.
     let owner = parent_id();
@@ -128,3 +134,29 @@
     std::thread::sleep(plan.work);
     stream.write_all(half.as_bytes()).is_ok()
 }
+
+/// Sends the head of a stream and then random bytes until the caller closes the connection.
+fn send_garbage(request: &Message, stream: &mut TcpStream) -> bool {
+    let id = request.header("primrosehall-request-id").unwrap_or_default();
+    println!("runs id={id} path={} and sends bytes without end", request.second_word());
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nPrimrosehall-Request-Id: {id}\r\n\
+         Primrosehall-Response-Signature: 3e1b.07.5a2.{id}\r\n\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    let mut is_open = stream.write_all(head.as_bytes()).is_ok();
+    let mut state: u64 = 0x9e37_79b9_7f4a_7c15;
+    while is_open {
+        let mut bytes = b"4000\r\n".to_vec();
+        for _ in 0..0x4000 / 8 {
+            state ^= state << 13;
+            state ^= state >> 7;
+            state ^= state << 17;
+            bytes.extend_from_slice(&state.to_le_bytes());
+        }
+        bytes.extend_from_slice(b"\r\n");
+        is_open = stream.write_all(&bytes).is_ok();
+    }
+    println!("caller closed id={id}");
+    false
+}
