review: bodies within the limits take a gateway over its memory

Each body is read whole and kept until the end of its stream; nothing bounds the sum (gateway/src/serve.rs, gateway/src/job.rs). With bodies as long as maxBodyBytes, 38 streams in progress use about 170 MB; a burst of 1.7 times that passes the 260 MB of a machine, and both processes are killed again and again. Failed 5 times of 5, with 8 or 9 kills for each gateway; without the burst it passes.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod garbage;
 mod http;
 mod lapsed;
+mod memory;
 mod store;
 mod truncated;
 mod versions;
@@ -50,6 +51,7 @@
         "versions" => versions::play(&fleet, has_trouble),
         "lapsed" => lapsed::play(&fleet, has_trouble),
         "garbage" => garbage::play(&fleet, has_trouble),
+        "memory" => memory::play(&fleet, has_trouble),
         _ => Err(format!("no case has the name {name}")),
     };
     let (line, code) = match verdict {
