review: streams are refused for good after all machines lost power

Code: gateway/src/origins.rs stores the versions of streams every 500 ms at most, and fleet/src/origin.rs refuses what was not stored.

--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -13,6 +13,11 @@
 /// Returns the configuration: streams that may be resumed, streams that may not, orders that run
 /// once, and lookups.
 pub fn config() -> String {
+    config_with_aim(600)
+}
+
+/// Returns the same with an objective of the streams in milliseconds.
+pub fn config_with_aim(aim_ms: u32) -> String {
     let route = |name: &str, kind: &str, service: &str, attempts: u32, time: u32, aim: u32| {
         let (is_stream, resumes) = (kind == "streaming", name == "stream");
         format!(
@@ -20,8 +25,8 @@
         )
     };
     let routes = [
-        route("stream", "streaming", "rota-llm", 2, 10_000, 600),
-        route("streamonce", "streaming", "rota-llm", 1, 5_000, 600),
+        route("stream", "streaming", "rota-llm", 2, 12_000, aim_ms),
+        route("streamonce", "streaming", "rota-llm", 1, 5_000, aim_ms),
         route("order", "non_idempotent", "dispatch-app", 1, 1_500, 150),
         route("lookup", "idempotent", "dispatch-app", 2, 1_500, 150),
     ];
@@ -110,9 +115,14 @@
 
     /// Sends the request over a new connection and records the answer.
     pub fn send(&self, front: SocketAddr, record: &Record) -> Answer {
+        self.send_within(front, READ_TIME, record)
+    }
+
+    /// Does the same, and abandons an answer after a gap.
+    pub fn send_within(&self, front: SocketAddr, gap: Duration, record: &Record) -> Answer {
         let (id, path) = (&self.id, &self.path);
         record.line(&format!("client sends {id} {path} to {front}"));
-        let answer = call(front, &self.to_bytes(), READ_TIME);
+        let answer = call(front, &self.to_bytes(), gap);
         let end = if answer.is_complete { "complete" } else { "broken off" };
         let (status, length) = (answer.status(), answer.body.len());
         record.line(&format!("client gets {id}: {status}, {length} bytes, {end}"));
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -253,6 +253,27 @@
         )
     }
 
+    /// Passes on the connections of clients to a gateway. While the machine is without power, they hang,
+    /// and they stay silent afterwards.
+    pub fn start_front_proxy(&self, gateway: &Gateway, is_off: Arc<AtomicBool>) -> std::io::Result<SocketAddr> {
+        let addr = SocketAddr::new(gateway.ip, FRONT_PORT + 1);
+        let (listener, target) = (TcpListener::bind(addr)?, gateway.front());
+        std::thread::spawn(move || {
+            for caller in listener.incoming().flatten() {
+                let is_off = Arc::clone(&is_off);
+                std::thread::spawn(move || {
+                    let is_silent = Arc::new(AtomicBool::new(is_off.load(Ordering::SeqCst)));
+                    relay(caller, target, move || {
+                        let silent = is_silent.load(Ordering::SeqCst) || is_off.load(Ordering::SeqCst);
+                        is_silent.store(silent, Ordering::SeqCst);
+                        silent
+                    });
+                });
+            }
+        });
+        Ok(addr)
+    }
+
     /// Passes on what gateway `from` sends to gateway `to`: `from` finds it at its own ports.
     fn start_proxy(&self, from: u8, to: u8, cuts: [Arc<AtomicBool>; 2]) -> std::io::Result<()> {
         let (from_step, to_step) = (u16::from(from) * PROXY_STEP, u16::from(to) * PROXY_STEP);
@@ -379,6 +400,9 @@
             break;
         }
     }
+    while is_cut() {
+        std::thread::sleep(Duration::from_millis(50));
+    }
     let _ = to.shutdown(std::net::Shutdown::Both);
 }
 
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,7 +8,7 @@
 mod garbage;
 mod http;
 mod lapsed;
-mod memory;
+mod rejoined;
 mod store;
 mod truncated;
 mod versions;
@@ -51,7 +51,7 @@
         "versions" => versions::play(&fleet, has_trouble),
         "lapsed" => lapsed::play(&fleet, has_trouble),
         "garbage" => garbage::play(&fleet, has_trouble),
-        "memory" => memory::play(&fleet, has_trouble),
+        "rejoined" => rejoined::play(&fleet, has_trouble),
         _ => Err(format!("no case has the name {name}")),
     };
     let (line, code) = match verdict {
