--- a/review/standin/lapsed.rs
+++ b/review/standin/lapsed.rs
@@ -1,4 +1,4 @@
-//! The store is down and leases run out; then workers and one machine are replaced as planned.
+//! The store is down and leases run out; then a worker and a machine are replaced as planned.
 
 use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
@@ -15,7 +15,9 @@
 use crate::fleet::Worker;
 use crate::Verdict;
 
-const WORKERS: u8 = 3;
+/// Workers of the old version that are left, and those of the newer one that join.
+const OLD_WORKERS: u8 = 1;
+const NEW_WORKERS: u8 = 3;
 const EVENTS: u64 = 60;
 const STREAMS: u64 = 24;
 /// Streams with events of two versions that the rule tolerates.
@@ -31,15 +33,14 @@
 pub fn play(fleet: &Fleet, has_trouble: bool) -> Verdict {
     fleet.store.put("op/config", &config());
     let words = |version: &str| format!("version={version} events={EVENTS} gap=100");
-    let start = |first: u8, name: &str, version: &str| -> Result<Vec<Worker>, String> {
-        let numbers = 0..WORKERS;
-        let started = numbers.map(|number| {
+    let start = |first: u8, count: u8, name: &str, version: &str| -> Result<Vec<Worker>, String> {
+        let started = (0..count).map(|number| {
             let id = format!("i-{name}{number}");
             fleet.start_worker(first + number, &id, "rota-llm", &words(version))
         });
         started.collect()
     };
-    let old = start(0, "old", "v1")?;
+    let old = start(0, OLD_WORKERS, "old", "v1")?;
     let mut gateways = fleet.start_gateways(2, false)?;
     let began = Instant::now();
     let wait_until = |at: Duration| std::thread::sleep(at.saturating_sub(began.elapsed()));
@@ -79,9 +80,9 @@
         }));
     }
     std::thread::sleep(Duration::from_millis(300));
-    let _new = start(20, "new", "v1.1")?;
+    let _new = start(20, NEW_WORKERS, "new", "v1.1")?;
     std::thread::sleep(Duration::from_millis(400));
-    // These workers do not report that they drain; their entries are removed, and they serve on.
+    // The old worker does not report that it drains; its entry is removed, and it serves on.
     let left = Instant::now();
     for worker in &old {
         worker.leave();
