gateway: Read the list of servers before an unknown stream goes on

Callers saw events of two software versions in one stream. A gateway that was cut off from the store and the other gateways, or had not read the list since a server of a newer version joined, continued streams of a killed gateway at the only version that it knew.

Cause: a list of servers that was confirmed within 2.5 s was taken as proof that no other version could have begun the stream. Nothing that was heard before the caller came can prove that.

Now the changes of the platform's list are read after the caller has come; the store is linearizable and gateways begin streams only at listed servers, so the answer names each version that can have begun it. If the read fails, the stream is refused at once, as not run. The bounds on the age of the list are gone, and with them the check for digests that waited; what it guarded is covered by the new cases, in which an only known version is never enough. Builds are recorded with the change that lists them, so that a server that joins and leaves at once counts.

--- a/crates/fleet/src/fleet/follow.rs
+++ b/crates/fleet/src/fleet/follow.rs
@@ -30,14 +30,6 @@
 /// still sees within the three seconds required there that a server leaves.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-/// Age up to which the list of servers is taken for the current one. A follower of a large fleet
-/// confirms it every two seconds.
-const MAX_LIST_AGE: Duration = Duration::from_millis(2_500);
-/// Time without a step of this process after which digests may have waited for it.
-const STALL_TIME: Duration = Duration::from_millis(1_000);
-/// Time in which the digests that waited are received.
-const CATCH_UP_TIME: Duration = Duration::from_millis(500);
-
 /// What a gateway takes from the snapshots of others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SnapshotScope {
@@ -90,36 +82,19 @@
         self.list_unreadable_since
     }
 
-    /// Records that the known list of servers was complete at a time.
-    pub fn confirm_list(&mut self, at: Mono) {
-        self.list_confirmed = self.list_confirmed.max(Some(at));
-    }
-
-    /// Whether the list of servers was complete a short time ago. It is not at a gateway that is cut off,
-    /// or has just stood still.
-    pub(super) fn is_list_recent(&self, now: Mono) -> bool {
-        let confirmed = self.list_confirmed;
-        confirmed.is_some_and(|at| now.saturating_sub(at) < MAX_LIST_AGE)
+    /// Returns the version of the list up to which this gateway knows all servers that joined; zero if
+    /// it knows none.
+    pub fn joins_version(&self) -> u64 {
+        self.joins_version.max(self.list_version)
     }
 
-    /// Confirms the list by the digest of a relay, which reads it, unless the digest names a later
-    /// change.
-    pub(super) fn confirm_list_by(&mut self, digest: &Digest, now: Mono) {
+    /// Takes the version of a relay, which reads the list, unless a change of servers is not known yet.
+    pub(super) fn adopt_joins_version(&mut self, digest: &Digest) {
         let is_relay = digest.relay.scope == DigestScope::Fleet;
-        let reads = is_relay && !digest.list_unreadable && digest.list_version > 0;
-        let is_complete = digest.members_version <= self.list_version;
-        let stood_still = now.saturating_sub(self.last_expired) >= STALL_TIME;
-        if reads && is_complete && !stood_still && now >= self.catching_up_until {
-            self.confirm_list(now);
-        }
-    }
-
-    /// Records the passing of time, by which a process notices that it stood still.
-    pub(super) fn note_time(&mut self, now: Mono) {
-        if now.saturating_sub(self.last_expired) >= STALL_TIME {
-            self.catching_up_until = now + CATCH_UP_TIME;
+        let reads = is_relay && !digest.list_unreadable;
+        if reads && digest.members_version <= self.list_version {
+            self.joins_version = self.joins_version.max(digest.list_version);
         }
-        self.last_expired = now;
     }
 
     /// Records a version of the list at which servers joined or left.
--- a/crates/fleet/src/fleet/gossip.rs
+++ b/crates/fleet/src/fleet/gossip.rs
@@ -106,6 +106,8 @@
 
     /// Adds or updates an entry of the platform's list.
     pub fn upsert_server(&mut self, entry: ServerEntry, now: Mono) -> Vec<ServerChange> {
+        // Also the build of a server that the next change removes may have begun streams.
+        self.record_listed(&entry, now);
         self.servers.upsert(entry, now)
     }
 
@@ -122,6 +124,9 @@
 
     /// Replaces the known servers by the whole list.
     pub fn replace_servers(&mut self, entries: Vec<ServerEntry>, now: Mono) -> Vec<ServerChange> {
+        for entry in &entries {
+            self.record_listed(entry, now);
+        }
         self.servers.replace(entries, now)
     }
 
@@ -153,7 +158,7 @@
         }
         self.list_version = snapshot.list_version;
         self.record_membership_change(snapshot.members_version);
-        self.servers.replace(snapshot.servers.clone(), now)
+        self.replace_servers(snapshot.servers.clone(), now)
     }
 
     /// Records an address at which there may be a gateway.
@@ -246,7 +251,7 @@
         self.poison.merge(&digest.poison, now);
         self.limits.merge(digest.writer, &digest.limits, now);
         self.merge_origins(&digest, now);
-        self.confirm_list_by(&digest, now);
+        self.adopt_joins_version(&digest);
         let previous = self.peers.remove(&digest.writer).map(|peer| peer.digest);
         let previous = previous.filter(|digest| self.counts(digest));
         let current = Some(&digest).filter(|digest| self.counts(digest));
@@ -263,7 +268,6 @@
 
     /// Drops expired state; returns the changes of servers that this caused.
     pub fn expire(&mut self, now: Mono) -> Vec<ServerChange> {
-        self.note_time(now);
         let timed_out: Vec<_> = self
             .peers
             .iter()
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -161,6 +161,9 @@
     /// It is not known which build began the stream.
     #[display("unknown_build")]
     UnknownBuild,
+    /// The platform's list cannot be read to see whether another build may have begun the stream.
+    #[display("builds_unchecked")]
+    BuildsUnchecked,
     /// No usable server runs the build that began the stream.
     #[display("no_server_of_build")]
     NoServerOfBuild,
@@ -237,12 +240,8 @@
     list_version: u64,
     /// List version of the last known join or removal of a server.
     members_version: u64,
-    /// Time at which the known list of servers was last certainly complete.
-    list_confirmed: Option<Mono>,
-    /// Time of the last call of `expire`.
-    last_expired: Mono,
-    /// Time until which digests may have waited while this process stood still.
-    catching_up_until: Mono,
+    /// List version up to which no server has joined, as a relay published it.
+    joins_version: u64,
     /// Time since which the list of servers cannot be read.
     list_unreadable_since: Option<Mono>,
     pools: HashMap<PoolId, PoolState>,
@@ -280,9 +279,7 @@
             servers: Servers::default(),
             list_version: 0,
             members_version: 0,
-            list_confirmed: None,
-            last_expired: Mono::ZERO,
-            catching_up_until: Mono::ZERO,
+            joins_version: 0,
             list_unreadable_since: None,
             pools: HashMap::new(),
             prefix_cache: PrefixCache::default(),
--- a/crates/fleet/src/fleet/streams.rs
+++ b/crates/fleet/src/fleet/streams.rs
@@ -9,9 +9,11 @@
 use crate::digest::Digest;
 use crate::digest::DigestScope;
 use crate::entry::BuildId;
+use crate::entry::ServerEntry;
 use crate::origin::OriginHistory;
 use crate::origin::OriginReport;
 use crate::origin::StreamId;
+use crate::origin::StreamOrigin;
 
 /// Maximum number of records in the digest of one gateway; more follow in the next ones.
 const MAX_PUBLISHED: usize = 50;
@@ -24,17 +26,21 @@
         self.origins.record(stream, build, now);
     }
 
-    /// Returns the pool and the build at which a stream of a route goes on; `stream` is none if the
-    /// caller does not name it. None if it is not known which build began it.
+    /// Returns where a stream of a route goes on; `stream` is none if the caller does not name it.
     pub fn stream_origin(
         &self,
         stream: Option<StreamId>,
         route: &Route,
         now: Mono,
-    ) -> Option<(PoolId, BuildId)> {
+    ) -> StreamOrigin {
         let pools: Vec<&PoolId> = route.targets.iter().map(|target| &target.pool).collect();
-        self.origins
-            .find(stream, &pools, self.is_list_recent(now), now)
+        self.origins.find(stream, &pools, now)
+    }
+
+    /// Records the build of a listed server.
+    pub fn record_listed(&mut self, entry: &ServerEntry, now: Mono) {
+        let listed = (entry.build(), &entry.pool);
+        self.origins.record_builds(std::iter::once(listed), now);
     }
 
     /// Whether a pool has servers of several builds, or had them lately.
--- a/crates/fleet/src/origin.rs
+++ b/crates/fleet/src/origin.rs
@@ -4,7 +4,9 @@
 //! get the request, and the one that began the stream may be gone. So each gateway records the
 //! build of every stream that it begins, and publishes the records while a pool has servers of
 //! several builds, or had them lately. If nobody knows a stream, but all servers that can have begun
-//! it are of one build, it goes on at that build.
+//! it are of one build, it goes on at that build. That one build is known does not mean that there is
+//! no other: one may have joined of which this gateway has not heard. See
+//! [`StreamOrigin::OnlyKnown`].
 //!
 //! A gateway that has just started does not know which builds there were before. It reads that from
 //! the platform's store; see [`StreamOrigins::history`].
@@ -45,6 +47,18 @@
 /// Streams by the build that began them.
 pub type OriginReport = BTreeMap<BuildId, Vec<StreamId>>;
 
+/// Where a stream goes on that a caller takes up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StreamOrigin {
+    /// At the build that is recorded to have begun it.
+    Recorded(PoolId, BuildId),
+    /// At the only build that this gateway knows, unless servers of another build have joined. Whatever
+    /// was heard before the caller came does not rule that out; the platform's list, read after that, does.
+    OnlyKnown(PoolId, BuildId),
+    /// Nowhere: several builds may have begun it.
+    Unknown,
+}
+
 /// What a gateway must know after a restart.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct OriginHistory {
@@ -166,29 +180,26 @@
         self.streams.len()
     }
 
-    /// Returns the pool and the build at which a stream goes on; `stream` is none if the caller does
-    /// not name it, and `pools` are those that may have begun it. `knows_all` tells whether no other
-    /// build can have been listed since. None if that is not known.
-    pub fn find(
-        &self,
-        stream: Option<StreamId>,
-        pools: &[&PoolId],
-        knows_all: bool,
-        now: Mono,
-    ) -> Option<(PoolId, BuildId)> {
+    /// Returns where a stream goes on; `stream` is none if the caller does not name it, and `pools` are
+    /// those that may have begun it.
+    pub fn find(&self, stream: Option<StreamId>, pools: &[&PoolId], now: Mono) -> StreamOrigin {
         let known = stream.and_then(|stream| self.streams.get(&stream));
         if let Some(origin) = known.filter(|origin| self.is_recent(origin.began, now)) {
-            let build = self.builds.get(&origin.build)?;
-            return Some((build.pool.clone(), origin.build));
+            let build = self.builds.get(&origin.build);
+            return build.map_or(StreamOrigin::Unknown, |build| {
+                StreamOrigin::Recorded(build.pool.clone(), origin.build)
+            });
         }
         let began_before_start = self.first_listed.is_none_or(|at| self.is_recent(at, now));
-        if !knows_all || began_before_start && !self.knows_past {
-            return None;
+        if began_before_start && !self.knows_past {
+            return StreamOrigin::Unknown;
         }
         let builds = self.recent_builds(now);
         let mut possible = builds.filter(|(_, pool)| pools.contains(pool));
-        let (build, pool) = possible.next()?;
-        possible.next().is_none().then(|| (pool.clone(), build))
+        match (possible.next(), possible.next()) {
+            (Some((build, pool)), None) => StreamOrigin::OnlyKnown(pool.clone(), build),
+            _ => StreamOrigin::Unknown,
+        }
     }
 
     /// Whether a pool has servers of several builds, or had them lately.
--- a/crates/fleet/tests/testsuite/origins.rs
+++ b/crates/fleet/tests/testsuite/origins.rs
@@ -7,7 +7,9 @@
 use primrose_fleet::digest::DigestScope;
 use primrose_fleet::entry::build_id;
 use primrose_fleet::entry::BuildId;
+use primrose_fleet::entry::ServerEntry;
 use primrose_fleet::origin::stream_id;
+use primrose_fleet::origin::StreamOrigin;
 use primrose_fleet::Fleet;
 
 use crate::build::exchange_digests;
@@ -27,20 +29,40 @@
     build_id(MODELS, version)
 }
 
-fn add_server(fleet: &mut Fleet, version: &str, now: Mono) {
+fn entry(version: &str) -> ServerEntry {
     let mut entry = server(version, MODELS, version.len() as u8);
     entry.version = version.to_owned();
-    fleet.upsert_server(entry, now);
+    entry
+}
+
+fn add_server(fleet: &mut Fleet, version: &str, now: Mono) {
+    fleet.upsert_server(entry(version), now);
+}
+
+/// Where a stream goes on, by versions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Found {
+    Recorded(&'static str),
+    OnlyKnown(&'static str),
+    Unknown,
 }
 
-fn found(fleet: &Fleet, stream: Option<&str>, now: Mono) -> Option<BuildId> {
+fn found(fleet: &Fleet, stream: Option<&str>, now: Mono) -> Found {
     let route = route(RequestKind::Stream { resumable: true });
-    let origin = fleet.stream_origin(stream.map(stream_id), &route, now);
-    origin.map(|(_, build)| build)
+    let version = |id: BuildId| {
+        let versions = ["v1", "v1.1"];
+        let known = versions.into_iter().find(|version| build(version) == id);
+        known.expect("a build of this test")
+    };
+    match fleet.stream_origin(stream.map(stream_id), &route, now) {
+        StreamOrigin::Recorded(_, build) => Found::Recorded(version(build)),
+        StreamOrigin::OnlyKnown(_, build) => Found::OnlyKnown(version(build)),
+        StreamOrigin::Unknown => Found::Unknown,
+    }
 }
 
-/// Guards against streams that go on at a build that may not have begun them; also at a gateway that
-/// was out of step while servers of another build joined, and knows one build only.
+/// Guards against streams that go on at a build that may not have begun them. A single known build is
+/// never enough, since the gateway may not have heard of another one yet.
 #[test]
 fn unknown_stream_goes_on_only_if_one_build_can_have_begun_it() {
     struct Case {
@@ -48,48 +70,37 @@
         /// Versions of the servers at the start, and of those that are left when the caller comes.
         versions: (&'static [&'static str], &'static [&'static str]),
         knows_past: bool,
-        /// Whether the list of servers was confirmed when the caller comes; else only at the start.
-        in_step: bool,
         /// Time from the start to the caller's request.
         after: Duration,
-        found: Option<&'static str>,
+        /// Version of a server that a check of the platform's list finds then.
+        joined: Option<&'static str>,
+        found: Found,
     }
     let case = |name, versions, knows_past, after, found| Case {
         name,
         versions,
         knows_past,
-        in_step: true,
         after,
+        joined: None,
         found,
     };
-    let out_of_step = |name, after| Case {
-        in_step: false,
-        ..case(name, (&["v1"], &["v1"]), true, after, None)
+    let checked = |name, joined, found| Case {
+        joined: Some(joined),
+        ..case(name, (&["v1"], &["v1"]), true, LONG_AFTER, found)
     };
     let (one, two): (&[&str], &[&str]) = (&["v1"], &["v1", "v1.1"]);
     let soon = ms(2_000);
+    let only = Found::OnlyKnown("v1");
     let cases = [
-        case("one build", (one, one), true, soon, Some("v1")),
-        case("started lately", (one, one), false, soon, None),
-        case(
-            "started long ago",
-            (one, one),
-            false,
-            LONG_AFTER,
-            Some("v1"),
-        ),
-        case("two builds", (two, two), true, soon, None),
-        case("one has just left", (two, one), true, soon, None),
-        case(
-            "one left long ago",
-            (two, one),
-            true,
-            LONG_AFTER,
-            Some("v1"),
-        ),
-        case("no server", (&[], &[]), true, soon, None),
-        out_of_step("cut off for three seconds", ms(3_000)),
-        out_of_step("cut off for long", LONG_AFTER),
+        case("one build", (one, one), true, soon, only),
+        case("started lately", (one, one), false, soon, Found::Unknown),
+        case("started long ago", (one, one), false, LONG_AFTER, only),
+        case("two builds", (two, two), true, soon, Found::Unknown),
+        case("one has just left", (two, one), true, soon, Found::Unknown),
+        case("one left long ago", (two, one), true, LONG_AFTER, only),
+        case("no server", (&[], &[]), true, soon, Found::Unknown),
+        checked("another build has joined", "v1.1", Found::Unknown),
+        checked("another server of the build has joined", "v1", only),
     ];
     for case in cases {
         let mut fleet = fleet(1, None);
@@ -104,19 +115,31 @@
         if case.knows_past {
             fleet.complete_origins();
         }
-        fleet.confirm_list(ms(1));
         let now = ms(1) + case.after;
         fleet.expire(now);
-        if case.in_step {
-            fleet.confirm_list(now);
+        if let Some(version) = case.joined {
+            fleet.record_listed(&entry(version), now);
         }
-        let expected = case.found.map(build);
         for stream in [None, Some("unknown")] {
-            assert_eq!(found(&fleet, stream, now), expected, "{}", case.name);
+            assert_eq!(found(&fleet, stream, now), case.found, "{}", case.name);
         }
     }
 }
 
+/// Guards against a build that is forgotten since its server joined and was removed between two looks
+/// at the servers.
+#[test]
+fn build_of_a_server_that_is_removed_at_once_is_remembered() {
+    let now = ms(1_000);
+    let mut fleet = fleet(1, None);
+    add_server(&mut fleet, "v1", now);
+    fleet.complete_origins();
+    add_server(&mut fleet, "v1.1", now);
+    fleet.remove_server("v1.1", now);
+    fleet.expire(now);
+    assert_eq!(found(&fleet, Some("unknown"), now), Found::Unknown);
+}
+
 /// Guards against callers that come back to another gateway than the one that was killed.
 #[test]
 fn other_gateways_learn_where_streams_began() {
@@ -167,7 +190,7 @@
         }
         for (number, fleet) in gateways.iter().enumerate() {
             let build_found = found(fleet, Some("begun"), ms(now));
-            let expected = Some(build("v1.1"));
+            let expected = Found::Recorded("v1.1");
             assert_eq!(build_found, expected, "{}: gateway {number}", case.name);
         }
     }
@@ -190,39 +213,48 @@
     after.expire(now);
     after.restore_origins(&history, now);
     after.complete_origins();
-    after.confirm_list(now);
-    assert_eq!(found(&after, Some("begun"), now), Some(build("v1.1")));
-    assert_eq!(found(&after, Some("unknown"), now), None);
+    assert_eq!(found(&after, Some("begun"), now), Found::Recorded("v1.1"));
+    assert_eq!(found(&after, Some("unknown"), now), Found::Unknown);
 }
 
-/// Guards against a gateway that takes digests which waited while it stood still for news.
+/// Guards against a check that reads the list only from a version on up to which this gateway does not
+/// know all servers.
 #[test]
-fn digests_that_waited_do_not_confirm_the_list() {
-    let start = ms(1_000);
-    let mut relay = fleet(2, None);
-    relay.advance_list_version(5);
-    let mut gateway = fleet(1, None);
-    add_server(&mut gateway, "v1", start);
-    gateway.advance_list_version(5);
-    gateway.expire(start - ms(500));
-    gateway.expire(start);
-    gateway.complete_origins();
-    let mut hear = |gateway: &mut Fleet, now: Mono| {
-        let mut view = relay.digest(now);
-        view.relay.scope = DigestScope::Fleet;
-        gateway.merge(view, ip(2), now);
+fn joins_are_known_as_far_as_a_relay_reads_without_a_later_change() {
+    struct Case {
+        name: &'static str,
+        scope: DigestScope,
+        is_unreadable: bool,
+        /// Versions that the other gateway has read, and of the last change of servers there.
+        versions: (u64, u64),
+        known: u64,
+    }
+    let case = |name, scope, is_unreadable, versions, known| Case {
+        name,
+        scope,
+        is_unreadable,
+        versions,
+        known,
     };
-    hear(&mut gateway, start);
-    let known = Some(build("v1"));
-    assert_eq!(found(&gateway, Some("unknown"), start), known);
-    let woken = start + ms(4_000);
-    hear(&mut gateway, woken);
-    assert_eq!(found(&gateway, Some("unknown"), woken), None);
-    gateway.expire(woken);
-    hear(&mut gateway, woken);
-    assert_eq!(found(&gateway, Some("unknown"), woken), None);
-    let caught_up = woken + ms(600);
-    gateway.expire(caught_up);
-    hear(&mut gateway, caught_up);
-    assert_eq!(found(&gateway, Some("unknown"), caught_up), known);
+    let (view, own) = (DigestScope::Fleet, DigestScope::Gateway);
+    let cases = [
+        case("no change since", view, false, (9, 5), 9),
+        case("a later change", view, false, (9, 6), 5),
+        case("the relay cannot read the list", view, true, (9, 5), 5),
+        case("an older list", view, false, (4, 3), 5),
+        case("not a relay", own, false, (9, 5), 5),
+    ];
+    for case in cases {
+        let mut relay = fleet(2, None);
+        let (list, members) = case.versions;
+        relay.advance_list_version(list);
+        relay.record_membership_change(members);
+        relay.set_list_unreadable_since(case.is_unreadable.then_some(ms(1)));
+        let mut gateway = fleet(1, None);
+        gateway.advance_list_version(5);
+        let mut digest = relay.digest(ms(2));
+        digest.relay.scope = case.scope;
+        gateway.merge(digest, ip(2), ms(2));
+        assert_eq!(gateway.joins_version(), case.known, "{}", case.name);
+    }
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -92,16 +92,12 @@
             continue;
         }
         let is_full_list = state.last_version.is_none();
-        let begun = shared.now();
         match read(&shared, &state).await {
             Ok(batch) => {
                 record_success(&shared, &mut state);
                 let is_empty = batch.events.is_empty();
                 state.last_version = Some(batch.version);
                 apply_batch(&shared, feed, batch, is_full_list);
-                if feed == Feed::Servers {
-                    shared.fleet.borrow_mut().confirm_list(begun);
-                }
                 if !is_empty && !is_full_list {
                     tokio::time::sleep(pause_after_change(&shared, feed)).await;
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod idle;
 mod ingress;
 mod job;
+mod list_check;
 pub mod log;
 mod origins;
 pub mod overload;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -36,6 +36,8 @@
 use crate::feed::LeaseCell;
 use crate::gossip;
 use crate::ingress;
+use crate::list_check;
+use crate::list_check::ListCheck;
 use crate::log::Log;
 use crate::origins;
 use crate::overload;
@@ -227,6 +229,7 @@
         platform: config.platform,
         control_port: config.control.port(),
         log: log.context(RuntimeSnafu)?,
+        list_check: ListCheck::default(),
         running: Cell::new(0),
         draining: Cell::new(false),
         refuses_streams: Cell::new(false),
@@ -255,6 +258,7 @@
     spawn_local(control::listen(handle(), listeners.control, control));
     spawn_local(feed::follow(handle(), Feed::Tables));
     spawn_local(feed::follow(handle(), Feed::Servers));
+    spawn_local(list_check::serve(handle()));
     spawn_local(quarantine::load(handle()));
     spawn_local(quarantine::write_after_restores(handle()));
     spawn_local(origins::load(handle()));
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -23,6 +23,7 @@
 use primrose_fleet::catalog::Route;
 use primrose_fleet::entry::BuildId;
 use primrose_fleet::origin::stream_id;
+use primrose_fleet::origin::StreamOrigin;
 use primrose_fleet::PlacementRequest;
 use primrose_fleet::RefusalReason;
 
@@ -127,7 +128,7 @@
         let reply = Reply::not_run("the gateway is overloaded", RETRY_AFTER_SHED);
         return Err(refuse(&request_head, reply));
     }
-    let (pool, build) = match resumed_origin(shared, &request_head, &route) {
+    let (pool, build) = match resumed_origin(shared, &request_head, &route).await {
         Ok(Some((pool, build))) => (pool, Some(build)),
         Ok(None) => (
             route.pool(rand::random()).cloned().unwrap_or_default(),
@@ -163,7 +164,7 @@
 
 /// Returns the pool and the build at which a stream goes on that the caller resumes; none if the
 /// request begins a stream or returns none.
-fn resumed_origin(
+async fn resumed_origin(
     shared: &Shared,
     request_head: &RequestHead,
     route: &Route,
@@ -172,16 +173,29 @@
     if !is_resumable || request_head.last_event_id.is_none() {
         return Ok(None);
     }
+    let refuse = |reason: RefusalReason| {
+        let reply = Reply::not_run(reason.to_string(), RETRY_AFTER_UNKNOWN_BUILD);
+        Err(reply)
+    };
     let stream = request_head.resumes.as_deref().map(stream_id);
-    let fleet = shared.fleet.borrow();
-    let origin = fleet.stream_origin(stream, route, shared.now());
-    let (pool, build) = origin.ok_or_else(|| {
-        let reason = RefusalReason::UnknownBuild.to_string();
-        Reply::not_run(reason, RETRY_AFTER_UNKNOWN_BUILD)
-    })?;
+    let find = || {
+        let fleet = shared.fleet.borrow();
+        fleet.stream_origin(stream, route, shared.now())
+    };
+    let mut origin = find();
+    if matches!(origin, StreamOrigin::OnlyKnown(..)) {
+        let is_unreadable = shared.fleet.borrow().list_unreadable_since().is_some();
+        if is_unreadable || !shared.list_check.run().await {
+            return refuse(RefusalReason::BuildsUnchecked);
+        }
+        origin = find();
+    }
+    let (pool, build) = match origin {
+        StreamOrigin::Recorded(pool, build) | StreamOrigin::OnlyKnown(pool, build) => (pool, build),
+        StreamOrigin::Unknown => return refuse(RefusalReason::UnknownBuild),
+    };
     if !route.targets.iter().any(|target| target.pool == pool) {
-        let reason = RefusalReason::NoServerOfBuild.to_string();
-        return Err(Reply::not_run(reason, RETRY_AFTER_UNKNOWN_BUILD));
+        return refuse(RefusalReason::NoServerOfBuild);
     }
     Ok(Some((pool, build)))
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -20,6 +20,7 @@
 use crate::event::Event;
 use crate::idle::CallerConnection;
 use crate::idle::IdleConnections;
+use crate::list_check::ListCheck;
 use crate::log::Log;
 use crate::overload::LoadShedder;
 use crate::overload::ZoneLoad;
@@ -37,6 +38,7 @@
     pub(crate) control_port: u16,
     pub(crate) log: Log,
     pub(crate) account_metrics: AccountMetrics,
+    pub(crate) list_check: ListCheck,
     /// Requests in progress.
     pub(crate) running: Cell<usize>,
     /// Whether a shutdown has begun.
--- a/crates/primrosed/tests/testsuite/stream_versions.rs
+++ b/crates/primrosed/tests/testsuite/stream_versions.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use primrose_soak::plan::StoreFault;
 use primrose_soak::wire::Message;
 use serde_json::json;
 
@@ -256,3 +257,90 @@
     });
     assert!(failed.is_empty(), "failed: {failed:?}");
 }
+
+/// What the gateway has not heard when a caller takes up a stream that another gateway began.
+struct BehindCase {
+    name: &'static str,
+    /// Version of a server that has just joined.
+    joined: Option<&'static str>,
+    /// Whether the gateway is cut off from the store.
+    is_cut_off: bool,
+    /// Whether the stream goes on.
+    goes_on: bool,
+}
+
+const BEHIND_CASES: [BehindCase; 5] = [
+    BehindCase {
+        name: "nothing",
+        joined: None,
+        is_cut_off: false,
+        goes_on: true,
+    },
+    BehindCase {
+        name: "a server of the same version",
+        joined: Some(OLD),
+        is_cut_off: false,
+        goes_on: true,
+    },
+    BehindCase {
+        name: "a server of another version",
+        joined: Some(NEW),
+        is_cut_off: false,
+        goes_on: false,
+    },
+    BehindCase {
+        name: "a server of another version, cut off",
+        joined: Some(NEW),
+        is_cut_off: true,
+        goes_on: false,
+    },
+    BehindCase {
+        name: "nothing, cut off",
+        joined: None,
+        is_cut_off: true,
+        goes_on: false,
+    },
+];
+
+/// Time after a change of the list of servers before the gateway reads it again, at least.
+const LIST_PAUSE: Duration = Duration::from_millis(400);
+
+fn check_behind(case: &BehindCase) {
+    let (old, joined) = (start_server(OLD, None), start_server(NEW, None));
+    let fixture = GatewayFixture::start_empty();
+    fixture.store.put("op/config", &config(1));
+    put_server(&fixture, "old", &old, OLD);
+    fixture.wait_ready(1);
+    // After this change the gateway does not read the list for a while.
+    std::thread::sleep(LIST_PAUSE * 2);
+    put_server(&fixture, "old", &old, OLD);
+    std::thread::sleep(LIST_PAUSE / 4);
+    if case.is_cut_off {
+        fixture.store_endpoint.fault.set(StoreFault::Silent);
+    }
+    if let Some(version) = case.joined {
+        put_server(&fixture, "joined", &joined, version);
+    }
+    let headers =
+        format!("Connection: close\r\nLast-Event-Id: {EVENTS_BEFORE}\r\nResumes: elsewhere\r\n");
+    let (text, whole) = call_stream(fixture.front, &stream_request("next", &headers));
+    let (name, goes_on) = (case.name, case.goes_on);
+    assert_eq!(text.starts_with("HTTP/1.1 200"), goes_on, "{name}: {text}");
+    assert_eq!(text.starts_with("HTTP/1.1 503"), !goes_on, "{name}: {text}");
+    assert!(whole || !goes_on, "{name}: {text}");
+    assert_eq!(text.contains("data:"), goes_on, "{name}: {text}");
+}
+
+/// Guards against streams that go on at another version at a gateway that has not heard yet of the
+/// version that began them, cut off or not.
+#[test]
+fn streams_of_other_gateways_do_not_go_on_at_a_gateway_that_is_behind() {
+    let failed: Vec<&str> = std::thread::scope(|scope| {
+        let checks = BEHIND_CASES
+            .each_ref()
+            .map(|case| (case, scope.spawn(|| check_behind(case))));
+        let failed = checks.map(|(case, check)| check.join().is_err().then_some(case.name));
+        failed.into_iter().flatten().collect()
+    });
+    assert!(failed.is_empty(), "failed: {failed:?}");
+}
