gateway: Forward only events of a stream

Callers got 200, the signature of a server, and random bytes without end.

Cause: a blank line was the only thing that was looked for. Random bytes hold one every 64 KiB, so the limit of 1 MiB for an event was not reached, and all before it was forwarded.

Each event is now checked: text, lines that are fields or comments, and a numeric id. At the first fault the stream counts as failed and is continued elsewhere, as after a broken connection. The response begins with the first event that has an id.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -40,6 +40,8 @@
 const EVENT_STREAM: &str = "text/event-stream";
 /// Maximum length of a response body that is not a stream.
 const MAX_BODY_BYTES: usize = 8 << 20;
+/// Maximum length of the comments before the first event of a stream.
+const MAX_COMMENT_BYTES: usize = 16 << 10;
 /// How long an idle connection is kept if the server states no timeout.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_millis(2_500);
 /// How often a request at a silent server checks whether another server can take it.
@@ -307,6 +309,8 @@
     head: response::Parts,
     mut source: StreamSource,
 ) -> Result<ServerResponse, Failure> {
+    let before = source.splitter.last_event_id();
+    let mut first_events = BytesMut::new();
     loop {
         let frame = tokio::select! {
             frame = source.body.frame() => frame,
@@ -329,10 +333,11 @@
             None => Bytes::new(),
         };
         guard.record_activity();
-        if let Some(first_events) = source.splitter.push(&data) {
+        first_events.extend(source.splitter.push(&data));
+        if source.splitter.last_event_id() != before {
             return Ok(ServerResponse::Stream(Box::new(StreamStart {
                 head,
-                first_events,
+                first_events: first_events.freeze(),
                 source,
             })));
         }
@@ -344,10 +349,16 @@
             };
             return Err(Failure::maybe_run(outcome, "the stream holds no event"));
         }
-        if source.splitter.is_partial_too_long() {
+        if let Some(fault) = source.splitter.fault() {
             return Err(Failure::maybe_run(
                 AttemptOutcome::Failed,
-                "the stream holds no whole event",
+                fault.to_string(),
+            ));
+        }
+        if first_events.len() > MAX_COMMENT_BYTES {
+            return Err(Failure::maybe_run(
+                AttemptOutcome::Failed,
+                "the stream holds comments only",
             ));
         }
     }
--- a/crates/gateway/src/split.rs
+++ b/crates/gateway/src/split.rs
@@ -1,45 +1,76 @@
-//! Splits an event stream into complete events.
+//! Splits an event stream into complete events, and checks that they are events.
 //!
 //! A server may stop in the middle of an event. Only complete events are forwarded, so that another
-//! server can resume the stream after the last one and no event mixes data of two runs.
+//! server can resume the stream after the last one and no event mixes data of two runs. A server in
+//! trouble may also send bytes that are no event stream, in any amount; none of them is forwarded.
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use derive_more::Display;
 
 use crate::adapter::EventId;
 
 /// Maximum length of one event; with more, the data is not taken for an event stream.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Field of an event that holds its id.
+const ID: &str = "id";
+/// Field that only states after what time a caller may connect again.
+const RETRY: &str = "retry";
+
+/// Why data is no event stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum StreamFault {
+    /// An event has bytes that are no text.
+    #[display("an event is not UTF-8 text")]
+    NotText,
+    /// A line is neither a field with a name nor a comment.
+    #[display("a line of an event is not a field")]
+    NotField,
+    /// An event has fields but no id.
+    #[display("an event has no id")]
+    NoId,
+    /// An event does not come to its end.
+    #[display("an event is longer than {MAX_EVENT_BYTES} bytes")]
+    TooLong,
+}
 
 /// Buffers the bytes of a stream and returns them in complete events.
 #[derive(Debug, Default)]
 pub struct Splitter {
     buffer: BytesMut,
     last_event_id: Option<EventId>,
+    fault: Option<StreamFault>,
 }
 
 impl Splitter {
     /// Creates a splitter for a stream that starts after an event that the caller already has.
     pub fn starting_after(last_event_id: Option<EventId>) -> Self {
         Self {
-            buffer: BytesMut::new(),
             last_event_id,
+            ..Self::default()
         }
     }
 
-    /// Adds bytes to the buffer; removes and returns all complete events.
+    /// Adds bytes to the buffer; removes and returns all complete events up to the first fault.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        if self.fault.is_some() {
+            return None;
+        }
         let known = self.buffer.len();
         self.buffer.extend_from_slice(bytes);
         let end = complete_len(&self.buffer, known);
-        if end == 0 {
-            return None;
+        let mut whole = self.buffer.split_to(end).freeze();
+        if self.buffer.len() > MAX_EVENT_BYTES {
+            self.fault = Some(StreamFault::TooLong);
+        }
+        if let Err((sound, fault)) = self.check(&whole) {
+            self.fault = Some(fault);
+            whole.truncate(sound);
         }
-        let whole = self.buffer.split_to(end).freeze();
-        if let Some(id) = last_id(&whole) {
-            self.last_event_id = Some(id);
+        if self.fault.is_some() {
+            self.buffer.clear();
         }
-        Some(whole)
+        (!whole.is_empty()).then_some(whole)
     }
 
     /// Returns the id of the last complete event.
@@ -47,14 +78,78 @@
         self.last_event_id
     }
 
+    /// Returns why the data after the events that were returned is no event stream, if it is not.
+    pub fn fault(&self) -> Option<StreamFault> {
+        self.fault
+    }
+
     /// Returns whether the buffer holds the beginning of an event.
     pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
     }
 
-    /// Returns whether the incomplete event in the buffer is too long.
-    pub fn is_partial_too_long(&self) -> bool {
-        self.buffer.len() > MAX_EVENT_BYTES
+    /// Checks complete events; returns the first fault with the length of the events before it.
+    fn check(&mut self, events: &[u8]) -> Result<(), (usize, StreamFault)> {
+        let mut event = Event::default();
+        let (mut sound, mut length) = (0, 0);
+        for line in events.split_inclusive(|byte| *byte == b'\n') {
+            length += line.len();
+            let added = event.add_line(line).map_err(|fault| (sound, fault))?;
+            if added == Line::Blank {
+                let id = std::mem::take(&mut event).finish();
+                let id = id.map_err(|fault| (sound, fault))?;
+                self.last_event_id = id.or(self.last_event_id);
+                sound = length;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Kind of a line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Line {
+    Blank,
+    Filled,
+}
+
+/// What is known of an event while its lines are read.
+#[derive(Debug, Default)]
+struct Event {
+    id: Option<EventId>,
+    /// Whether it has fields that a caller takes for an event.
+    has_fields: bool,
+}
+
+impl Event {
+    fn add_line(&mut self, line: &[u8]) -> Result<Line, StreamFault> {
+        let line = std::str::from_utf8(line).map_err(|_| StreamFault::NotText)?;
+        let line = line.trim_end_matches(['\r', '\n']);
+        if line.is_empty() {
+            return Ok(Line::Blank);
+        }
+        let (name, value) = line.split_once(':').unwrap_or((line, ""));
+        if name.is_empty() {
+            // A comment, which servers send to keep the connection open.
+            return Ok(Line::Filled);
+        }
+        let is_name_byte = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_');
+        if !name.bytes().all(is_name_byte) {
+            return Err(StreamFault::NotField);
+        }
+        if name == ID {
+            self.id = value.trim().parse().ok();
+        }
+        self.has_fields |= name != RETRY;
+        Ok(Line::Filled)
+    }
+
+    /// Returns the id; none if there were only comments.
+    fn finish(self) -> Result<Option<EventId>, StreamFault> {
+        match self.id {
+            None if self.has_fields => Err(StreamFault::NoId),
+            id => Ok(id),
+        }
     }
 }
 
@@ -76,10 +171,3 @@
     }
     0
 }
-
-fn last_id(events: &[u8]) -> Option<EventId> {
-    let lines = events.rsplit(|byte| *byte == b'\n');
-    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let id = std::str::from_utf8(ids.next()?).ok()?;
-    id.trim().parse().ok()
-}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -166,6 +166,12 @@
     source: &mut StreamSource,
     timers: &mut Timers,
 ) -> Step {
+    if let Some(fault) = source.splitter.fault() {
+        return Step::Failed(Failure::maybe_run(
+            AttemptOutcome::Failed,
+            fault.to_string(),
+        ));
+    }
     let frame = tokio::select! {
         biased;
         frame = source.body.frame() => frame,
@@ -197,10 +203,6 @@
     guard.record_activity();
     match source.splitter.push(&data) {
         Some(events) => Step::Events(events),
-        None if source.splitter.is_partial_too_long() => Step::Failed(Failure::maybe_run(
-            AttemptOutcome::Failed,
-            "an event is too long",
-        )),
         None => Step::Partial,
     }
 }
--- a/crates/gateway/tests/testsuite/split.rs
+++ b/crates/gateway/tests/testsuite/split.rs
@@ -1,6 +1,7 @@
 //! Splitting of a byte stream into complete events, however the bytes are cut into blocks.
 
 use primrose_gateway::split::Splitter;
+use primrose_gateway::split::StreamFault;
 use quickcheck::quickcheck;
 
 struct Case {
@@ -79,7 +80,104 @@
     }
 }
 
+/// Guards against bytes that are no events and reach a caller as a success.
+#[test]
+fn data_that_is_no_event_ends_the_stream_before_it() {
+    struct FaultCase {
+        name: &'static str,
+        blocks: Vec<&'static [u8]>,
+        returned: &'static str,
+        fault: Option<StreamFault>,
+    }
+    let case = |name, blocks: &[&'static [u8]], returned, fault| FaultCase {
+        name,
+        blocks: blocks.to_vec(),
+        returned,
+        fault,
+    };
+    let sound = "id: 1\ndata: a\n\n";
+    let long = vec![b'x'; 2 << 20].leak();
+    let cases = [
+        case(
+            "random bytes",
+            &[b"\x9e\x37\xf1\n\n\x00"],
+            "",
+            Some(StreamFault::NotText),
+        ),
+        case(
+            "random bytes after an event, in one block",
+            &[b"id: 1\ndata: a\n\n\xff\xfe\n\nid: 2\ndata: b\n\n"],
+            sound,
+            Some(StreamFault::NotText),
+        ),
+        case(
+            "a sound event after the fault",
+            &[b"id: 1\ndata: a\n\n", b"{}\n\n", b"id: 2\ndata: b\n\n"],
+            sound,
+            Some(StreamFault::NotField),
+        ),
+        case(
+            "the head of another answer",
+            &[b"HTTP/1.1 500 Internal Server Error\r\nserver: x\r\n\r\n"],
+            "",
+            Some(StreamFault::NotField),
+        ),
+        case(
+            "text of an error",
+            &[b"{\"error\": \"out of memory\"}\n\n"],
+            "",
+            Some(StreamFault::NotField),
+        ),
+        case(
+            "an event without id",
+            &[b"data: a\n\n"],
+            "",
+            Some(StreamFault::NoId),
+        ),
+        case(
+            "an id that is no number",
+            &[b"id: x\ndata: a\n\n"],
+            "",
+            Some(StreamFault::NoId),
+        ),
+        case(
+            "no end of an event",
+            &[b"id: 1\ndata: ", long],
+            "",
+            Some(StreamFault::TooLong),
+        ),
+        case(
+            "comments and retry times",
+            &[b": keep-alive\n\nretry: 500\n\nid: 1\ndata: a\n\n"],
+            ": keep-alive\n\nretry: 500\n\nid: 1\ndata: a\n\n",
+            None,
+        ),
+    ];
+    for case in cases {
+        let mut splitter = Splitter::starting_after(None);
+        let mut returned = Vec::new();
+        for block in case.blocks {
+            returned.extend(splitter.push(block).unwrap_or_default());
+        }
+        assert_eq!(returned, case.returned.as_bytes(), "{}", case.name);
+        assert_eq!(splitter.fault(), case.fault, "{}", case.name);
+    }
+}
+
 quickcheck! {
+    fn random_bytes_are_never_returned_as_events(bytes: Vec<u8>, sound: bool) -> bool {
+        let mut splitter = Splitter::starting_after(None);
+        let start = if sound { "id: 1\ndata: a\n\n" } else { "" };
+        let mut returned = Vec::new();
+        returned.extend(splitter.push(start.as_bytes()).unwrap_or_default());
+        let mut garbage = bytes;
+        // No text contains this byte.
+        garbage.insert(0, 0xff);
+        garbage.extend_from_slice(b"\n\n");
+        returned.extend(splitter.push(&garbage).unwrap_or_default());
+        returned == start.as_bytes() && splitter.fault() == Some(StreamFault::NotText)
+    }
+
     fn block_boundaries_do_not_affect_the_events(events: Vec<u8>, cuts: Vec<usize>) -> bool {
         let mut input = String::new();
         for (number, event) in events.iter().enumerate() {
--- a/crates/primrosed/tests/testsuite/faulty_servers.rs
+++ b/crates/primrosed/tests/testsuite/faulty_servers.rs
@@ -200,6 +200,89 @@
     }
 }
 
+/// Writes chunks of bytes of which hardly any are text until the connection is closed.
+fn write_random_chunks(stream: &mut TcpStream) -> bool {
+    let mut state: u64 = 0x9e37_79b9_7f4a_7c15;
+    loop {
+        let mut block = b"4000\r\n".to_vec();
+        for _ in 0..0x4000 / 8 {
+            state ^= state << 13;
+            state ^= state >> 7;
+            state ^= state << 17;
+            block.extend_from_slice(&state.to_le_bytes());
+        }
+        block.extend_from_slice(b"\r\n");
+        if stream.write_all(&block).is_err() {
+            return false;
+        }
+    }
+}
+
+/// Writes the text of a chunk until the connection is closed.
+fn repeat_chunk(stream: &mut TcpStream, text: &str) -> bool {
+    while chunk(stream, text) {}
+    false
+}
+
+/// Guards against bytes without end in the body of a stream that reach callers as a success, from the
+/// start or after some events.
+#[test]
+fn callers_get_no_bytes_of_a_stream_that_are_no_events() {
+    struct GarbageCase {
+        name: &'static str,
+        /// Sound events before the other bytes.
+        events: u64,
+        garbage: fn(&mut TcpStream) -> bool,
+    }
+    let case = |name, events, garbage| GarbageCase {
+        name,
+        events,
+        garbage,
+    };
+    let text: fn(&mut TcpStream) -> bool = |stream| repeat_chunk(stream, "no event\n\n");
+    let error: fn(&mut TcpStream) -> bool =
+        |stream| chunk(stream, "{\"error\":\"x\"}\n\n") && chunk(stream, "");
+    let cases = [
+        case("random bytes", 0, write_random_chunks),
+        case("random bytes after events", 2, write_random_chunks),
+        case("text", 0, text),
+        case("text after events", 2, text),
+        case("an error after events", 2, error),
+    ];
+    let total = 4;
+    for case in cases {
+        let server = |garbage: Option<fn(&mut TcpStream) -> bool>| {
+            Server::start(move |seen, stream| {
+                let last = seen.header("last-event-id");
+                let first: u64 = last.and_then(|text| text.parse().ok()).unwrap_or(0);
+                begin_stream(stream, seen);
+                let end = garbage.map_or(total, |_| case.events);
+                for id in first + 1..=end {
+                    chunk(stream, &format!("id: {id}\ndata: token\n\n"));
+                }
+                match garbage {
+                    Some(garbage) => garbage(stream),
+                    None => chunk(stream, ""),
+                }
+            })
+        };
+        let (faulty, sound) = (server(Some(case.garbage)), server(None));
+        let fixture = GatewayFixture::start(&[("models", &faulty), ("models", &sound)]);
+        for number in 0..3 {
+            let text = request("POST", "resumed", PROMPT, &format!("x{number}"));
+            let text = text.replace("r1", &format!("n{number}"));
+            let (answer, whole) = call_stream(fixture.front, &text);
+            let name = case.name;
+            let body = answer.split("\r\n\r\n").nth(1).unwrap_or_default();
+            let events = answer.matches("data: token").count() as u64;
+            assert!(whole && events == total, "{name}: {answer}");
+            assert!(!body.contains("no event"), "{name}: {answer}");
+            assert!(!body.contains("error"), "{name}: {answer}");
+        }
+        assert!(faulty.count() > 0, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_slow_but_sound_stream_is_whole() {
     // The pauses are longer than those after which a server counts as silent.
