conn, gateway, front: Take no answer for complete whose server has crashed

Callers got streams without their last events, and answers cut in half, as complete. The product's other daemon stored such an answer as the outcome of an order.

Cause: an answer with neither a length nor chunks ends with its connection, and the kernel ends the connections of a killed process alike, without a reset.

When such an answer ends, its server is probed 20 ms later; if nothing listens, the answer has been broken off. The probe replaces the one that the detection of crashing parts made. One check serves both daemons.

--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -5,6 +5,11 @@
 //! that must not be repeated, because a server may close an idle connection just as the request is
 //! sent, and then it would be unknown whether the request ran.
 
+mod end;
+
+pub use end::has_certain_end;
+pub use end::END_PROBE_DELAY;
+
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -30,7 +30,9 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use primrose_conn::has_certain_end;
 use primrose_conn::ConnectionPool;
+use primrose_conn::ProbeResult;
 use primrose_conn::SendError;
 
 /// Header that identifies the attempt to a backend server, which repeats it in a refusal.
@@ -192,7 +194,7 @@
         return Ok(());
     }
     let answer = connections.send(call.addr, sender, request).await?;
-    read_response(call, answer.response, reporter).await?;
+    read_response(call, answer.response, connections, reporter).await?;
     connections.release(call.addr, answer.sender, None);
     Ok(())
 }
@@ -213,8 +215,10 @@
 async fn read_response(
     call: &Call,
     response: Response<Incoming>,
+    connections: &ConnectionPool,
     reporter: &mut Reporter,
 ) -> Result<(), ExchangeError> {
+    let end_certain = has_certain_end(&call.method, &response);
     if response.headers().contains_key(NOT_RUN) {
         if !is_about(call, &response) {
             let reason = "a refusal that may be that of an earlier request";
@@ -249,11 +253,25 @@
         read_events(call, response.into_body(), reporter).await?;
     } else {
         read_body(call, response.into_body(), reporter).await?;
+        if !end_certain {
+            check_end(call, connections).await?;
+        }
     }
     reporter.send(ConnEvent::BodyEnd).await;
     Ok(())
 }
 
+/// Checks that an answer has ended with its connection because it is complete.
+async fn check_end(call: &Call, connections: &ConnectionPool) -> Result<(), ExchangeError> {
+    match connections.probe_after_end(call.addr).await {
+        ProbeResult::Refused => {
+            let reason = "the server crashed within its answer";
+            Err(ExchangeError::after_send(reason))
+        }
+        ProbeResult::Accepted | ProbeResult::Unknown => Ok(()),
+    }
+}
+
 /// Whether a response is certainly about this attempt: it names it, or names none and is the first on
 /// its connection.
 fn is_about(call: &Call, response: &Response<Incoming>) -> bool {
--- a/crates/front/tests/testsuite/outcomes.rs
+++ b/crates/front/tests/testsuite/outcomes.rs
@@ -230,3 +230,59 @@
         assert!(seen.contains(&failed), "{refusal_of:?}: {seen:?}");
     }
 }
+
+/// A server that sends half of an answer, which ends with its connection, and then the rest or
+/// nothing: a process that crashes listens no more.
+fn answer_without_length(crashes: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut block = [0; 4_096];
+        assert!(stream.read(&mut block).unwrap() > 0);
+        let first = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{\"van\"";
+        stream.write_all(first.as_bytes()).unwrap();
+        if crashes {
+            drop(listener);
+            return;
+        }
+        stream.write_all(b":4}").unwrap();
+        drop(stream);
+        // The next connection is that of the test's end.
+        let _ = listener.accept();
+        std::thread::sleep(fixture::TIMEOUT);
+    });
+    addr
+}
+
+/// Guards against "done" for an answer that a crash has cut short.
+#[test]
+fn an_answer_that_ends_in_a_crash_of_its_server_is_not_complete() {
+    struct Case {
+        name: &'static str,
+        crashes: bool,
+        settled: Settlement,
+    }
+    let cases = [
+        Case {
+            name: "the server goes on",
+            crashes: false,
+            settled: Settlement::Done { status: 200 },
+        },
+        Case {
+            name: "the server has crashed",
+            crashes: true,
+            settled: Settlement::Unknown,
+        },
+    ];
+    for case in cases {
+        let fixture = fixture::start(Limits::default());
+        fixture.broker.grant(answer_without_length(case.crashes));
+        let text = fixture::request("/dispatch", "idempotency-key: order-7\r\n", "{}");
+        fixture::send(fixture.front.addr(), &text);
+        fixture.broker.wait(|seen| matches!(seen, Seen::Ended(_)));
+        let settled = Seen::Settle(case.settled);
+        let seen = fixture.broker.seen();
+        assert!(seen.contains(&settled), "{}: {seen:?}", case.name);
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,9 +11,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use http::header::CONTENT_ENCODING;
-use http::header::CONTENT_LENGTH;
 use http::header::CONTENT_TYPE;
-use http::header::TRANSFER_ENCODING;
 use http::response;
 use http::Request;
 use http::Response;
@@ -22,7 +20,9 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
+use primrose_conn::has_certain_end;
 use primrose_conn::PooledResponse;
+use primrose_conn::ProbeResult;
 use primrose_conn::RequestBody;
 use primrose_conn::SendError;
 use primrose_core::clock::Mono;
@@ -136,8 +136,8 @@
 /// Sends a request and reads the whole response, or the first events of a stream.
 pub(crate) async fn run(job: &Job, guard: &mut PlacementGuard) -> Result<ServerResponse, Failure> {
     let answer = send(job, guard, job.request_head.last_event_id).await?;
+    guard.placement.end_certain = has_certain_end(&job.http_head.method, &answer.response);
     let (head, body) = answer.response.into_parts();
-    guard.placement.end_certain = has_certain_end(&head);
     let idle = idle_time(&head);
     if head.status.is_success() && is_stream(&head) {
         let source = StreamSource {
@@ -149,6 +149,7 @@
         return read_first_events(job, guard, head, source).await;
     }
     let whole = read_body(job, guard, body).await?;
+    check_end(job, guard).await?;
     let addr = guard.placement.addr;
     job.shared
         .server_connections
@@ -364,6 +365,26 @@
     }
 }
 
+/// Checks that an answer has ended with its connection because it is complete. The kernel ends the
+/// connections of a process that has crashed alike, but nothing listens then any more.
+pub(crate) async fn check_end(job: &Job, guard: &mut PlacementGuard) -> Result<(), Failure> {
+    if guard.placement.end_certain {
+        return Ok(());
+    }
+    let servers = &job.shared.server_connections;
+    match servers.probe_after_end(guard.placement.addr).await {
+        ProbeResult::Refused => Err(Failure::maybe_run(
+            AttemptOutcome::Broken,
+            "the server crashed within its answer",
+        )),
+        ProbeResult::Accepted => {
+            guard.placement.end_certain = true;
+            Ok(())
+        }
+        ProbeResult::Unknown => Ok(()),
+    }
+}
+
 async fn read_body(
     job: &Job,
     guard: &PlacementGuard,
@@ -449,12 +470,6 @@
     text.is_some_and(|text| text.starts_with(EVENT_STREAM))
 }
 
-/// Returns whether a response states its length or is sent in chunks. The end of any other response
-/// is that of its connection, which may also mean that the server has crashed.
-pub(crate) fn has_certain_end(head: &response::Parts) -> bool {
-    head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING)
-}
-
 /// Returns how long the connection may stay idle after this response.
 pub(crate) fn idle_time(head: &response::Parts) -> Duration {
     let value = head.headers.get("keep-alive");
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use primrose_conn::ProbeResult;
+use primrose_conn::END_PROBE_DELAY;
 use primrose_fleet::poison::Probe;
 use tokio::task::spawn_local;
 
@@ -15,7 +16,7 @@
 
 /// Time from the break to each probe. A crashing process may close its connections before its
 /// listener.
-const PROBE_DELAYS: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(250)];
+const PROBE_DELAYS: [Duration; 2] = [END_PROBE_DELAY, Duration::from_millis(250)];
 
 /// Starts to probe servers.
 pub(crate) fn spawn(shared: &Rc<Shared>, probes: Vec<Probe>) {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::StatusCode;
 use http_body_util::BodyExt;
+use primrose_conn::has_certain_end;
 use primrose_core::clock::Mono;
 use primrose_fleet::AttemptOutcome;
 use primrose_fleet::Placement;
@@ -155,6 +156,12 @@
                 chunks.send(Ok(events)).await;
             }
             Step::Partial => {}
+            Step::End => {
+                return match attempt::check_end(job, guard).await {
+                    Ok(()) => Step::End,
+                    Err(failure) => Step::Failed(failure),
+                };
+            }
             other => return other,
         }
     }
@@ -231,8 +238,9 @@
         let mut guard = PlacementGuard::new(&job.shared, &job.request, new_placement);
         match attempt::send(job, &guard, last_event_id).await {
             Ok(answer) if answer.response.status().is_success() => {
+                let method = &job.http_head.method;
+                guard.placement.end_certain = has_certain_end(method, &answer.response);
                 let (head, body) = answer.response.into_parts();
-                guard.placement.end_certain = attempt::has_certain_end(&head);
                 let source = StreamSource {
                     body,
                     splitter: Splitter::starting_after(last_event_id),
