gateway: Answer the late requests of a planned stop

Callers of a gateway that is stopped got no answer. A request that came late in the grace period, or whose body took long, was taken and passed on although it could take longer than the rest of the period, and cut at the exit, orders among them. New connections after 0.42 of the period were closed before their request was read.

Now a request whose deadline lies beyond the exit is refused at once, as not run, from a quarter of the period on (as streams were), judged when its body has been read. Requests that are in progress 150 ms before the exit are answered 504. A connection that has just been opened is closed after its first response.

Evidence: late_requests_of_a_planned_stop_are_answered, a gateway process that is terminated, fails on the code before (exit code 3, requests cut), and not after.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -118,6 +118,7 @@
 enum WaitError {
     DeadlineExceeded,
     ServerSilent,
+    Exiting,
 }
 
 impl From<WaitError> for Failure {
@@ -126,6 +127,9 @@
             WaitError::DeadlineExceeded => {
                 Self::maybe_run(AttemptOutcome::GivenUp, "the request's time is over")
             }
+            WaitError::Exiting => {
+                Self::maybe_run(AttemptOutcome::GivenUp, "the gateway is about to end")
+            }
             WaitError::ServerSilent => {
                 Self::maybe_run(AttemptOutcome::Unreachable, "the server is silent")
             }
@@ -416,12 +420,14 @@
     }
 }
 
-/// Waits until the deadline of the request has passed or the server counts as silent.
+/// Waits until the deadline of the request has passed, the server counts as silent, or the process is
+/// about to exit.
 async fn wait_error(job: &Job, guard: &PlacementGuard) -> WaitError {
     let started = Rc::new(Cell::new(guard.placement.started));
     tokio::select! {
         () = tokio::time::sleep(job.remaining()) => WaitError::DeadlineExceeded,
         () = wait_for_silence(job, guard, started) => WaitError::ServerSilent,
+        () = job.shared.exit_begun() => WaitError::Exiting,
     }
 }
 
--- a/crates/gateway/src/idle.rs
+++ b/crates/gateway/src/idle.rs
@@ -29,6 +29,7 @@
 pub struct CallerConnection {
     idle: Rc<IdleConnections>,
     place: Cell<Option<u64>>,
+    has_begun: Cell<bool>,
     close: Rc<Notify>,
 }
 
@@ -56,12 +57,19 @@
         Self {
             idle: Rc::clone(idle),
             place: Cell::new(None),
+            has_begun: Cell::new(false),
             close: Rc::default(),
         }
     }
 
+    /// Returns whether a request has come.
+    pub fn has_begun(&self) -> bool {
+        self.has_begun.get()
+    }
+
     /// Records that a request has begun.
     pub fn set_active(&self) {
+        self.has_begun.set(true);
         if let Some(place) = self.place.take() {
             self.idle.by_place.borrow_mut().remove(&place);
         }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -88,13 +88,16 @@
         .serve_connection(TokioIo::new(stream), service));
     let closing = shared.closing.notified();
     let result = if shared.is_closing.get() {
-        connection.as_mut().graceful_shutdown();
+        // Closed after its first response, since the gateway drains.
         connection.await
     } else {
         tokio::select! {
             result = connection.as_mut() => result,
             () = closing => {
-                connection.as_mut().graceful_shutdown();
+                // A caller that has just connected is about to send a request.
+                if caller.has_begun() {
+                    connection.as_mut().graceful_shutdown();
+                }
                 connection.await
             }
             () = caller.closed() => {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -54,8 +54,11 @@
 }
 
 impl Job {
-    /// Returns the time left until the deadline.
+    /// Returns the time left until the deadline; none once the process is about to exit.
     pub(crate) fn remaining(&self) -> Duration {
+        if self.shared.is_exiting.get() {
+            return Duration::ZERO;
+        }
         self.request.deadline.saturating_sub(self.shared.now())
     }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -60,11 +60,14 @@
 /// response in progress. The load balancer has long stopped opening connections by then, and the
 /// rest of the period lets a running stream end.
 const CLOSE_FRACTION: f64 = 0.42;
-/// Fraction of the grace period after which new streams are refused. The load balancer has checked
-/// readiness twice by then, and three quarters of the period let a long stream end.
-const REFUSE_STREAMS_FRACTION: f64 = 0.25;
+/// Fraction of the grace period after which new streams are refused, and other requests that may take
+/// longer than the rest of the period. The load balancer has checked readiness twice by then, and three
+/// quarters of the period let a long stream end.
+const REFUSE_FRACTION: f64 = 0.25;
 /// How long before the end of the grace period the process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(350);
+/// How long before the exit the requests in progress are answered that no server has answered.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
 /// How often a shutdown checks whether it is complete.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout for revoking the lease at the platform.
@@ -233,6 +236,9 @@
         running: Cell::new(0),
         draining: Cell::new(false),
         refuses_streams: Cell::new(false),
+        answer_by: Cell::new(None),
+        exiting: Notify::new(),
+        is_exiting: Cell::new(false),
         shedder: LoadShedder::default(),
         closing: Notify::new(),
         is_closing: Cell::new(false),
@@ -278,27 +284,34 @@
 }
 
 /// Shuts down gracefully: responds to the requests in progress and closes connections after their
-/// responses. Streams are accepted until [`REFUSE_STREAMS_FRACTION`] and other requests until
-/// [`CLOSE_FRACTION`] of the grace period has passed; [`EXIT_MARGIN`] before its end, the requests
-/// still in progress are interrupted.
+/// responses. Streams, and requests that may take longer than the rest of the grace period, are
+/// accepted until [`REFUSE_FRACTION`] of it has passed, others until its end. Connections are closed
+/// from [`CLOSE_FRACTION`] on. [`LAST_ANSWERS_TIME`] before the exit, callers are told that the outcome
+/// of the requests in progress is not known; streams that have begun are interrupted by the exit.
 async fn drain(shared: &Rc<Shared>, grace: Duration) -> ExitSummary {
     shared.draining.set(true);
     shared.log.event(&Event::Stopping {
         running: shared.running.get(),
     });
     let started = shared.now();
+    let exit_time = grace.saturating_sub(EXIT_MARGIN);
+    let answer_time = exit_time.saturating_sub(LAST_ANSWERS_TIME);
     loop {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         let elapsed = shared.now().saturating_sub(started);
-        shared
-            .refuses_streams
-            .set(elapsed >= grace.mul_f64(REFUSE_STREAMS_FRACTION));
+        if elapsed >= grace.mul_f64(REFUSE_FRACTION) {
+            shared.refuses_streams.set(true);
+            shared.answer_by.set(Some(started + answer_time));
+        }
         let close = elapsed >= grace.mul_f64(CLOSE_FRACTION);
         if close && !shared.is_closing.replace(true) {
             shared.closing.notify_waiters();
         }
+        if elapsed >= answer_time && !shared.is_exiting.replace(true) {
+            shared.exiting.notify_waiters();
+        }
         let idle = shared.caller_connections.get() == 0;
-        if close && idle || elapsed + EXIT_MARGIN >= grace {
+        if close && idle || elapsed >= exit_time {
             let interrupted = shared.running.get();
             return ExitSummary { interrupted };
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -101,11 +101,6 @@
         .map_err(|reply| refuse(&request_head, reply))?;
     let limit = request_head.timeout_hint.unwrap_or(route.time_limit);
     let deadline = arrived + limit.min(route.time_limit);
-    if shared.refuses_streams.get() && route.kind.is_stream() {
-        // Another gateway accepts the stream at once.
-        let reply = Reply::not_run("the gateway is about to end", RETRY_AFTER_SHUTDOWN);
-        return Err(refuse(&request_head, reply));
-    }
     let cost = if route.kind.is_stream() {
         RequestCost::Stream
     } else {
@@ -128,6 +123,13 @@
         let reply = Reply::not_run("the gateway is overloaded", RETRY_AFTER_SHED);
         return Err(refuse(&request_head, reply));
     }
+    // The body may have taken until the shutdown refuses such requests.
+    let is_refused_stream = shared.refuses_streams.get() && route.kind.is_stream();
+    if is_refused_stream || shared.may_be_cut(deadline) {
+        // Another gateway accepts the request at once.
+        let reply = Reply::not_run("the gateway is about to end", RETRY_AFTER_SHUTDOWN);
+        return Err(refuse(&request_head, reply));
+    }
     let (pool, build) = match resumed_origin(shared, &request_head, &route).await {
         Ok(Some((pool, build))) => (pool, Some(build)),
         Ok(None) => (
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -45,6 +45,13 @@
     pub(crate) draining: Cell<bool>,
     /// Whether new streams are refused, since they might outlast the process.
     pub(crate) refuses_streams: Cell<bool>,
+    /// Time at which the answers to new requests have to be complete, once a shutdown refuses requests
+    /// that may take longer.
+    pub(crate) answer_by: Cell<Option<Mono>>,
+    /// Wakes the requests in progress when `is_exiting` is set.
+    pub(crate) exiting: Notify,
+    /// Whether the process is about to exit.
+    pub(crate) is_exiting: Cell<bool>,
     /// Refuses new requests while the thread does not keep up with its work.
     pub(crate) shedder: LoadShedder,
     /// Wakes the tasks of callers' connections when `is_closing` is set.
@@ -68,6 +75,19 @@
         self.clock.now()
     }
 
+    /// Waits until the process is about to exit.
+    pub(crate) async fn exit_begun(&self) {
+        let exiting = self.exiting.notified();
+        if !self.is_exiting.get() {
+            exiting.await;
+        }
+    }
+
+    /// Returns whether a request with this deadline may still be in progress when the process exits.
+    pub(crate) fn may_be_cut(&self, deadline: Mono) -> bool {
+        self.answer_by.get().is_some_and(|end| deadline > end)
+    }
+
     /// Returns whether this gateway reads the platform's lists itself.
     pub(crate) fn is_follower(&self) -> bool {
         self.snapshots_unavailable.get() || self.fleet.borrow().is_follower(self.now())
--- a/crates/primrosed/tests/testsuite/main.rs
+++ b/crates/primrosed/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod faulty_servers;
 mod gateway;
 mod gateway_fixture;
+mod planned_stop;
 mod poison_parts;
 mod processes;
 mod router_fixture;
