conn: Keep a connection whose server states any keep-alive time

A caller got no answer: the request's task panicked when the connection was put back into the pool.

Cause: the stated time was added to the clock unchecked; 2^64 - 1 s overflows it two seconds after the start of the process. A time that does not fit sets no limit now.

Evidence: callers_get_answers_whose_headers_state_odd_numbers fails on the code before (overflow when adding durations), and passes now. The other odd numbers in it passed before, too.

--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -169,7 +169,8 @@
         if sender.is_closed() {
             return;
         }
-        let expires_at = idle_time.map(|idle_time| self.clock.now() + idle_time);
+        // A server may state any time; one that does not fit sets no limit.
+        let expires_at = idle_time.and_then(|idle_time| self.clock.now().checked_add(idle_time));
         let mut pool = self.idle.lock().expect("idle connections lock poisoned");
         let connections = pool.entry(addr).or_default();
         if connections.len() < self.max_idle {
--- a/crates/primrosed/tests/testsuite/faulty_servers.rs
+++ b/crates/primrosed/tests/testsuite/faulty_servers.rs
@@ -200,6 +200,41 @@
     }
 }
 
+/// Guards against requests that end without an answer since the arithmetic on what a server says of
+/// itself overflows.
+#[test]
+fn callers_get_answers_whose_headers_state_odd_numbers() {
+    const ODD_HEADERS: [&str; 8] = [
+        "keep-alive: timeout=18446744073709551615\r\n",
+        "keep-alive: timeout=-1\r\n",
+        "keep-alive: timeout=99999999999999999999999\r\n",
+        "server-limit: 1e308\r\n",
+        "server-limit: NaN\r\n",
+        "server-limit: -1\r\n",
+        "retry-after: 1e308\r\n",
+        "primrosehall-server-load: 18446744073709551615,-1,x\r\n",
+    ];
+    let count = AtomicU32::new(0);
+    let server = Server::start(move |seen, stream| {
+        let number = count.fetch_add(1, Ordering::SeqCst) as usize;
+        let odd = ODD_HEADERS[number % ODD_HEADERS.len()];
+        let headers = format!("{}{odd}", signed_headers_for(seen));
+        reply(stream, "200 OK", &headers, "done")
+    });
+    let fixture = GatewayFixture::start(&[("plain", &server)]);
+    // The largest time still fits into the clock of a process that has just started.
+    std::thread::sleep(Duration::from_millis(2_500));
+    // Each header is met twice: what was recorded is used with the second request.
+    for number in 0..2 * ODD_HEADERS.len() {
+        let route = ["again", "once"][number / ODD_HEADERS.len()];
+        let text = request("GET", route, "", "").replace("r1", &format!("n{number}"));
+        let (line, body) = call(fixture.front, &text);
+        let odd = ODD_HEADERS[number % ODD_HEADERS.len()];
+        assert!(line.contains("200"), "{odd}: {line}");
+        assert_eq!(body, b"done", "{odd}");
+    }
+}
+
 /// Writes chunks of bytes of which hardly any are text until the connection is closed.
 fn write_random_chunks(stream: &mut TcpStream) -> bool {
     let mut state: u64 = 0x9e37_79b9_7f4a_7c15;
