gateway: Let a stream go on only with its next event

Callers found events twice or not at all in a stream that another server had continued, or got a stream as complete that had not come to its end; on taking a stream up they got 200 with an error.

Cause: only the status of the answer that continues a stream was looked at. Its media type and the ids of its events were not compared with what the caller had, and the end of its body counted as that of the stream.

Ids have to increase now. The first event of a continuation has to be the next one if the ids have had one distance so far, and a continuation without events, or that is no event stream, is a failure of that server.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -152,6 +152,9 @@
         };
         return read_first_events(job, guard, head, source).await;
     }
+    if head.status.is_success() && job.request.route.kind.is_stream() {
+        return Err(no_stream());
+    }
     let whole = read_body(job, guard, body).await?;
     check_end(job, guard).await?;
     let addr = guard.placement.addr;
@@ -314,7 +317,6 @@
     head: response::Parts,
     mut source: StreamSource,
 ) -> Result<ServerResponse, Failure> {
-    let before = source.splitter.last_event_id();
     let mut first_events = BytesMut::new();
     loop {
         let frame = tokio::select! {
@@ -339,7 +341,7 @@
         };
         guard.record_activity();
         first_events.extend(source.splitter.push(&data));
-        if source.splitter.last_event_id() != before {
+        if source.splitter.has_events() {
             return Ok(ServerResponse::Stream(Box::new(StreamStart {
                 head,
                 first_events: first_events.freeze(),
@@ -470,7 +472,12 @@
     }
 }
 
-fn is_stream(head: &response::Parts) -> bool {
+/// Returns the failure of a server that answers the request of a stream with something else.
+pub(crate) fn no_stream() -> Failure {
+    Failure::maybe_run(AttemptOutcome::Failed, "the answer is no event stream")
+}
+
+pub(crate) fn is_stream(head: &response::Parts) -> bool {
     let value = head.headers.get(CONTENT_TYPE);
     let text = value.and_then(|value| value.to_str().ok());
     text.is_some_and(|text| text.starts_with(EVENT_STREAM))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod reload;
 mod reply;
 pub mod run;
+mod sequence;
 mod serve;
 mod shared;
 pub mod split;
--- a/crates/gateway/src/split.rs
+++ b/crates/gateway/src/split.rs
@@ -9,6 +9,7 @@
 use derive_more::Display;
 
 use crate::adapter::EventId;
+use crate::sequence::Sequence;
 
 /// Maximum length of one event; with more, the data is not taken for an event stream.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -29,6 +30,12 @@
     /// An event has fields but no id.
     #[display("an event has no id")]
     NoId,
+    /// An event has an id that is not greater than the one before.
+    #[display("an event comes again, or out of order")]
+    OutOfOrder,
+    /// The first event of a server that goes on is not the next one.
+    #[display("events are missing where the server goes on")]
+    Missing,
     /// An event does not come to its end.
     #[display("an event is longer than {MAX_EVENT_BYTES} bytes")]
     TooLong,
@@ -38,7 +45,8 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     buffer: BytesMut,
-    last_event_id: Option<EventId>,
+    sequence: Sequence,
+    has_events: bool,
     fault: Option<StreamFault>,
 }
 
@@ -46,7 +54,15 @@
     /// Creates a splitter for a stream that starts after an event that the caller already has.
     pub fn starting_after(last_event_id: Option<EventId>) -> Self {
         Self {
-            last_event_id,
+            sequence: Sequence::starting_after(last_event_id),
+            ..Self::default()
+        }
+    }
+
+    /// Creates a splitter for the data of another server, which goes on after the last event.
+    pub fn continued(&self) -> Self {
+        Self {
+            sequence: self.sequence.continued(),
             ..Self::default()
         }
     }
@@ -75,7 +91,12 @@
 
     /// Returns the id of the last complete event.
     pub fn last_event_id(&self) -> Option<EventId> {
-        self.last_event_id
+        self.sequence.last()
+    }
+
+    /// Returns whether the data held an event.
+    pub fn has_events(&self) -> bool {
+        self.has_events
     }
 
     /// Returns why the data after the events that were returned is no event stream, if it is not.
@@ -97,8 +118,10 @@
             let added = event.add_line(line).map_err(|fault| (sound, fault))?;
             if added == Line::Blank {
                 let id = std::mem::take(&mut event).finish();
-                let id = id.map_err(|fault| (sound, fault))?;
-                self.last_event_id = id.or(self.last_event_id);
+                if let Some(id) = id.map_err(|fault| (sound, fault))? {
+                    self.sequence.add(id).map_err(|fault| (sound, fault))?;
+                    self.has_events = true;
+                }
                 sound = length;
             }
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -105,11 +105,11 @@
             }
             Step::Failed(failure) => {
                 outcome = "resumed";
-                let last_event_id = source.splitter.last_event_id();
+                let splitter = source.splitter.continued();
                 // Closing the connection first keeps two servers from running one request at once.
                 drop(source);
                 streamed.placement = None;
-                current = resume(&mut streamed.job, guard, failure, last_event_id).await;
+                current = resume(&mut streamed.job, guard, failure, &splitter).await;
                 let guard = current.as_ref().map(|(guard, _)| guard);
                 streamed.placement = guard.map(|guard| guard.placement.clone());
             }
@@ -197,6 +197,12 @@
                 "the stream ended within an event",
             ));
         }
+        None if !source.splitter.has_events() => {
+            return Step::Failed(Failure::maybe_run(
+                AttemptOutcome::Failed,
+                "the server does not go on with the stream",
+            ));
+        }
         None => return Step::End,
         Some(Err(error)) => {
             return Step::Failed(Failure::maybe_run(
@@ -214,13 +220,15 @@
     }
 }
 
-/// Finds a server that resumes the stream after the last event; none if there is none.
+/// Finds a server that resumes the stream after the last event that `splitter` knows; none if there is
+/// none.
 async fn resume(
     job: &mut Job,
     guard: PlacementGuard,
     failure: Failure,
-    last_event_id: Option<u64>,
+    splitter: &Splitter,
 ) -> Option<(PlacementGuard, StreamSource)> {
+    let last_event_id = splitter.last_event_id();
     let mut placement = guard.placement.clone();
     guard.finish(failure.outcome);
     let mut failure = failure;
@@ -241,13 +249,16 @@
                 let method = &job.http_head.method;
                 guard.placement.end_certain = has_certain_end(method, &answer.response);
                 let (head, body) = answer.response.into_parts();
-                let source = StreamSource {
-                    body,
-                    splitter: Splitter::starting_after(last_event_id),
-                    sender: answer.sender,
-                    idle: attempt::idle_time(&head),
-                };
-                return Some((guard, source));
+                if attempt::is_stream(&head) {
+                    let source = StreamSource {
+                        body,
+                        splitter: splitter.continued(),
+                        sender: answer.sender,
+                        idle: attempt::idle_time(&head),
+                    };
+                    return Some((guard, source));
+                }
+                failure = attempt::no_stream();
             }
             Ok(answer) => {
                 let status = answer.response.status();
--- a/crates/gateway/tests/testsuite/split.rs
+++ b/crates/gateway/tests/testsuite/split.rs
@@ -164,6 +164,73 @@
     }
 }
 
+/// Guards against streams in which events of a second server come again or are missing.
+#[test]
+fn another_server_goes_on_with_the_next_event() {
+    struct Continuation {
+        name: &'static str,
+        /// Ids from the first server; none if the caller takes the stream up after the last one.
+        first: &'static [u64],
+        is_taken_up: bool,
+        second: &'static [u64],
+        fault: Option<StreamFault>,
+    }
+    let case = |name, first, second, fault| Continuation {
+        name,
+        first,
+        is_taken_up: false,
+        second,
+        fault,
+    };
+    let taken_up = |name, first, second, fault| Continuation {
+        is_taken_up: true,
+        ..case(name, first, second, fault)
+    };
+    let (again, missing) = (Some(StreamFault::OutOfOrder), Some(StreamFault::Missing));
+    let cases = [
+        case("the next event", &[1, 2, 3], &[4, 5], None),
+        case("the next event after one", &[1], &[2, 3], None),
+        case("from the start", &[1, 2, 3], &[1, 2], again),
+        case("the last event again", &[1, 2, 3], &[3, 4], again),
+        case("events left out", &[1, 2, 3], &[5, 6], missing),
+        case("events left out after one", &[1], &[3], missing),
+        case("ids with a distance", &[10, 20, 30], &[40], None),
+        case(
+            "ids with a distance, one left out",
+            &[10, 20],
+            &[40],
+            missing,
+        ),
+        case("ids that do not count", &[3, 9, 11], &[20], None),
+        case("one id that does not count", &[7], &[9], None),
+        taken_up("taken up", &[5], &[6, 7], None),
+        taken_up("taken up, again", &[5], &[5], again),
+        taken_up("taken up, from the start", &[5], &[1], again),
+        taken_up("taken up, out of order later", &[5], &[6, 6], again),
+    ];
+    let text = |ids: &[u64]| -> String {
+        let events = ids.iter().map(|id| format!("id: {id}\ndata: a\n\n"));
+        events.collect()
+    };
+    for case in cases {
+        let last = case.first.last().copied();
+        let mut second = if case.is_taken_up {
+            Splitter::starting_after(last)
+        } else {
+            let mut first = Splitter::starting_after(None);
+            first.push(text(case.first).as_bytes());
+            assert_eq!(first.fault(), None, "{}", case.name);
+            first.continued()
+        };
+        assert!(!second.has_events(), "{}", case.name);
+        second.push(text(case.second).as_bytes());
+        assert_eq!(second.fault(), case.fault, "{}", case.name);
+        if case.fault.is_some() && case.second.len() == 1 {
+            assert_eq!(second.last_event_id(), last, "{}", case.name);
+        }
+    }
+}
+
 quickcheck! {
     fn random_bytes_are_never_returned_as_events(bytes: Vec<u8>, sound: bool) -> bool {
         let mut splitter = Splitter::starting_after(None);
