gateway: Bound the memory of all buffered answers

A server that sends bytes without end took the gateway over its memory, and the requests of other callers ended with the process.

Cause: each answer may take 8 MiB and each event 1 MiB, and nothing bounded the sum.

Answers are buffered in an eighth of the process's memory now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -33,8 +33,10 @@
 use crate::body::ResponseBody;
 use crate::guard::PlacementGuard;
 use crate::job::Job;
+use crate::memory::Buffered;
 use crate::reply::strip_hop_headers;
 use crate::split::Splitter;
+use crate::split::StreamFault;
 
 /// Media type of an event stream.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -104,10 +106,21 @@
 pub(crate) struct StreamSource {
     pub(crate) body: Incoming,
     pub(crate) splitter: Splitter,
+    /// The memory that the beginning of an event takes.
+    pub(crate) buffered: Buffered,
     pub(crate) sender: SendRequest<RequestBody>,
     pub(crate) idle: Duration,
 }
 
+impl StreamSource {
+    /// Returns why no more of the stream can be forwarded, if that is so.
+    pub(crate) fn fault(&mut self) -> Option<StreamFault> {
+        let fits = self.buffered.resize(self.splitter.partial_len());
+        let fault = self.splitter.fault();
+        fault.or((!fits).then_some(StreamFault::TooLong))
+    }
+}
+
 /// Result of a successful attempt.
 pub(crate) enum ServerResponse {
     Complete(Response<ResponseBody>),
@@ -147,6 +160,7 @@
         let source = StreamSource {
             body,
             splitter: Splitter::starting_after(job.request_head.last_event_id),
+            buffered: job.shared.answer_memory.begin(),
             sender: answer.sender,
             idle,
         };
@@ -356,7 +370,7 @@
             };
             return Err(Failure::maybe_run(outcome, "the stream holds no event"));
         }
-        if let Some(fault) = source.splitter.fault() {
+        if let Some(fault) = source.fault() {
             return Err(Failure::maybe_run(
                 AttemptOutcome::Failed,
                 fault.to_string(),
@@ -397,13 +411,14 @@
     mut body: Incoming,
 ) -> Result<Bytes, Failure> {
     let mut whole = BytesMut::new();
+    let mut buffered = job.shared.answer_memory.begin();
     loop {
         let frame = tokio::select! {
             frame = body.frame() => frame,
             error = wait_error(job, guard) => return Err(error.into()),
         };
         match frame {
-            None => return Ok(whole.freeze()),
+            None => return Ok(buffered.finish(whole.freeze())),
             Some(Err(error)) => {
                 return Err(Failure::maybe_run(
                     AttemptOutcome::Broken,
@@ -413,7 +428,7 @@
             Some(Ok(frame)) => whole.extend_from_slice(&frame.into_data().unwrap_or_default()),
         }
         guard.record_activity();
-        if whole.len() > MAX_BODY_BYTES {
+        if whole.len() > MAX_BODY_BYTES || !buffered.resize(whole.capacity()) {
             return Err(Failure::maybe_run(
                 AttemptOutcome::Failed,
                 "the answer is too long",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod job;
 mod list_check;
 pub mod log;
+pub mod memory;
 mod origins;
 pub mod overload;
 mod probe;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -39,6 +39,7 @@
 use crate::list_check;
 use crate::list_check::ListCheck;
 use crate::log::Log;
+use crate::memory::AnswerMemory;
 use crate::origins;
 use crate::overload;
 use crate::overload::LoadShedder;
@@ -64,6 +65,8 @@
 /// longer than the rest of the period. The load balancer has checked readiness twice by then, and three
 /// quarters of the period let a long stream end.
 const REFUSE_FRACTION: f64 = 0.25;
+/// Part of the process's memory in which answers are buffered.
+const ANSWER_MEMORY_DIVISOR: usize = 8;
 /// How long before the end of the grace period the process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(350);
 /// How long before the exit the requests in progress are answered that no server has answered.
@@ -99,6 +102,8 @@
     pub seeds: Vec<IpAddr>,
     /// File descriptors that the process may have open.
     pub max_descriptors: usize,
+    /// Memory that the process may use, in bytes.
+    pub memory: usize,
     /// Longest time from the signal to the exit of the process.
     pub grace: Duration,
     /// Translation of the headers of requests and responses.
@@ -233,6 +238,7 @@
         control_port: config.control.port(),
         log: log.context(RuntimeSnafu)?,
         list_check: ListCheck::default(),
+        answer_memory: AnswerMemory::new(config.memory / ANSWER_MEMORY_DIVISOR),
         running: Cell::new(0),
         draining: Cell::new(false),
         refuses_streams: Cell::new(false),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -22,6 +22,7 @@
 use crate::idle::IdleConnections;
 use crate::list_check::ListCheck;
 use crate::log::Log;
+use crate::memory::AnswerMemory;
 use crate::overload::LoadShedder;
 use crate::overload::ZoneLoad;
 
@@ -39,6 +40,7 @@
     pub(crate) log: Log,
     pub(crate) account_metrics: AccountMetrics,
     pub(crate) list_check: ListCheck,
+    pub(crate) answer_memory: Arc<AnswerMemory>,
     /// Requests in progress.
     pub(crate) running: Cell<usize>,
     /// Whether a shutdown has begun.
--- a/crates/gateway/src/split.rs
+++ b/crates/gateway/src/split.rs
@@ -37,7 +37,7 @@
     #[display("events are missing where the server goes on")]
     Missing,
     /// An event does not come to its end.
-    #[display("an event is longer than {MAX_EVENT_BYTES} bytes")]
+    #[display("an event is too long")]
     TooLong,
 }
 
@@ -109,6 +109,11 @@
         !self.buffer.is_empty()
     }
 
+    /// Returns the number of bytes of the beginning of an event.
+    pub fn partial_len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Checks complete events; returns the first fault with the length of the events before it.
     fn check(&mut self, events: &[u8]) -> Result<(), (usize, StreamFault)> {
         let mut event = Event::default();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -173,7 +173,7 @@
     source: &mut StreamSource,
     timers: &mut Timers,
 ) -> Step {
-    if let Some(fault) = source.splitter.fault() {
+    if let Some(fault) = source.fault() {
         return Step::Failed(Failure::maybe_run(
             AttemptOutcome::Failed,
             fault.to_string(),
@@ -253,6 +253,7 @@
                     let source = StreamSource {
                         body,
                         splitter: splitter.continued(),
+                        buffered: job.shared.answer_memory.begin(),
                         sender: answer.sender,
                         idle: attempt::idle_time(&head),
                     };
--- a/crates/gateway/tests/testsuite/main.rs
+++ b/crates/gateway/tests/testsuite/main.rs
@@ -2,5 +2,6 @@
 
 mod idle;
 mod log;
+mod memory;
 mod overload;
 mod split;
--- a/crates/primrosed/src/ops/gateway.rs
+++ b/crates/primrosed/src/ops/gateway.rs
@@ -67,6 +67,7 @@
         digest_port: settings.peer_port,
         seeds: settings.seeds.clone(),
         max_descriptors: settings.descriptors,
+        memory: settings.memory,
         grace: settings.grace,
         protocol: Box::new(HttpProtocol),
         platform: Box::new(client),
--- a/crates/primrosed/tests/testsuite/faulty_servers.rs
+++ b/crates/primrosed/tests/testsuite/faulty_servers.rs
@@ -13,6 +13,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use primrose_soak::wire::Message;
+
 use crate::gateway_fixture::begin_stream;
 use crate::gateway_fixture::call;
 use crate::gateway_fixture::call_stream;
@@ -318,6 +320,97 @@
     }
 }
 
+/// How a server frames bytes without end.
+#[derive(Debug, Clone, Copy)]
+enum Endless {
+    Chunks,
+    UntilClose,
+    /// Just within the limit of one answer.
+    Length,
+    /// In one event of a stream.
+    Event,
+}
+
+/// Writes bytes at a pace at which many answers are of some size at the same time.
+fn write_slowly(seen: &Message, stream: &mut TcpStream, endless: Endless) -> bool {
+    const BLOCK: usize = 64 << 10;
+    let signed = signed_headers_for(seen);
+    let framing = match endless {
+        Endless::Chunks => "transfer-encoding: chunked\r\n".to_owned(),
+        Endless::UntilClose => String::new(),
+        Endless::Length => format!("content-length: {}\r\n", (8 << 20) - 1),
+        Endless::Event => "content-type: text/event-stream\r\n".to_owned(),
+    };
+    let head = format!("HTTP/1.1 200 OK\r\n{signed}{framing}connection: close\r\n\r\n");
+    let mut block = vec![b'x'; BLOCK];
+    if matches!(endless, Endless::Chunks) {
+        block = [format!("{BLOCK:x}\r\n").as_bytes(), &block, b"\r\n"].concat();
+    }
+    let mut is_open = stream.write_all(head.as_bytes()).is_ok();
+    while is_open {
+        std::thread::sleep(Duration::from_millis(10));
+        is_open = stream.write_all(&block).is_ok();
+    }
+    false
+}
+
+/// Guards against the end of a process that keeps all the bytes of many answers without end, and with
+/// it of the requests of other callers.
+#[test]
+fn many_answers_without_end_fit_into_the_memory() {
+    const CALLS: usize = 60;
+    for endless in [
+        Endless::Chunks,
+        Endless::UntilClose,
+        Endless::Length,
+        Endless::Event,
+    ] {
+        let faulty = Server::start(move |seen, stream| write_slowly(seen, stream, endless));
+        let sound = Server::start(|seen, stream| {
+            begin_stream(stream, seen);
+            for id in 1..=20 {
+                chunk(stream, &format!("id: {id}\ndata: token\n\n"));
+                std::thread::sleep(Duration::from_millis(100));
+            }
+            chunk(stream, "")
+        });
+        let (pool, other) = match endless {
+            Endless::Event => ("models", "plain"),
+            _ => ("plain", "models"),
+        };
+        let fixture = GatewayFixture::start(&[(pool, &faulty), (other, &sound)]);
+        let front = fixture.front;
+        let is_event = matches!(endless, Endless::Event);
+        let calls = (0..CALLS).map(|number| {
+            let (method, route) = if is_event {
+                ("POST", "stream")
+            } else {
+                ("GET", "once")
+            };
+            let headers = if is_event { PROMPT } else { "" };
+            let text = request(method, route, headers, "").replace("r1", &format!("n{number}"));
+            std::thread::spawn(move || call(front, &text).0)
+        });
+        let calls: Vec<_> = calls.collect();
+        if !is_event {
+            let text = request("POST", "stream", PROMPT, "x").replace("r1", "sound");
+            let (answer, whole) = call_stream(front, &text);
+            assert!(whole, "{endless:?}: {answer}");
+        }
+        for call in calls {
+            let line = call.join().expect("a call");
+            let is_failure = ["502", "503", "504"]
+                .iter()
+                .any(|status| line.contains(status));
+            // An answer with a length may be sent whole once the others have failed.
+            let is_whole = matches!(endless, Endless::Length) && line.contains("200");
+            assert!(is_failure || is_whole, "{endless:?}: {line}");
+        }
+        let peak = fixture.peak_memory_kb();
+        assert!(peak < MAX_PEAK_KB, "{endless:?}: {peak} KB");
+    }
+}
+
 #[test]
 fn a_slow_but_sound_stream_is_whole() {
     // The pauses are longer than those after which a server counts as silent.
