--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -6,6 +6,8 @@
 //! cancellation.
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,6 +45,8 @@
 pub(crate) const EVENT_STREAM: &str = "text/event-stream";
 /// Maximum bytes of a non-streamed answer that are buffered to find the server's token count.
 const USAGE_SCAN_BYTES: usize = 256 << 10;
+/// Maximum bytes of one event of a stream; with more, the answer is not taken for a stream.
+const MAX_EVENT_BYTES: usize = 1 << 20;
 /// Data of the event that ends a token stream.
 pub(crate) const STREAM_END: &str = "[DONE]";
 
@@ -293,7 +297,16 @@
     body: Incoming,
     reporter: &mut Reporter,
 ) -> Result<(), ExchangeError> {
-    let mut events = body.into_data_stream().eventsource();
+    let pending = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&pending);
+    let blocks = body.into_data_stream().map(move |block| {
+        let block = block.map_err(|error| error.to_string())?;
+        match counted.fetch_add(block.len(), Ordering::Relaxed) {
+            MAX_EVENT_BYTES.. => Err("an event is too long".to_owned()),
+            _ => Ok(block),
+        }
+    });
+    let mut events = blocks.eventsource();
     let mut last: Seq = 0;
     loop {
         let event = match tokio::time::timeout(call.idle_timeout, events.next()).await {
@@ -302,6 +315,7 @@
             Ok(Some(Err(error))) => return Err(ExchangeError::after_send(error.to_string())),
             Ok(Some(Ok(event))) => event,
         };
+        pending.store(0, Ordering::Relaxed);
         if event.data == STREAM_END {
             // Only the final chunk follows; reading it lets the connection be reused.
             let _ = tokio::time::timeout(call.idle_timeout, events.next()).await;
--- a/crates/front/tests/testsuite/stream.rs
+++ b/crates/front/tests/testsuite/stream.rs
@@ -2,6 +2,9 @@
 
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
 
 use primrose_front::Limits;
 use primrose_request::AttemptResult;
@@ -139,3 +142,28 @@
     let json: serde_json::Value = serde_json::from_str(&reply.body).unwrap();
     assert_eq!(json["usage"]["completion_tokens"], 8);
 }
+
+/// Guards against a process that keeps the bytes of an event without end until it has no memory left.
+#[test]
+fn an_event_without_end_ends_the_stream() {
+    // Far more than an event may have, and than the sockets hold.
+    const MAX_TAKEN: usize = 16 << 20;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        assert!(stream.read(&mut [0; 4_096]).unwrap() > 0);
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: ";
+        stream.write_all(head.as_bytes()).unwrap();
+        let mut taken = 0;
+        while taken < MAX_TAKEN && stream.write_all(&[b'x'; 4_096]).is_ok() {
+            taken += 4_096;
+        }
+        taken
+    });
+    let fixture = fixture::start(Limits::default());
+    fixture.broker.grant(addr);
+    let _caller = fixture::open(fixture.front.addr(), &fixture::chat(true, 3));
+    let taken = server.join().unwrap();
+    assert!(taken < MAX_TAKEN, "{taken} bytes of one event");
+}
