--- a/crates/conn/src/end.rs
+++ b/crates/conn/src/end.rs
@@ -1,4 +1,4 @@
-//! Where the end of a response is certain, and what tells otherwise.
+//! Where the end of a response is certain, and how to find out where it is not.
 //!
 //! A response may have neither a length nor chunks, and ends then with its connection. The kernel
 //! ends the connections of a process that has crashed alike, without a reset. But nothing listens at
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,9 +3,6 @@
 //! [`run`] sends the request and reads the whole response, or the first events of a stream. A
 //! failed attempt says whether the server may have run the request; the job decides about a retry.
 
-use std::cell::Cell;
-use std::future::Future;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,7 +22,6 @@
 use primrose_conn::ProbeResult;
 use primrose_conn::RequestBody;
 use primrose_conn::SendError;
-use primrose_core::clock::Mono;
 use primrose_fleet::AttemptOutcome;
 
 use crate::adapter::EventId;
@@ -37,6 +33,7 @@
 use crate::reply::strip_hop_headers;
 use crate::split::Splitter;
 use crate::split::StreamFault;
+use crate::wait::wait_error;
 
 /// Media type of an event stream.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -46,18 +43,9 @@
 const MAX_COMMENT_BYTES: usize = 16 << 10;
 /// How long an idle connection is kept if the server states no timeout.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_millis(2_500);
-/// How often a request at a silent server checks whether another server can take it.
-const MOVE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How long before the server's idle timeout a connection is dropped: a request may be in flight
 /// when the server closes the connection.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
-/// Minimum time without data from a server, on any request, after which a repeatable request is
-/// retried on another server.
-const MIN_SILENCE: Duration = Duration::from_millis(900);
-/// Time without data from a server before a retry, as a multiple of the route's latency objective;
-/// [`MIN_SILENCE`] applies if it is longer.
-const SILENCE_OBJECTIVES: u32 = 2;
-
 /// A failed attempt.
 pub(crate) struct Failure {
     pub(crate) outcome: AttemptOutcome,
@@ -127,29 +115,6 @@
     Stream(Box<StreamStart>),
 }
 
-/// Why waiting for data from a server was abandoned.
-enum WaitError {
-    DeadlineExceeded,
-    ServerSilent,
-    Exiting,
-}
-
-impl From<WaitError> for Failure {
-    fn from(error: WaitError) -> Self {
-        match error {
-            WaitError::DeadlineExceeded => {
-                Self::maybe_run(AttemptOutcome::GivenUp, "the request's time is over")
-            }
-            WaitError::Exiting => {
-                Self::maybe_run(AttemptOutcome::GivenUp, "the gateway is about to end")
-            }
-            WaitError::ServerSilent => {
-                Self::maybe_run(AttemptOutcome::Unreachable, "the server is silent")
-            }
-        }
-    }
-}
-
 /// Sends a request and reads the whole response, or the first events of a stream.
 pub(crate) async fn run(job: &Job, guard: &mut PlacementGuard) -> Result<ServerResponse, Failure> {
     let answer = send(job, guard, job.request_head.last_event_id).await?;
@@ -437,56 +402,6 @@
     }
 }
 
-/// Waits until the deadline of the request has passed, the server counts as silent, or the process is
-/// about to exit.
-async fn wait_error(job: &Job, guard: &PlacementGuard) -> WaitError {
-    let started = Rc::new(Cell::new(guard.placement.started));
-    tokio::select! {
-        () = tokio::time::sleep(job.remaining()) => WaitError::DeadlineExceeded,
-        () = wait_for_silence(job, guard, started) => WaitError::ServerSilent,
-        () = job.shared.exit_begun() => WaitError::Exiting,
-    }
-}
-
-/// Waits until a server has sent no data for too long, neither on this request, of which
-/// `last_data` is the time of the last data, nor on any other, and another server can take the
-/// request. A server that is only slow keeps a request that no other may or can take.
-pub(crate) fn wait_for_silence(
-    job: &Job,
-    guard: &PlacementGuard,
-    last_data: Rc<Cell<Mono>>,
-) -> impl Future<Output = ()> + 'static {
-    let route = &job.request.route;
-    let may_move = route.kind.is_repeatable() && job.runs + 1 < route.tries;
-    let limit = MIN_SILENCE.max(route.objective * SILENCE_OBJECTIVES);
-    let shared = Rc::clone(&job.shared);
-    let placement = guard.placement.clone();
-    let request = may_move.then(|| job.request.clone());
-    async move {
-        let Some(request) = request else {
-            return std::future::pending().await;
-        };
-        loop {
-            let other_data = shared.fleet.borrow().last_activity(&placement);
-            let latest = other_data.map_or(last_data.get(), |at| at.max(last_data.get()));
-            let remaining = (latest + limit).saturating_sub(shared.now());
-            if !remaining.is_zero() {
-                tokio::time::sleep(remaining).await;
-                continue;
-            }
-            let now = shared.now();
-            let can_move = shared
-                .fleet
-                .borrow_mut()
-                .can_move(&request, &placement, now);
-            if can_move {
-                return;
-            }
-            tokio::time::sleep(MOVE_CHECK_INTERVAL).await;
-        }
-    }
-}
-
 /// Returns the failure of a server that answers the request of a stream with something else.
 pub(crate) fn no_stream() -> Failure {
     Failure::maybe_run(AttemptOutcome::Failed, "the answer is no event stream")
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod shared;
 pub mod split;
 mod stream;
+mod wait;
 
 pub use adapter::Platform;
 pub use adapter::Protocol;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -24,6 +24,7 @@
 use crate::guard::PlacementGuard;
 use crate::job::Job;
 use crate::split::Splitter;
+use crate::wait;
 
 /// Outcome of a stream that no server resumed.
 const INTERRUPTED: &str = "broken_off";
@@ -133,7 +134,7 @@
 impl Timers {
     fn start(job: &Job, guard: &PlacementGuard) -> Self {
         let last_data = Rc::new(Cell::new(job.shared.now()));
-        let silence = attempt::wait_for_silence(job, guard, Rc::clone(&last_data));
+        let silence = wait::wait_for_silence(job, guard, Rc::clone(&last_data));
         Self {
             deadline: Box::pin(tokio::time::sleep(job.remaining())),
             last_data,
