fleet: Publish the records of streams at once, the newest first

Cause: a gateway published which build began a stream only once a pool had two builds, and then the oldest records first, 50 in a digest. A gateway that was killed before had told nothing, and the records of streams that still ran came last.

Records are published in the next digest now, whatever the number of builds, and the newest first. Relays receive them always and pass them on to their zone while a pool has several builds. Records of streams that may still run are published once more for a gateway that is first heard of.

--- a/crates/fleet/src/fleet/exchange.rs
+++ b/crates/fleet/src/fleet/exchange.rs
@@ -140,8 +140,9 @@
         Some(Outgoing { receivers, digest })
     }
 
-    fn relay_digests(&self, mut own: Digest, now: Mono) -> Vec<Outgoing> {
+    fn relay_digests(&mut self, mut own: Digest, now: Mono) -> Vec<Outgoing> {
         let zone = self.own_zone();
+        let origins = self.origins_to_pass_on(now);
         let mut outgoing = Vec::new();
         let is_recent = |peer: &&Peer| {
             let digest = &peer.digest;
@@ -151,7 +152,8 @@
         let members: Vec<&Peer> = self.peers.values().filter(is_recent).collect();
         let mut relays = self.relays_of(zone, now);
         relays.retain(|ip| *ip != self.config.ip);
-        let view = self.combined(&own, DigestScope::Fleet, now);
+        let mut view = self.combined(&own, DigestScope::Fleet, now);
+        view.origins = origins;
         for member in &members {
             // The other relays of the zone use the same digests as this one.
             if !member.digest.relay.wants_view || relays.contains(&member.ip) {
--- a/crates/fleet/src/fleet/gossip.rs
+++ b/crates/fleet/src/fleet/gossip.rs
@@ -207,7 +207,7 @@
                 });
             }
         }
-        let origins = self.origins_to_publish(now);
+        let origins = self.origins_to_publish();
         let mut digest = Digest {
             writer: self.config.incarnation,
             seq: self.seq,
@@ -259,6 +259,7 @@
         if known.is_some_and(|peer| peer.digest.seq >= digest.seq) {
             return Vec::new();
         }
+        let is_new = known.is_none();
         if !self.remove_other_incarnation(ip, digest.writer, now) {
             return Vec::new();
         }
@@ -275,6 +276,9 @@
         self.limits.merge(digest.writer, &digest.limits, now);
         self.merge_cold(&digest.cold, now);
         self.merge_origins(&digest, now);
+        if is_new {
+            self.publish_origins_to(ip, now);
+        }
         self.evacuations.merge(&digest.evacuations, now);
         self.merge_cost(&digest, now);
         self.adopt_joins_version(&digest);
--- a/crates/fleet/src/fleet/streams.rs
+++ b/crates/fleet/src/fleet/streams.rs
@@ -1,5 +1,7 @@
 //! Origins of streams: at which build a stream goes on that a caller takes up.
 
+use std::net::IpAddr;
+
 use primrose_core::clock::Mono;
 use primrose_core::id::PoolId;
 
@@ -17,8 +19,8 @@
 
 /// Maximum number of records in the digest of one gateway; more follow in the next ones.
 const MAX_PUBLISHED: usize = 50;
-/// Maximum number of records in the digest of a relay.
-const MAX_RELAYED: usize = 2_000;
+/// Maximum number of records that a relay passes on in one view.
+const MAX_PASSED_ON: usize = 2_000;
 
 impl Fleet {
     /// Records the build of a stream whose first event has arrived.
@@ -76,13 +78,14 @@
         self.origins.expire(now);
     }
 
-    /// Returns the origins for the next digest.
-    pub(super) fn origins_to_publish(&mut self, now: Mono) -> OriginReport {
-        let limit = match self.role {
-            Role::Relay => MAX_RELAYED,
-            Role::Mesh | Role::Member { .. } => MAX_PUBLISHED,
-        };
-        self.origins.report(limit, now)
+    /// Returns the origins of this gateway's own streams for the next digest.
+    pub(super) fn origins_to_publish(&mut self) -> OriginReport {
+        self.origins.report(MAX_PUBLISHED)
+    }
+
+    /// Returns the origins that a relay passes on in the next view.
+    pub(super) fn origins_to_pass_on(&mut self, now: Mono) -> OriginReport {
+        self.origins.report_as_relay(MAX_PASSED_ON, now)
     }
 
     /// Merges the origins that a digest publishes. A relay passes those of its zone on: callers
@@ -90,7 +93,18 @@
     pub(super) fn merge_origins(&mut self, digest: &Digest, now: Mono) {
         let is_member =
             digest.relay.scope == DigestScope::Gateway && digest.zone == self.own_zone();
-        let forward = is_member && self.role == Role::Relay;
-        self.origins.merge(&digest.origins, forward, now);
+        let pass_on = is_member && self.role == Role::Relay;
+        self.origins.merge(&digest.origins, pass_on, now);
+    }
+
+    /// Publishes origins anew for a gateway that is first heard of, if it gets digests of this one.
+    pub(super) fn publish_origins_to(&mut self, ip: IpAddr, now: Mono) {
+        let is_receiver = match self.role {
+            Role::Mesh => true,
+            Role::Relay | Role::Member { .. } => self.relays_of(self.own_zone(), now).contains(&ip),
+        };
+        if is_receiver {
+            self.origins.publish_anew(now);
+        }
     }
 }
--- a/crates/fleet/src/origin.rs
+++ b/crates/fleet/src/origin/mod.rs
@@ -2,24 +2,30 @@
 //!
 //! A caller whose stream broke off names the attempt that brought its first event. Any gateway may
 //! get the request, and the one that began the stream may be gone. So each gateway records the
-//! build of every stream that it begins, and publishes the records while a pool has servers of
-//! several builds, or had them lately. If nobody knows a stream, but all servers that can have begun
-//! it are of one build, it goes on at that build. That one build is known does not mean that there is
-//! no other: one may have joined of which this gateway has not heard. See
-//! [`StreamOrigin::OnlyKnown`].
+//! build of every stream that it begins, and publishes the record at once, whether or not the build
+//! is the only one: by the time a second one joins, the gateway may be gone. Where a relay receives
+//! the records of many gateways, it passes them on only while a pool has several builds; see
+//! [`StreamOrigins::is_mixed`].
 //!
-//! A gateway that has just started does not know which builds there were before. It reads that from
-//! the platform's store; see [`StreamOrigins::history`].
+//! If nobody knows a stream, but all servers that can have begun it are of one build, it goes on at
+//! that build. That one build is known does not mean that there is no other: one may have joined of
+//! which this gateway has not heard. See [`StreamOrigin::OnlyKnown`].
+//!
+//! A gateway that starts does not know what there was before. The others publish their records anew
+//! when they hear of it, and it reads the platform's store; see [`StreamOrigins::history`].
+
+mod outbox;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use primrose_core::clock::Mono;
 use primrose_core::id::PoolId;
 use xxhash_rust::xxh3::xxh3_64;
 
+use self::outbox::Outbox;
+use self::outbox::Record;
 use crate::entry::BuildId;
 
 /// Hash of the id of the caller's attempt that brought a stream's first event.
@@ -34,8 +40,6 @@
 const FOREIGN_STORE_TIME: Duration = Duration::from_secs(2);
 /// Interval at which old records are dropped.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of digests that publish a record; one of them may be lost.
-const PUBLISH_COUNT: u8 = 2;
 /// Maximum number of streams that are remembered.
 const MAX_STREAMS: usize = 200_000;
 
@@ -68,12 +72,22 @@
     pub streams: OriginReport,
 }
 
+/// Who publishes the record of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Publisher {
+    /// This gateway, which began the stream.
+    Own,
+    /// This gateway, for a gateway of its zone.
+    Relay,
+    /// Another gateway.
+    Other,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Origin {
     build: BuildId,
     began: Mono,
-    /// Whether this gateway publishes the record; for others, their gateways do.
-    is_own: bool,
+    publisher: Publisher,
 }
 
 #[derive(Debug)]
@@ -82,15 +96,6 @@
     last_listed: Mono,
 }
 
-/// A record to be published.
-#[derive(Debug, Clone, Copy)]
-struct Unpublished {
-    stream: StreamId,
-    origin: Origin,
-    /// Number of digests that shall still publish it.
-    left: u8,
-}
-
 /// Builds that began streams.
 #[derive(Debug)]
 pub struct StreamOrigins {
@@ -98,8 +103,10 @@
     lifetime: Duration,
     last_expired: Mono,
     streams: HashMap<StreamId, Origin>,
-    /// Oldest first.
-    unpublished: VecDeque<Unpublished>,
+    /// Records of streams that this gateway began.
+    own: Outbox,
+    /// Records that a relay passes on to the gateways of its zone, its own included.
+    passed_on: Outbox,
     builds: BTreeMap<BuildId, Build>,
     /// Time of the first list of servers.
     first_listed: Option<Mono>,
@@ -113,7 +120,8 @@
             lifetime: LIFETIME_RANGE.0,
             last_expired: Mono::ZERO,
             streams: HashMap::new(),
-            unpublished: VecDeque::new(),
+            own: Outbox::default(),
+            passed_on: Outbox::default(),
             builds: BTreeMap::new(),
             first_listed: None,
             knows_past: false,
@@ -130,7 +138,7 @@
 
     /// Records a stream that this gateway began or continued.
     pub fn record(&mut self, stream: StreamId, build: BuildId, now: Mono) {
-        self.add(stream, build, true, now);
+        self.add(stream, build, Publisher::Own, now);
     }
 
     /// Records the builds of the listed servers.
@@ -149,12 +157,17 @@
         }
     }
 
-    /// Adds records that another gateway published; with `forward`, those that are new are published
+    /// Adds records that another gateway published; with `pass_on`, those that are new are published
     /// and stored as if they were this gateway's own.
-    pub fn merge(&mut self, report: &OriginReport, forward: bool, now: Mono) {
+    pub fn merge(&mut self, report: &OriginReport, pass_on: bool, now: Mono) {
+        let publisher = if pass_on {
+            Publisher::Relay
+        } else {
+            Publisher::Other
+        };
         for (build, streams) in report {
             for stream in streams {
-                self.add(*stream, *build, forward, now);
+                self.add(*stream, *build, publisher, now);
             }
         }
     }
@@ -209,22 +222,37 @@
         pools.windows(2).any(|pair| pair[0] == pair[1])
     }
 
-    /// Returns the records to publish in the next digest, `limit` at most.
-    pub fn report(&mut self, limit: usize, now: Mono) -> OriginReport {
-        let mut report = OriginReport::new();
-        if self.unpublished.is_empty() || !self.is_mixed(now) {
-            return report;
-        }
-        let count = self.unpublished.len().min(limit);
-        for mut record in self.unpublished.drain(..count).collect::<Vec<_>>() {
-            let streams = report.entry(record.origin.build).or_default();
-            streams.push(record.stream);
-            record.left -= 1;
-            if record.left > 0 {
-                self.unpublished.push_back(record);
-            }
+    /// Returns the records of this gateway's own streams to publish in the next digest, `limit` at
+    /// most.
+    pub fn report(&mut self, limit: usize) -> OriginReport {
+        self.own.take(limit)
+    }
+
+    /// Returns the records that a relay passes on to the gateways of its zone, `limit` at most.
+    pub fn report_as_relay(&mut self, limit: usize, now: Mono) -> OriginReport {
+        if !self.is_mixed(now) {
+            return OriginReport::new();
         }
-        report
+        self.passed_on.take(limit)
+    }
+
+    /// Publishes anew the records of streams that may still run, for a gateway that has started. One
+    /// that was a relay also publishes those that it passed on.
+    pub fn publish_anew(&mut self, now: Mono) {
+        let longest = self.lifetime / LIFETIME_LIMITS;
+        let streams = self.streams.iter();
+        let running = streams.filter(|(_, origin)| {
+            origin.publisher != Publisher::Other && now.saturating_sub(origin.began) < longest
+        });
+        let mut records: Vec<Record> = running
+            .map(|(stream, origin)| Record {
+                stream: *stream,
+                build: origin.build,
+                began: origin.began,
+            })
+            .collect();
+        records.sort_unstable_by_key(|record| record.began);
+        self.own.refill(records);
     }
 
     /// Returns what this gateway has to store for the time after a restart of all gateways.
@@ -234,7 +262,8 @@
         let mut streams = OriginReport::new();
         if self.is_mixed(now) {
             let is_stored = |origin: &Origin| {
-                origin.is_own || now.saturating_sub(origin.began) < FOREIGN_STORE_TIME
+                let is_other = origin.publisher == Publisher::Other;
+                !is_other || now.saturating_sub(origin.began) < FOREIGN_STORE_TIME
             };
             for (stream, origin) in self.streams.iter().filter(|(_, origin)| is_stored(origin)) {
                 streams.entry(origin.build).or_default().push(*stream);
@@ -251,9 +280,10 @@
         self.last_expired = now;
         let is_recent = |at: Mono| now.saturating_sub(at) < self.lifetime;
         self.streams.retain(|_, origin| is_recent(origin.began));
-        self.unpublished
-            .retain(|record| is_recent(record.origin.began));
         self.builds.retain(|_, build| is_recent(build.last_listed));
+        let oldest = now.saturating_sub(self.lifetime);
+        self.own.expire(oldest);
+        self.passed_on.expire(oldest);
     }
 
     fn recent_builds(&self, now: Mono) -> impl Iterator<Item = (BuildId, &PoolId)> {
@@ -267,7 +297,7 @@
     }
 
     /// Adds a record unless it is known.
-    fn add(&mut self, stream: StreamId, build: BuildId, is_own: bool, now: Mono) {
+    fn add(&mut self, stream: StreamId, build: BuildId, publisher: Publisher, now: Mono) {
         let is_full = self.streams.len() >= MAX_STREAMS;
         if is_full || self.streams.contains_key(&stream) {
             return;
@@ -275,15 +305,19 @@
         let origin = Origin {
             build,
             began: now,
-            is_own,
+            publisher,
         };
         self.streams.insert(stream, origin);
-        if is_own {
-            self.unpublished.push_back(Unpublished {
-                stream,
-                origin,
-                left: PUBLISH_COUNT,
-            });
+        let record = Record {
+            stream,
+            build,
+            began: now,
+        };
+        if publisher == Publisher::Own {
+            self.own.push(record);
+        }
+        if publisher != Publisher::Other {
+            self.passed_on.push(record);
         }
     }
 }
--- a/crates/fleet/tests/testsuite/origins.rs
+++ b/crates/fleet/tests/testsuite/origins.rs
@@ -11,6 +11,7 @@
 use primrose_fleet::origin::stream_id;
 use primrose_fleet::origin::StreamOrigin;
 use primrose_fleet::Fleet;
+use primrose_fleet::FleetConfig;
 
 use crate::build::exchange_digests;
 use crate::build::fleet;
@@ -18,6 +19,7 @@
 use crate::build::ms;
 use crate::build::route;
 use crate::build::server;
+use crate::build::tables;
 use crate::build::MODELS;
 
 /// Interval between two rounds of digests, in milliseconds.
@@ -146,21 +148,24 @@
     struct Case {
         name: &'static str,
         gateways: u8,
-        /// Rounds of digests after which all know a stream.
+        /// Rounds of digests from the beginning of the stream until the second build joins, if it does
+        /// so later.
+        joins_after: Option<u64>,
+        /// Rounds of digests after that, in which the gateway that began the stream sends none.
         rounds: u64,
-        /// Whether the second build starts after the stream.
-        mixed_later: bool,
     }
-    let case = |name, gateways, rounds, mixed_later| Case {
+    let case = |name, gateways, joins_after, rounds| Case {
         name,
         gateways,
+        joins_after,
         rounds,
-        mixed_later,
     };
     let cases = [
-        case("few gateways", 3, 1, false),
-        case("few gateways, second build starts later", 3, 1, true),
-        case("many gateways with relays", 24, 3, false),
+        case("few gateways", 3, None, 1),
+        case("few gateways, killed at the join", 3, Some(1), 0),
+        case("few gateways, killed after the join", 3, Some(1), 1),
+        case("many gateways", 24, None, 3),
+        case("many gateways, killed at the join", 24, Some(1), 3),
     ];
     for case in cases {
         let mut gateways: Vec<Fleet> = (1..=case.gateways).map(|host| fleet(host, None)).collect();
@@ -171,31 +176,125 @@
                 .for_each(|fleet| add_server(fleet, version, ms(now)));
         };
         add(&mut gateways, "v1", now);
-        if !case.mixed_later {
+        if case.joins_after.is_none() {
             add(&mut gateways, "v1.1", now);
         }
         for _ in 0..10 {
             exchange_digests(&mut gateways, now);
             now += ROUND;
         }
-        let begins = gateways.len() / 2;
-        gateways[begins].record_stream(stream_id("begun"), build("v1.1"), ms(now));
-        if case.mixed_later {
+        let last = gateways.len() - 1;
+        assert!(!gateways[last].is_relay(), "{}", case.name);
+        gateways[last].record_stream(stream_id("begun"), build("v1"), ms(now));
+        for _ in 0..case.joins_after.unwrap_or(1) {
             exchange_digests(&mut gateways, now);
-            add(&mut gateways, "v1.1", now);
+            now += ROUND;
         }
+        gateways.pop();
+        add(&mut gateways, "v1.1", now);
         for _ in 0..case.rounds {
-            now += ROUND;
             exchange_digests(&mut gateways, now);
+            now += ROUND;
         }
         for (number, fleet) in gateways.iter().enumerate() {
             let build_found = found(fleet, Some("begun"), ms(now));
-            let expected = Found::Recorded("v1.1");
+            let expected = Found::Recorded("v1");
             assert_eq!(build_found, expected, "{}: gateway {number}", case.name);
         }
     }
 }
 
+/// Guards against a backlog that is published oldest first, so that the streams that still run come last.
+#[test]
+fn newest_streams_are_published_first() {
+    let mut gateways: Vec<Fleet> = (1..=2).map(|host| fleet(host, None)).collect();
+    let now = ms(ROUND);
+    for version in ["v1", "v1.1"] {
+        gateways
+            .iter_mut()
+            .for_each(|fleet| add_server(fleet, version, now));
+    }
+    let names: Vec<String> = (0..500).map(|number| format!("stream {number}")).collect();
+    for name in &names {
+        gateways[0].record_stream(stream_id(name), build("v1"), now);
+    }
+    exchange_digests(&mut gateways, ROUND);
+    let newest = names.last().expect("a stream");
+    assert_eq!(
+        found(&gateways[1], Some(newest), now),
+        Found::Recorded("v1")
+    );
+    for round in 2..=11 {
+        exchange_digests(&mut gateways, round * ROUND);
+    }
+    for name in &names {
+        assert_eq!(
+            found(&gateways[1], Some(name), now),
+            Found::Recorded("v1"),
+            "{name}"
+        );
+    }
+}
+
+/// Guards against callers that come back to a gateway that started after their stream began, once the
+/// one that began it was killed.
+#[test]
+fn a_gateway_that_starts_learns_of_running_streams() {
+    for count in [3, 24] {
+        let mut gateways: Vec<Fleet> = (1..=count).map(|host| fleet(host, None)).collect();
+        let servers = |fleet: &mut Fleet, now| {
+            add_server(fleet, "v1", now);
+            add_server(fleet, "v1.1", now);
+        };
+        gateways.iter_mut().for_each(|fleet| servers(fleet, ms(1)));
+        let mut now = ROUND;
+        for _ in 0..10 {
+            exchange_digests(&mut gateways, now);
+            now += ROUND;
+        }
+        let last = gateways.len() - 1;
+        gateways[last].record_stream(stream_id("begun"), build("v1"), ms(now));
+        for _ in 0..5 {
+            exchange_digests(&mut gateways, now);
+            now += ROUND;
+        }
+        let relays = gateways.iter().enumerate();
+        let relays =
+            relays.filter(|(number, fleet)| count == 3 && *number == 0 || fleet.is_relay());
+        let relays: Vec<usize> = relays.map(|(number, _)| number).collect();
+        for number in relays {
+            let mut restarted = fleet_of(number as u8 + 1, now);
+            servers(&mut restarted, ms(now));
+            gateways[number] = restarted;
+        }
+        for _ in 0..20 {
+            exchange_digests(&mut gateways, now);
+            now += ROUND;
+        }
+        for (number, fleet) in gateways.iter_mut().enumerate() {
+            fleet.complete_origins();
+            let build_found = found(fleet, Some("begun"), ms(now));
+            assert_eq!(build_found, Found::Recorded("v1"), "{count}: {number}");
+        }
+    }
+}
+
+/// Returns a gateway that starts anew on a host, with a higher incarnation.
+fn fleet_of(host: u8, now: u64) -> Fleet {
+    let mut fleet = Fleet::new(FleetConfig {
+        incarnation: now,
+        zone: "a".to_owned(),
+        ip: ip(host),
+        capacity: 120,
+        retry_permille: 200,
+        retry_slack: 56,
+        cold_bound: None,
+        place_by_cost: true,
+    });
+    fleet.adopt_tables(tables(1, None));
+    fleet
+}
+
 /// Guards against streams that cannot go on after all gateways were killed.
 #[test]
 fn stored_history_makes_up_for_a_restart() {
--- a/crates/fleet/tests/testsuite/relays.rs
+++ b/crates/fleet/tests/testsuite/relays.rs
@@ -11,6 +11,7 @@
 
 use primrose_core::clock::Mono;
 use primrose_fleet::digest::Digest;
+use primrose_fleet::entry::build_id;
 use primrose_fleet::Decision;
 use primrose_fleet::Fleet;
 use primrose_fleet::FleetConfig;
@@ -302,6 +303,76 @@
     }
 }
 
+/// Guards against records of streams that take the control traffic of a host over its bound.
+#[test]
+fn records_of_streams_fit_into_the_control_traffic() {
+    struct Case {
+        name: &'static str,
+        gateways: usize,
+        zones: usize,
+        /// Streams that begin in the whole fleet in a second.
+        rate: usize,
+    }
+    let cases = [
+        Case {
+            name: "one mesh",
+            gateways: 12,
+            zones: 3,
+            rate: 164,
+        },
+        Case {
+            name: "five zones",
+            gateways: 195,
+            zones: 5,
+            rate: 1_714,
+        },
+        Case {
+            name: "thirty-one zones",
+            gateways: 380,
+            zones: 31,
+            rate: 6_300,
+        },
+    ];
+    for case in cases {
+        let mut links = Links::new(case.gateways, case.zones);
+        links.place_everywhere();
+        links.run(SETTLE_ROUNDS);
+        let mut streams = 0;
+        for round in 0..40 {
+            // Until here the streams of the first rounds have been published.
+            if round == 20 {
+                links.bytes_received.clear();
+            }
+            let begun = case.rate * ROUND.as_millis() as usize * (round + 1) / 1_000;
+            for stream in streams..begun {
+                let gateway = &mut links.gateways[stream % case.gateways];
+                gateway.record_stream(stream as u64, build_id(MODELS, "v1"), links.now);
+            }
+            streams = begun;
+            links.run(1);
+        }
+        let rate = |bytes: usize| bytes * 1_000 / (ROUND * 20).as_millis() as usize;
+        let total: usize = links.bytes_received.values().sum();
+        let mean = rate(total) / case.gateways;
+        let busiest = links
+            .bytes_received
+            .values()
+            .max()
+            .copied()
+            .unwrap_or_default();
+        println!(
+            "{}: mean {mean} bytes/s, busiest {}",
+            case.name,
+            rate(busiest)
+        );
+        assert!(
+            mean < MAX_BYTES_PER_SECOND,
+            "{}: {mean} bytes/s a host",
+            case.name
+        );
+    }
+}
+
 #[test]
 fn a_gateway_without_a_view_is_not_left_alone() {
     let mut links = Links::new(30, 3);
