fleet: Decide in one place which pools may have begun a stream

Cause: a take-up looked at the builds of all targets of the route, but records were published and stored only while one pool had several builds. Besides, a take-up looked at the routes in force alone, so that a stream without a record went on at another pool after its route had moved.

`Targets` holds the pools that may have begun the streams of each route: targets in force and former ones, also of routes above and below it. Taking up, passing on, storing and reading at the start all use it.

--- a/crates/fleet/src/fleet/exchange.rs
+++ b/crates/fleet/src/fleet/exchange.rs
@@ -142,7 +142,7 @@
 
     fn relay_digests(&mut self, mut own: Digest, now: Mono) -> Vec<Outgoing> {
         let zone = self.own_zone();
-        let origins = self.origins_to_pass_on(now);
+        let origins = self.origins_to_pass_on();
         let mut outgoing = Vec::new();
         let is_recent = |peer: &&Peer| {
             let digest = &peer.digest;
--- a/crates/fleet/src/fleet/gossip.rs
+++ b/crates/fleet/src/fleet/gossip.rs
@@ -95,9 +95,7 @@
         if tables.generation <= previous {
             return None;
         }
-        let limits = tables.routes.iter().map(|route| route.time_limit);
-        let longest = limits.max().unwrap_or_default();
-        self.origins.set_time_limit(longest);
+        self.origins.replace_routes(&tables.routes);
         self.catalog = Some(Arc::new(Catalog::new(tables)));
         self.drop_never_cold();
         Some(previous)
--- a/crates/fleet/src/fleet/streams.rs
+++ b/crates/fleet/src/fleet/streams.rs
@@ -3,7 +3,6 @@
 use std::net::IpAddr;
 
 use primrose_core::clock::Mono;
-use primrose_core::id::PoolId;
 
 use super::roles::Role;
 use super::Fleet;
@@ -35,8 +34,7 @@
         route: &Route,
         now: Mono,
     ) -> StreamOrigin {
-        let pools: Vec<&PoolId> = route.targets.iter().map(|target| &target.pool).collect();
-        self.origins.find(stream, &pools, now)
+        self.origins.find(stream, route, now)
     }
 
     /// Records the build of a listed server.
@@ -45,9 +43,9 @@
         self.origins.record_builds(std::iter::once(listed), now);
     }
 
-    /// Whether a pool has servers of several builds, or had them lately.
-    pub fn has_mixed_builds(&self, now: Mono) -> bool {
-        self.origins.is_mixed(now)
+    /// Whether several builds may have begun the streams of some route.
+    pub fn has_ambiguous_origins(&self) -> bool {
+        self.origins.is_ambiguous()
     }
 
     /// Returns the origins of streams to store.
@@ -84,8 +82,8 @@
     }
 
     /// Returns the origins that a relay passes on in the next view.
-    pub(super) fn origins_to_pass_on(&mut self, now: Mono) -> OriginReport {
-        self.origins.report_as_relay(MAX_PASSED_ON, now)
+    pub(super) fn origins_to_pass_on(&mut self) -> OriginReport {
+        self.origins.report_as_relay(MAX_PASSED_ON)
     }
 
     /// Merges the origins that a digest publishes. A relay passes those of its zone on: callers
--- a/crates/fleet/src/origin/mod.rs
+++ b/crates/fleet/src/origin/mod.rs
@@ -4,8 +4,8 @@
 //! get the request, and the one that began the stream may be gone. So each gateway records the
 //! build of every stream that it begins, and publishes the record at once, whether or not the build
 //! is the only one: by the time a second one joins, the gateway may be gone. Where a relay receives
-//! the records of many gateways, it passes them on only while a pool has several builds; see
-//! [`StreamOrigins::is_mixed`].
+//! the records of many gateways, it passes them on only while routes have several builds that may
+//! have begun a stream; see [`StreamOrigins::is_ambiguous`].
 //!
 //! If nobody knows a stream, but all servers that can have begun it are of one build, it goes on at
 //! that build. That one build is known does not mean that there is no other: one may have joined of
@@ -15,6 +15,7 @@
 //! when they hear of it, and it reads the platform's store; see [`StreamOrigins::history`].
 
 mod outbox;
+mod targets;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -26,6 +27,8 @@
 
 use self::outbox::Outbox;
 use self::outbox::Record;
+use self::targets::Targets;
+use crate::catalog::Route;
 use crate::entry::BuildId;
 
 /// Hash of the id of the caller's attempt that brought a stream's first event.
@@ -68,7 +71,7 @@
 pub struct OriginHistory {
     /// Builds that may have begun streams lately, with their pools.
     pub builds: BTreeMap<BuildId, PoolId>,
-    /// Recent streams; empty if each pool has one build only.
+    /// Recent streams; empty if no route has several builds.
     pub streams: OriginReport,
 }
 
@@ -107,6 +110,8 @@
     own: Outbox,
     /// Records that a relay passes on to the gateways of its zone, its own included.
     passed_on: Outbox,
+    targets: Targets,
+    is_ambiguous: bool,
     builds: BTreeMap<BuildId, Build>,
     /// Time of the first list of servers.
     first_listed: Option<Mono>,
@@ -122,6 +127,8 @@
             streams: HashMap::new(),
             own: Outbox::default(),
             passed_on: Outbox::default(),
+            targets: Targets::default(),
+            is_ambiguous: false,
             builds: BTreeMap::new(),
             first_listed: None,
             knows_past: false,
@@ -130,10 +137,14 @@
 }
 
 impl StreamOrigins {
-    /// Sets how long streams are remembered, by the longest time limit of a route.
-    pub fn set_time_limit(&mut self, limit: Duration) {
-        let lifetime = limit.saturating_mul(LIFETIME_LIMITS);
+    /// Replaces the routes in force. Streams are remembered by the longest time limit of a route.
+    pub fn replace_routes(&mut self, routes: &[Route]) {
+        let limits = routes.iter().map(|route| route.time_limit);
+        let longest = limits.max().unwrap_or_default();
+        let lifetime = longest.saturating_mul(LIFETIME_LIMITS);
         self.lifetime = lifetime.clamp(LIFETIME_RANGE.0, LIFETIME_RANGE.1);
+        self.targets.replace(routes);
+        self.update_ambiguity();
     }
 
     /// Records a stream that this gateway began or continued.
@@ -147,6 +158,7 @@
         listed: impl Iterator<Item = (BuildId, &'a PoolId)>,
         now: Mono,
     ) {
+        let count = self.builds.len();
         for (build, pool) in listed {
             self.first_listed.get_or_insert(now);
             let known = self.builds.entry(build).or_insert_with(|| Build {
@@ -155,6 +167,9 @@
             });
             known.last_listed = now;
         }
+        if self.builds.len() != count {
+            self.update_ambiguity();
+        }
     }
 
     /// Adds records that another gateway published; with `pass_on`, those that are new are published
@@ -180,6 +195,7 @@
                 last_listed: now,
             });
         }
+        self.update_ambiguity();
         self.merge(&history.streams, false, now);
     }
 
@@ -193,9 +209,8 @@
         self.streams.len()
     }
 
-    /// Returns where a stream goes on; `stream` is none if the caller does not name it, and `pools` are
-    /// those that may have begun it.
-    pub fn find(&self, stream: Option<StreamId>, pools: &[&PoolId], now: Mono) -> StreamOrigin {
+    /// Returns where a stream of a route goes on; `stream` is none if the caller does not name it.
+    pub fn find(&self, stream: Option<StreamId>, route: &Route, now: Mono) -> StreamOrigin {
         let known = stream.and_then(|stream| self.streams.get(&stream));
         if let Some(origin) = known.filter(|origin| self.is_recent(origin.began, now)) {
             let build = self.builds.get(&origin.build);
@@ -207,6 +222,8 @@
         if began_before_start && !self.knows_past {
             return StreamOrigin::Unknown;
         }
+        let mut pools = self.targets.pools(route);
+        pools.extend(route.targets.iter().map(|target| &target.pool));
         let builds = self.recent_builds(now);
         let mut possible = builds.filter(|(_, pool)| pools.contains(pool));
         match (possible.next(), possible.next()) {
@@ -215,11 +232,10 @@
         }
     }
 
-    /// Whether a pool has servers of several builds, or had them lately.
-    pub fn is_mixed(&self, now: Mono) -> bool {
-        let mut pools: Vec<&PoolId> = self.recent_builds(now).map(|(_, pool)| pool).collect();
-        pools.sort_unstable();
-        pools.windows(2).any(|pair| pair[0] == pair[1])
+    /// Whether several builds may have begun the streams of some route, so that a stream without a
+    /// record cannot go on.
+    pub fn is_ambiguous(&self) -> bool {
+        self.is_ambiguous
     }
 
     /// Returns the records of this gateway's own streams to publish in the next digest, `limit` at
@@ -229,8 +245,8 @@
     }
 
     /// Returns the records that a relay passes on to the gateways of its zone, `limit` at most.
-    pub fn report_as_relay(&mut self, limit: usize, now: Mono) -> OriginReport {
-        if !self.is_mixed(now) {
+    pub fn report_as_relay(&mut self, limit: usize) -> OriginReport {
+        if !self.is_ambiguous {
             return OriginReport::new();
         }
         self.passed_on.take(limit)
@@ -260,7 +276,7 @@
         let builds = self.recent_builds(now);
         let builds = builds.map(|(build, pool)| (build, pool.clone())).collect();
         let mut streams = OriginReport::new();
-        if self.is_mixed(now) {
+        if self.is_ambiguous {
             let is_stored = |origin: &Origin| {
                 let is_other = origin.publisher == Publisher::Other;
                 !is_other || now.saturating_sub(origin.began) < FOREIGN_STORE_TIME
@@ -274,6 +290,8 @@
 
     /// Drops streams that callers no longer take up, and builds that cannot have begun others.
     pub fn expire(&mut self, now: Mono) {
+        let oldest = now.saturating_sub(self.lifetime);
+        self.targets.expire(oldest, now);
         if now.saturating_sub(self.last_expired) < EXPIRE_INTERVAL {
             return;
         }
@@ -281,9 +299,19 @@
         let is_recent = |at: Mono| now.saturating_sub(at) < self.lifetime;
         self.streams.retain(|_, origin| is_recent(origin.began));
         self.builds.retain(|_, build| is_recent(build.last_listed));
-        let oldest = now.saturating_sub(self.lifetime);
         self.own.expire(oldest);
         self.passed_on.expire(oldest);
+        self.update_ambiguity();
+    }
+
+    fn update_ambiguity(&mut self) {
+        let mut builds: BTreeMap<&PoolId, usize> = BTreeMap::new();
+        for build in self.builds.values() {
+            *builds.entry(&build.pool).or_default() += 1;
+        }
+        let count = |pool: &PoolId| builds.get(pool).copied().unwrap_or_default();
+        let mut sets = self.targets.pool_sets();
+        self.is_ambiguous = sets.any(|pools| pools.into_iter().map(count).sum::<usize>() > 1);
     }
 
     fn recent_builds(&self, now: Mono) -> impl Iterator<Item = (BuildId, &PoolId)> {
--- a/crates/fleet/tests/testsuite/build.rs
+++ b/crates/fleet/tests/testsuite/build.rs
@@ -64,10 +64,14 @@
         tries: 2,
         public: false,
         prompts,
-        targets: vec![Target {
-            pool: pool.to_owned(),
-            weight: 1,
-        }],
+        targets: vec![target(pool)],
+    }
+}
+
+pub(crate) fn target(pool: &str) -> Target {
+    Target {
+        pool: pool.to_owned(),
+        weight: 1,
     }
 }
 
--- a/crates/fleet/tests/testsuite/origins.rs
+++ b/crates/fleet/tests/testsuite/origins.rs
@@ -20,6 +20,7 @@
 use crate::build::route;
 use crate::build::server;
 use crate::build::tables;
+use crate::build::target;
 use crate::build::MODELS;
 
 /// Interval between two rounds of digests, in milliseconds.
@@ -295,6 +296,125 @@
     fleet
 }
 
+/// Guards against streams of a route with several pools that no other gateway can place, and against
+/// streams that go on at another pool after an edit of the route.
+#[test]
+fn streams_of_a_split_or_moved_route_stay_at_their_pool() {
+    struct Case {
+        name: &'static str,
+        /// Targets of the route while the stream begins, and later.
+        targets: (&'static [&'static str], &'static [&'static str]),
+        /// Whether the edit puts the later targets into a route below the first one.
+        is_below: bool,
+        /// Time from the edit to the caller's request.
+        after: Duration,
+        /// Pool at which a stream with a record goes on, and one without.
+        found: (Option<&'static str>, Option<&'static str>),
+    }
+    let case = |name, targets, after, found| Case {
+        name,
+        targets,
+        is_below: false,
+        after,
+        found,
+    };
+    let (a, b, both): (&[&str], &[&str], &[&str]) = (&[MODELS], &["others"], &[MODELS, "others"]);
+    let soon = ms(2_000);
+    let cases = [
+        case("one pool", (a, a), soon, (Some(MODELS), Some(MODELS))),
+        case("split", (both, both), soon, (Some(MODELS), None)),
+        case("split later", (a, both), soon, (Some(MODELS), None)),
+        case("no longer split", (both, a), soon, (Some(MODELS), None)),
+        case(
+            "no longer split for long",
+            (both, a),
+            LONG_AFTER,
+            (Some(MODELS), Some(MODELS)),
+        ),
+        case("moved", (a, b), soon, (Some(MODELS), None)),
+        Case {
+            is_below: true,
+            ..case("a route below it", (a, b), soon, (Some(MODELS), None))
+        },
+    ];
+    for (case, count) in cases.iter().flat_map(|case| [(case, 2), (case, 24)]) {
+        let mut gateways: Vec<Fleet> = (1..=count).map(|host| fleet(host, None)).collect();
+        let mut now = ROUND;
+        let edit = |gateways: &mut [Fleet], generation, targets: &[&str], is_below| {
+            let mut edited = tables(generation, None);
+            let route = edited.routes.first_mut().expect("a route");
+            let mut later = route.clone();
+            later.targets = targets.iter().map(|pool| target(pool)).collect();
+            if is_below {
+                later.prefix.push_str("below/");
+                edited.routes.push(later.clone());
+            } else {
+                *route = later.clone();
+            }
+            for fleet in gateways {
+                fleet.adopt_tables(edited.clone());
+            }
+            later
+        };
+        edit(&mut gateways, 2, case.targets.0, false);
+        for fleet in &mut gateways {
+            fleet.upsert_server(server("s1", MODELS, 1), ms(now));
+            fleet.upsert_server(server("s2", "others", 2), ms(now));
+            fleet.complete_origins();
+        }
+        for _ in 0..10 {
+            exchange_digests(&mut gateways, now);
+            now += ROUND;
+        }
+        let last = gateways.last_mut().expect("a gateway");
+        last.record_stream(stream_id("begun"), build("v1"), ms(now));
+        for _ in 0..5 {
+            exchange_digests(&mut gateways, now);
+            now += ROUND;
+        }
+        let route = edit(&mut gateways, 3, case.targets.1, case.is_below);
+        let later = ms(now) + case.after;
+        // The gateway that began the stream is killed at the edit.
+        gateways.pop();
+        for _ in 0..5 {
+            exchange_digests(&mut gateways, now);
+            now += ROUND;
+        }
+        gateways[0].expire(later);
+        gateways[0].record_stream(stream_id("begun later"), build("v1"), later);
+        let pool = |stream| match gateways[0].stream_origin(Some(stream_id(stream)), &route, later)
+        {
+            StreamOrigin::Recorded(pool, _) | StreamOrigin::OnlyKnown(pool, _) => Some(pool),
+            StreamOrigin::Unknown => None,
+        };
+        let begun = if case.after == LONG_AFTER {
+            "begun later"
+        } else {
+            "begun"
+        };
+        let (recorded, unknown) = case.found;
+        assert_eq!(
+            pool(begun).as_deref(),
+            recorded,
+            "{}, {count} gateways",
+            case.name
+        );
+        assert_eq!(
+            pool("unknown").as_deref(),
+            unknown,
+            "{}, {count} gateways",
+            case.name
+        );
+        let stored = gateways[0].origin_history(later).streams;
+        assert_eq!(
+            stored.is_empty(),
+            unknown.is_some(),
+            "{}: stored",
+            case.name
+        );
+    }
+}
+
 /// Guards against streams that cannot go on after all gateways were killed.
 #[test]
 fn stored_history_makes_up_for_a_restart() {
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -2,8 +2,9 @@
 //!
 //! Gateways tell one another where streams began, but may all be killed at once, and callers then
 //! take their streams up at processes that know none of them. So each gateway that writes for the
-//! others stores the builds in service whenever they change, and, while a pool has several builds,
-//! its recent streams at short intervals; a relay stores those of its zone. Each gateway reads all of that when it starts.
+//! others stores the builds in service whenever they change, and, while a route has several builds that
+//! may have begun its streams, its recent streams at short intervals; a relay stores those of its zone.
+//! Each gateway reads all of that when it starts.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,8 +42,8 @@
 pub(crate) async fn load(shared: Rc<Shared>) {
     read_until_known(&shared).await;
     tokio::time::sleep(SECOND_READ_DELAY).await;
-    let is_mixed = shared.fleet.borrow().has_mixed_builds(shared.now());
-    if is_mixed {
+    let is_ambiguous = shared.fleet.borrow().has_ambiguous_origins();
+    if is_ambiguous {
         read_until_known(&shared).await;
     }
 }
