gateway: Log account, route and waiting time of all refusals

A refusal of a gateway that does not keep up named neither the account nor the route, so that logs could not tell for which account a busy host stands, nor how much of the objective had passed before the decision. Now each refusal names both once they are known, the time since the head arrived (waited_ms) and the age of the sums behind it (view_age_ms).

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -219,6 +219,10 @@
         allowed_ms: u64,
         /// Retry-After of the response in milliseconds.
         retry_after_ms: u64,
+        /// Time from the arrival of the request's head to the refusal, in milliseconds.
+        waited_ms: u64,
+        /// Age of the sums of the other gateways in milliseconds; zero if they arrive without a relay.
+        view_age_ms: u64,
         /// Generation of the tables behind the decision.
         generation: u64,
         /// Version of the server list behind the decision.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -11,6 +11,8 @@
 use http::StatusCode;
 use primrose_conn::RequestBody;
 use primrose_core::clock::Mono;
+use primrose_core::id::AccountId;
+use primrose_core::id::RouteId;
 use primrose_fleet::entry::BuildId;
 use primrose_fleet::origin::stream_id;
 use primrose_fleet::AttemptOutcome;
@@ -194,7 +196,9 @@
             &self.shared,
             &RefusalRecord {
                 request_head: &self.request_head,
-                request: Some(&self.request),
+                account: self.request.account.as_ref(),
+                route: Some(&self.request.route.name),
+                arrived: self.request.arrived,
                 reply: &reply,
                 predicted: refusal.predicted,
                 allowed: refusal.allowed,
@@ -277,7 +281,9 @@
 /// A refusal as it is logged.
 pub(crate) struct RefusalRecord<'a> {
     pub(crate) request_head: &'a RequestHead,
-    pub(crate) request: Option<&'a PlacementRequest>,
+    pub(crate) account: Option<&'a AccountId>,
+    pub(crate) route: Option<&'a RouteId>,
+    pub(crate) arrived: Mono,
     pub(crate) reply: &'a Reply,
     pub(crate) predicted: Duration,
     pub(crate) allowed: Duration,
@@ -287,18 +293,20 @@
 pub(crate) fn log_refusal(shared: &Shared, record: &RefusalRecord<'_>) {
     let fleet = shared.fleet.borrow();
     metrics::counter!("refusals", "reason" => record.reply.reason.clone()).increment(1);
-    let account = record.request.and_then(|request| request.account.as_ref());
-    shared.account_metrics.count(account, "refused");
+    shared.account_metrics.count(record.account, "refused");
+    let now = shared.now();
     shared.log.event(&Event::Refused {
         request: record.request_head.id.clone(),
-        account: record.request.and_then(|request| request.account.clone()),
-        route: record.request.map(|request| request.route.name.clone()),
+        account: record.account.cloned(),
+        route: record.route.cloned(),
         resumes: record.request_head.resumes.clone(),
         status: record.reply.status.as_u16(),
         reason: record.reply.reason.clone(),
         predicted_ms: millis(record.predicted),
         allowed_ms: millis(record.allowed),
         retry_after_ms: record.reply.retry_after.map_or(0, millis),
+        waited_ms: millis(now.saturating_sub(record.arrived)),
+        view_age_ms: millis(fleet.view_age(now)),
         generation: fleet.generation(),
         list_version: fleet.list_version(),
     });
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -16,6 +16,7 @@
 use primrose_core::fingerprint::fingerprint_of_segments;
 use primrose_core::id::AccountId;
 use primrose_core::id::PoolId;
+use primrose_core::id::RouteId;
 use primrose_fleet::catalog::Catalog;
 use primrose_fleet::catalog::Route;
 use primrose_fleet::entry::BuildId;
@@ -91,6 +92,31 @@
     }
 }
 
+/// What is known of a request when it is refused.
+struct RefusedRequest<'a> {
+    shared: &'a Shared,
+    arrived: Mono,
+    account: Option<&'a AccountId>,
+    route: Option<&'a RouteId>,
+}
+
+impl RefusedRequest<'_> {
+    /// Logs the refusal and returns the response.
+    fn reply(&self, request_head: &RequestHead, reply: Reply) -> Response<ResponseBody> {
+        let record = RefusalRecord {
+            request_head,
+            account: self.account,
+            route: self.route,
+            arrived: self.arrived,
+            reply: &reply,
+            predicted: Duration::ZERO,
+            allowed: Duration::ZERO,
+        };
+        log_refusal(self.shared, &record);
+        reply.into_response(self.shared, &request_head.id)
+    }
+}
+
 async fn accept(
     shared: &Rc<Shared>,
     connection: &CallerConnection,
@@ -99,27 +125,24 @@
     arrived: Mono,
     running: RunningGuard,
 ) -> Result<Job, Refused> {
-    let refuse = |request_head: &RequestHead, reply: Reply| {
-        let record = RefusalRecord {
-            request_head,
-            request: None,
-            reply: &reply,
-            predicted: Duration::ZERO,
-            allowed: Duration::ZERO,
-        };
-        log_refusal(shared, &record);
-        reply.clone().into_response(shared, &request_head.id)
+    let mut refused = RefusedRequest {
+        shared,
+        arrived,
+        account: None,
+        route: None,
     };
     let request_head = shared.protocol.parse_request(&http_head).map_err(|error| {
         let reply = Reply::new(StatusCode::BAD_REQUEST, error.to_string());
-        refuse(&RequestHead::default(), reply)
+        refused.reply(&RequestHead::default(), reply)
     })?;
     let catalog = shared.fleet.borrow().catalog().ok_or_else(|| {
         let reply = Reply::not_run("no tables are known yet", RETRY_AFTER_NO_TABLES);
-        refuse(&request_head, reply)
+        refused.reply(&request_head, reply)
     })?;
     let (route, account) = resolve_route(&catalog, &http_head, &request_head)
-        .map_err(|reply| refuse(&request_head, reply))?;
+        .map_err(|reply| refused.reply(&request_head, reply))?;
+    refused.account = account.as_ref();
+    refused.route = Some(&route.name);
     let limit = request_head.timeout_hint.unwrap_or(route.time_limit);
     let deadline = arrived + limit.min(route.time_limit);
     let cost = if route.kind.is_stream() {
@@ -133,17 +156,17 @@
     let remaining = deadline.saturating_sub(shared.now());
     let body = match tokio::time::timeout(remaining, reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(BodyFailure::Broken(reply))) => return Err(refuse(&request_head, reply).into()),
+        Ok(Err(BodyFailure::Broken(reply))) => return Err(refused.reply(&request_head, reply).into()),
         Ok(Err(BodyFailure::Refused(reply))) => {
             return Err(Refused {
-                response: refuse(&request_head, reply),
+                response: refused.reply(&request_head, reply),
                 is_read: false,
             })
         }
         Err(_) => {
             let reply = Reply::new(StatusCode::REQUEST_TIMEOUT, "the body took too long");
             return Err(Refused {
-                response: refuse(&request_head, reply),
+                response: refused.reply(&request_head, reply),
                 is_read: false,
             });
         }
@@ -152,14 +175,14 @@
         // The body was read, since a response to a half-read request may be lost with its
         // connection.
         let reply = Reply::not_run("the gateway is overloaded", RETRY_AFTER_SHED);
-        return Err(refuse(&request_head, reply).into());
+        return Err(refused.reply(&request_head, reply).into());
     }
     // The body may have taken until the shutdown refuses such requests.
     let is_refused_stream = shared.refuses_streams.get() && route.kind.is_stream();
     if is_refused_stream || shared.may_be_cut(deadline) {
         // Another gateway accepts the request at once.
         let reply = Reply::not_run("the gateway is about to end", RETRY_AFTER_SHUTDOWN);
-        return Err(refuse(&request_head, reply).into());
+        return Err(refused.reply(&request_head, reply).into());
     }
     let (pool, build) = match resumed_origin(shared, &request_head, &route).await {
         Ok(Some((pool, build))) => (pool, Some(build)),
@@ -167,7 +190,7 @@
             route.pool(rand::random()).cloned().unwrap_or_default(),
             None,
         ),
-        Err(reply) => return Err(refuse(&request_head, reply).into()),
+        Err(reply) => return Err(refused.reply(&request_head, reply).into()),
     };
     let caller = account.as_deref().unwrap_or_default();
     let fingerprint =
