gateway: Write the head of each response, whatever the server's version

A stream from a server that answers over HTTP/1.0 and ends early reached the caller as complete (MIXED, ORDER): the response began with HTTP/1.0, had no chunks, and ended with its connection like a whole one. The head of the server's response was used for the caller's, with its version and its reason phrase. Plain answers were not affected, since they are read whole first.

The head for the caller takes the status and the end-to-end headers from the server, and nothing else, so that a stream is sent in chunks and one that is broken off shows.

The other daemon writes its own heads.

Tests of answer_heads that failed before: an_answer_that_ends_early_does_not_look_complete, an_answer_that_is_reset_during_the_upload_does_not_look_complete, a_stream_that_is_resumed_does_not_end_early_as_complete, the_head_of_a_response_is_the_gateways_own.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use http::header::CONTENT_ENCODING;
 use http::header::CONTENT_TYPE;
 use http::response;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -83,9 +84,7 @@
 impl StreamStart {
     /// Returns the response head for the caller.
     pub(crate) fn head(&self) -> response::Parts {
-        let mut head = self.head.clone();
-        strip_hop_headers(&mut head.headers);
-        head
+        caller_head(self.head.status, self.head.headers.clone())
     }
 }
 
@@ -139,9 +138,8 @@
     job.shared
         .server_connections
         .release(addr, answer.sender, Some(idle));
-    let mut head = head;
-    strip_hop_headers(&mut head.headers);
     let status = head.status;
+    let head = caller_head(status, head.headers);
     let response = Response::from_parts(head, ResponseBody::complete(whole));
     if status.is_server_error() {
         let mut failure = Failure::maybe_run(
@@ -280,6 +278,17 @@
     })
 }
 
+/// Returns the head of a response for the caller. The version and the reason phrase of the server's response
+/// concern its connection only: the end of a stream that is broken off would look regular over HTTP/1.0,
+/// which has no chunks.
+fn caller_head(status: StatusCode, headers: HeaderMap) -> response::Parts {
+    let (mut head, ()) = Response::new(()).into_parts();
+    head.status = status;
+    head.headers = headers;
+    strip_hop_headers(&mut head.headers);
+    head
+}
+
 /// Returns whether a status tells callers that the request has not run.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/primrosed/tests/testsuite/main.rs
+++ b/crates/primrosed/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests that run the program `primrosed` as separate processes.
 
+mod answer_heads;
 mod cold_servers;
 mod continued_streams;
 mod crashed_servers;
