conn: Take no status outside 200 to 599 for an answer

hyper rejects statuses below 100 and of other lengths than three digits, and reads interim responses itself, except 101. Both daemons now fail the attempt for what is left: the request may have run (502).

Failed before: answer_heads::callers_get_no_answer_with_an_unusable_head (first at 101), outcomes::an_answer_with_an_unusable_head_leaves_the_outcome_unknown (Settle(Done { status: 101 })).

--- a/crates/conn/src/end.rs
+++ b/crates/conn/src/end.rs
@@ -30,6 +30,14 @@
     is_empty || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
+/// Returns whether a status is one of those with which HTTP ends the exchange of a request.
+pub fn is_final_status(status: StatusCode) -> bool {
+    status.is_success()
+        || status.is_redirection()
+        || status.is_client_error()
+        || status.is_server_error()
+}
+
 impl ConnectionPool {
     /// Probes a server whose connection has just ended where the end of a response may be. If it
     /// refuses connections, the server has crashed and the response may be cut short.
--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -12,6 +12,7 @@
 pub use body::BodyBuffer;
 pub use body::RequestBody;
 pub use end::has_certain_end;
+pub use end::is_final_status;
 pub use end::END_PROBE_DELAY;
 pub use listen::listen;
 
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -34,6 +34,7 @@
 use tokio::sync::Semaphore;
 
 use primrose_conn::has_certain_end;
+use primrose_conn::is_final_status;
 use primrose_conn::ConnectionPool;
 use primrose_conn::ProbeResult;
 use primrose_conn::RequestBody;
@@ -260,6 +261,11 @@
     reporter: &mut Reporter,
 ) -> Result<(), ExchangeError> {
     let end_certain = has_certain_end(&call.method, &response);
+    let status = response.status();
+    if !is_final_status(status) {
+        let reason = format!("the server answered with status {status}, expected 200 to 599");
+        return Err(ExchangeError::after_send(reason));
+    }
     if response.headers().contains_key(NOT_RUN) {
         if !is_about(call, &response) {
             let reason = "a refusal that may be that of an earlier request";
@@ -270,7 +276,6 @@
             reason: "the server refused the request".to_owned(),
         });
     }
-    let status = response.status();
     let media = media_type(&response);
     let streams = media.starts_with(EVENT_STREAM);
     if call.resume {
--- a/crates/front/tests/testsuite/outcomes.rs
+++ b/crates/front/tests/testsuite/outcomes.rs
@@ -286,3 +286,47 @@
         assert!(seen.contains(&settled), "{}: {seen:?}", case.name);
     }
 }
+
+/// A server that writes the same answer to each request, and closes the connection.
+fn answer_always(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut block = [0; 4_096];
+            if matches!(stream.read(&mut block), Ok(length) if length > 0) {
+                let _ = stream.write_all(answer.as_bytes());
+            }
+        }
+    });
+    addr
+}
+
+/// Guards against "done" or "not run" for an order whose answer has a status that is none, or no final
+/// one, or that has not all of its head or body.
+#[test]
+fn an_answer_with_an_unusable_head_leaves_the_outcome_unknown() {
+    const CASES: [&str; 10] = [
+        "HTTP/1.1 000 OK\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 099 OK\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 101 Switching\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n",
+        "HTTP/1.1 600 Odd\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 999 Odd\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 600 Odd\r\nx-not-run: true\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n",
+        "HTTP/1.0 200 OK\r\ncontent-length: 900\r\n\r\n{\"van\"",
+        "HTTP/1.1 200 OK\r\ncontent-length: 900\r\n\r\n{\"van\"",
+    ];
+    for case in CASES {
+        let fixture = fixture::start(Limits::default());
+        fixture.broker.grant(answer_always(case));
+        let text = fixture::request("/dispatch", "idempotency-key: order-7\r\n", "{}");
+        fixture::send(fixture.front.addr(), &text);
+        fixture.broker.wait(|seen| matches!(seen, Seen::Ended(_)));
+        let seen = fixture.broker.seen();
+        let unknown = Seen::Settle(Settlement::Unknown);
+        assert!(seen.contains(&unknown), "{case:?}: {seen:?}");
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use primrose_conn::has_certain_end;
+use primrose_conn::is_final_status;
 use primrose_conn::PooledResponse;
 use primrose_conn::ProbeResult;
 use primrose_conn::RequestBody;
@@ -240,6 +241,10 @@
             "the answer may be to another request",
         ));
     }
+    if !is_final_status(status) {
+        let reason = format!("the server answered with status {status}, expected 200 to 599");
+        return Err(Failure::maybe_run(AttemptOutcome::Failed, reason));
+    }
     if status != StatusCode::MISDIRECTED_REQUEST {
         guard.record_limit(info.limit);
         guard.record_cold(info.cold_for);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -156,7 +156,9 @@
     let remaining = deadline.saturating_sub(shared.now());
     let body = match tokio::time::timeout(remaining, reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(BodyFailure::Broken(reply))) => return Err(refused.reply(&request_head, reply).into()),
+        Ok(Err(BodyFailure::Broken(reply))) => {
+            return Err(refused.reply(&request_head, reply).into())
+        }
         Ok(Err(BodyFailure::Refused(reply))) => {
             return Err(Refused {
                 response: refused.reply(&request_head, reply),
--- a/crates/primrosed/tests/testsuite/answer_heads.rs
+++ b/crates/primrosed/tests/testsuite/answer_heads.rs
@@ -108,6 +108,30 @@
     }
 }
 
+/// Guards against answers whose status is none, or no final one.
+#[test]
+fn callers_get_no_answer_with_an_unusable_head() {
+    const CASES: [&str; 11] = [
+        "HTTP/1.1 000 OK\r\n{signed}{type}content-length: 0\r\n\r\n",
+        "HTTP/1.1 020 OK\r\n{signed}{type}content-length: 0\r\n\r\n",
+        "HTTP/1.1 099 OK\r\n{signed}{type}content-length: 0\r\n\r\n",
+        "HTTP/1.1 20 OK\r\n{signed}{type}content-length: 0\r\n\r\n",
+        "HTTP/1.1 2000 OK\r\n{signed}{type}content-length: 0\r\n\r\n",
+        "HTTP/1.1 101 Switching\r\n{signed}{type}upgrade: x\r\nconnection: upgrade\r\n\r\n",
+        "HTTP/1.1 600 Odd\r\n{signed}{type}content-length: 0\r\n\r\n",
+        "HTTP/1.1 999 Odd\r\n{signed}{type}content-length: 0\r\n\r\n",
+        "HTTP/1.1 600 Odd\r\n{signed}primrosehall-not-executed: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n{signed}{type}content-length: 1\r\ncontent-length: 2\r\n\r\n{part}",
+        "HTTP/1.0 200 OK\r\n{signed}{type}transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    ];
+    for case in CASES {
+        for (route, answer, is_whole) in answers(case) {
+            let is_right = is_visibly_incomplete(&answer, is_whole);
+            assert!(is_right, "{case:?}, {route}: {answer:?}");
+        }
+    }
+}
+
 /// Guards against a reason phrase or a version that a server chooses for the gateway's response.
 #[test]
 fn the_head_of_a_response_is_the_gateways_own() {
