gateway: Refuse answers whose signature is listed as the connection's

Such an answer fails now like one without the signature.

Failed before: answer_heads::callers_get_no_answer_whose_signature_concerns_the_connection_only.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use http::header::CONNECTION;
 use http::header::CONTENT_ENCODING;
 use http::header::CONTENT_TYPE;
 use http::response;
@@ -261,7 +262,7 @@
         let reason = format!("the server refused with {status}");
         return Err(Failure::not_run(outcome, reason));
     }
-    if !info.signed {
+    if !info.signed || !is_signed_for_caller(job, &head) {
         let reason = format!("the server does not vouch for its answer {status}");
         return Err(Failure::maybe_run(AttemptOutcome::Failed, reason));
     }
@@ -294,6 +295,16 @@
     head
 }
 
+/// Returns whether the signature of a response is left once the headers are removed which the server lists as
+/// those of its connection.
+fn is_signed_for_caller(job: &Job, head: &response::Parts) -> bool {
+    if !head.headers.contains_key(CONNECTION) {
+        return true;
+    }
+    let forwarded = caller_head(head.status, head.headers.clone());
+    job.shared.protocol.parse_response(&forwarded).signed
+}
+
 /// Returns whether a status tells callers that the request has not run.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/primrosed/tests/testsuite/answer_heads.rs
+++ b/crates/primrosed/tests/testsuite/answer_heads.rs
@@ -132,6 +132,18 @@
     }
 }
 
+/// Guards against a success without the server's signature, since the server lists that as a header of the
+/// connection.
+#[test]
+fn callers_get_no_answer_whose_signature_concerns_the_connection_only() {
+    let case = "HTTP/1.1 200 OK\r\n{signed}{type}connection: primrosehall-response-signature\r\n\
+                content-length: 19\r\n\r\n{part}";
+    for (route, answer, is_whole) in answers(case) {
+        let is_right = is_visibly_incomplete(&answer, is_whole);
+        assert!(is_right, "{route}: {answer:?}");
+    }
+}
+
 /// Guards against a reason phrase or a version that a server chooses for the gateway's response.
 #[test]
 fn the_head_of_a_response_is_the_gateways_own() {
