gateway: Move what concerns heads of answers into a module of its own

The functions that read the head of a server's answer and write the caller's are in answer.rs now, unchanged but for a parameter.

--- a/crates/fleet/tests/testsuite/origins.rs
+++ b/crates/fleet/tests/testsuite/origins.rs
@@ -264,7 +264,7 @@
             relays.filter(|(number, fleet)| count == 3 && *number == 0 || fleet.is_relay());
         let relays: Vec<usize> = relays.map(|(number, _)| number).collect();
         for number in relays {
-            let mut restarted = fleet_of(number as u8 + 1, now);
+            let mut restarted = restarted_fleet(number as u8 + 1, now);
             servers(&mut restarted, ms(now));
             gateways[number] = restarted;
         }
@@ -281,7 +281,7 @@
 }
 
 /// Returns a gateway that starts anew on a host, with a higher incarnation.
-fn fleet_of(host: u8, now: u64) -> Fleet {
+fn restarted_fleet(host: u8, now: u64) -> Fleet {
     let mut fleet = Fleet::new(FleetConfig {
         incarnation: now,
         zone: "a".to_owned(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,11 +7,8 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use http::header::CONNECTION;
 use http::header::CONTENT_ENCODING;
-use http::header::CONTENT_TYPE;
 use http::response;
-use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -28,6 +25,11 @@
 
 use crate::adapter::EventId;
 use crate::adapter::ForwardHead;
+use crate::answer::caller_head;
+use crate::answer::idle_time;
+use crate::answer::is_signed_for_caller;
+use crate::answer::is_stream;
+use crate::answer::promises_not_run;
 use crate::body::ResponseBody;
 use crate::guard::PlacementGuard;
 use crate::job::Job;
@@ -37,17 +39,11 @@
 use crate::split::StreamFault;
 use crate::wait::wait_error;
 
-/// Media type of an event stream.
-const EVENT_STREAM: &str = "text/event-stream";
 /// Maximum length of a response body that is not a stream.
 const MAX_BODY_BYTES: usize = 8 << 20;
 /// Maximum length of the comments before the first event of a stream.
 const MAX_COMMENT_BYTES: usize = 16 << 10;
-/// How long an idle connection is kept if the server states no timeout.
-const DEFAULT_IDLE_TIME: Duration = Duration::from_millis(2_500);
-/// How long before the server's idle timeout a connection is dropped: a request may be in flight
-/// when the server closes the connection.
-const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
+
 /// A failed attempt.
 pub(crate) struct Failure {
     pub(crate) outcome: AttemptOutcome,
@@ -262,7 +258,7 @@
         let reason = format!("the server refused with {status}");
         return Err(Failure::not_run(outcome, reason));
     }
-    if !info.signed || !is_signed_for_caller(job, &head) {
+    if !info.signed || !is_signed_for_caller(job.shared.protocol.as_ref(), &head) {
         let reason = format!("the server does not vouch for its answer {status}");
         return Err(Failure::maybe_run(AttemptOutcome::Failed, reason));
     }
@@ -284,38 +280,6 @@
     })
 }
 
-/// Returns the head of a response for the caller. The version and the reason phrase of the server's response
-/// concern its connection only: the end of a stream that is broken off would look regular over HTTP/1.0,
-/// which has no chunks.
-fn caller_head(status: StatusCode, headers: HeaderMap) -> response::Parts {
-    let (mut head, ()) = Response::new(()).into_parts();
-    head.status = status;
-    head.headers = headers;
-    strip_hop_headers(&mut head.headers);
-    head
-}
-
-/// Returns whether the signature of a response is left once the headers are removed which the server lists as
-/// those of its connection.
-fn is_signed_for_caller(job: &Job, head: &response::Parts) -> bool {
-    if !head.headers.contains_key(CONNECTION) {
-        return true;
-    }
-    let forwarded = caller_head(head.status, head.headers.clone());
-    job.shared.protocol.parse_response(&forwarded).signed
-}
-
-/// Returns whether a status tells callers that the request has not run.
-fn promises_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
-
 async fn read_first_events(
     job: &Job,
     guard: &PlacementGuard,
@@ -432,23 +396,3 @@
 pub(crate) fn no_stream() -> Failure {
     Failure::maybe_run(AttemptOutcome::Failed, "the answer is no event stream")
 }
-
-pub(crate) fn is_stream(head: &response::Parts) -> bool {
-    let value = head.headers.get(CONTENT_TYPE);
-    let text = value.and_then(|value| value.to_str().ok());
-    text.is_some_and(|text| text.starts_with(EVENT_STREAM))
-}
-
-/// Returns how long the connection may stay idle after this response.
-pub(crate) fn idle_time(head: &response::Parts) -> Duration {
-    let value = head.headers.get("keep-alive");
-    let text = value.and_then(|value| value.to_str().ok());
-    let stated = text.and_then(|text| {
-        let mut parts = text.split(',');
-        parts.find_map(|part| part.trim().strip_prefix("timeout="))
-    });
-    match stated.and_then(|seconds| seconds.trim().parse().ok()) {
-        Some(seconds) => Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN),
-        None => DEFAULT_IDLE_TIME,
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod account_metrics;
 pub mod adapter;
+mod answer;
 mod attempt;
 mod body;
 mod bound;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -16,6 +16,7 @@
 use primrose_fleet::Placement;
 use tokio::time::Sleep;
 
+use crate::answer;
 use crate::attempt;
 use crate::attempt::Failure;
 use crate::attempt::StreamSource;
@@ -257,13 +258,13 @@
                 let method = &job.http_head.method;
                 guard.placement.end_certain = has_certain_end(method, &answer.response);
                 let (head, body) = answer.response.into_parts();
-                if attempt::is_stream(&head) {
+                if answer::is_stream(&head) {
                     let source = StreamSource {
                         body,
                         splitter: splitter.continued(),
                         buffered: job.shared.answer_memory.begin(),
                         sender: answer.sender,
-                        idle: attempt::idle_time(&head),
+                        idle: answer::idle_time(&head),
                     };
                     return Some((guard, source));
                 }
--- a/crates/primrosed/tests/testsuite/answer_heads.rs
+++ b/crates/primrosed/tests/testsuite/answer_heads.rs
@@ -9,12 +9,15 @@
 use std::io::Write;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
 use primrose_soak::wire::signed_headers;
 
 use crate::gateway_fixture::call_stream;
+use crate::gateway_fixture::config;
 use crate::gateway_fixture::request;
 use crate::gateway_fixture::server_entry;
 use crate::gateway_fixture::signed_headers_for;
@@ -234,9 +237,9 @@
         };
         let listener = start_resetting(case.version, media, case.pause);
         let fixture = GatewayFixture::start_empty();
-        let mut config = crate::gateway_fixture::config(1);
-        config["limits"]["maxBodyBytes"] = (2 * UPLOAD_BYTES).into();
-        fixture.store.put("op/config", &config);
+        let mut tables = config(1);
+        tables["limits"]["maxBodyBytes"] = (2 * UPLOAD_BYTES).into();
+        fixture.store.put("op/config", &tables);
         let addr = listener.local_addr().expect("its address");
         fixture
             .store
@@ -266,13 +269,13 @@
 /// Guards against a resumed stream that goes on with an answer of this kind and ends as complete.
 #[test]
 fn a_stream_that_is_resumed_does_not_end_early_as_complete() {
-    let runs = Arc::new(std::sync::atomic::AtomicU32::new(0));
+    let runs = Arc::new(AtomicU32::new(0));
     let count = Arc::clone(&runs);
     let server = move || {
         let count = Arc::clone(&count);
         Server::start(move |seen, stream| {
             let signed = signed_headers_for(seen);
-            let run = count.fetch_add(1, std::sync::atomic::Ordering::SeqCst) + 1;
+            let run = count.fetch_add(1, Ordering::SeqCst) + 1;
             let event = FIRST_EVENT.replace('1', &run.to_string());
             let text = format!(
                 "HTTP/1.0 200 OK\r\n{signed}content-type: text/event-stream\r\n\
