gateway: Log what an account asked for, got and may have, with each decision

Both now carry the account's tokens over the window, its quota and its fair share. No decision changes: ShareUsage is computed from the same sums as before.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -199,32 +199,49 @@
         (since + SUMS_DELAY).min(WINDOW)
     }
 
-    /// Classifies the usage of an account that requests `tokens` more, where all accounts share
-    /// `rate` tokens a second.
-    pub fn share_usage(
-        &mut self,
-        account: ShortId,
-        tokens: u64,
-        rate: u64,
-        now: Mono,
-    ) -> ShareUsage {
+    /// Returns the usage of an account over the fleet and its shares, where all accounts share `rate`
+    /// tokens a second.
+    pub fn account_share(&mut self, account: ShortId, rate: u64, now: Mono) -> AccountShare {
         let totals = self.fleet_sums(now);
-        let asked: Vec<u64> = totals.values().map(|sums| sums.asked).collect();
-        let own_granted = totals.get(&account).map_or(0, |sums| sums.granted);
-        let used = own_granted + tokens;
+        let demands: Vec<u64> = totals.values().map(|sums| sums.asked).collect();
+        let TokenSums { asked, granted, .. } = totals.get(&account).copied().unwrap_or_default();
         let capacity = (rate as f64 * self.covered_time(now).as_secs_f64()) as u64;
-        if used <= max_min_share(capacity, asked.clone()) {
-            return ShareUsage::WithinQuota;
-        }
         // What was sent may be more than servers process: it would raise the share while they fall
         // behind.
         let begun = self.local_begun(now) + self.remote_begun;
-        let fair_share = max_min_share(begun.max(capacity), asked);
-        if used <= fair_share {
+        AccountShare {
+            asked,
+            granted,
+            quota: max_min_share(capacity, demands.clone()),
+            fair_share: max_min_share(begun.max(capacity), demands),
+        }
+    }
+}
+
+/// Tokens of an account over the fleet and the last [`WINDOW`], and what it may use of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AccountShare {
+    /// Tokens of all its requests.
+    pub asked: u64,
+    /// Tokens of its requests that were sent to servers.
+    pub granted: u64,
+    /// Share of the configured token rate; `u64::MAX` if the rate covers all demand.
+    pub quota: u64,
+    /// Fair share of what servers process; `u64::MAX` if that covers all demand.
+    pub fair_share: u64,
+}
+
+impl AccountShare {
+    /// Classifies the usage of the account if `tokens` more are sent for it.
+    pub fn usage(&self, tokens: u64) -> ShareUsage {
+        let used = self.granted + tokens;
+        if used <= self.quota {
+            ShareUsage::WithinQuota
+        } else if used <= self.fair_share {
             ShareUsage::WithinFairShare
         } else {
             // The size of the request itself does not make an account exceed its share by more.
-            let excess = own_granted as f64 / fair_share.max(1) as f64 - 1.0;
+            let excess = self.granted as f64 / self.fair_share.max(1) as f64 - 1.0;
             ShareUsage::OverFairShare {
                 excess: excess.max(0.0),
             }
--- a/crates/fleet/src/fleet/admission.rs
+++ b/crates/fleet/src/fleet/admission.rs
@@ -9,9 +9,9 @@
 use super::PlacementRequest;
 use super::Refusal;
 use super::RefusalReason;
+use crate::demand::AccountShare;
 use crate::demand::ShareUsage;
 use crate::entry::short_id;
-use crate::entry::ShortId;
 use crate::place::Choice;
 
 /// Fraction of the objective that a request of an account within its quota may wait. The rest is
@@ -47,27 +47,26 @@
 impl Fleet {
     /// Returns the refusal of a new request that would wait too long.
     pub(super) fn admit(
-        &mut self,
+        &self,
         request: &PlacementRequest,
         choice: Choice,
-        account: Option<ShortId>,
-        service: u64,
+        share: Option<AccountShare>,
         now: Mono,
     ) -> Option<Refusal> {
         let remaining = request.deadline.saturating_sub(now);
         let elapsed = now.saturating_sub(request.arrived);
-        if request.prompt.is_none() {
+        let Some(prompt) = &request.prompt else {
             let allowed = remaining.mul_f64(CALL_WAIT_FRACTION);
             return check_wait(RefusalReason::Overload, choice.wait, allowed);
-        }
+        };
         let objective = request.route.objective.saturating_sub(elapsed);
         if objective.is_zero() {
             let allowed = request.route.objective.mul_f64(WAIT_FRACTION_LATE);
             let allowed = allowed.min(remaining.mul_f64(REMAINING_TIME_FRACTION));
             return check_wait(RefusalReason::Overload, choice.wait, allowed);
         }
-        let share_usage = account.map_or(ShareUsage::WithinQuota, |account| {
-            self.share_usage(account, &request.pool, service, now)
+        let share_usage = share.map_or(ShareUsage::WithinQuota, |share| {
+            share.usage(prompt.service())
         });
         let (reason, wait_fraction) = match share_usage {
             ShareUsage::WithinQuota => (RefusalReason::Overload, WAIT_FRACTION_WITHIN_QUOTA),
@@ -119,15 +118,19 @@
         }
     }
 
-    fn share_usage(&mut self, account: ShortId, pool: &str, service: u64, now: Mono) -> ShareUsage {
-        let catalog = self.catalog.as_ref();
-        match catalog.and_then(|catalog| catalog.tables().limits.token_rate) {
-            Some(rate) => {
-                let rate = self.remaining_rate(rate, pool);
-                self.demand.share_usage(account, service, rate, now)
-            }
-            None => ShareUsage::WithinQuota,
-        }
+    /// Returns the usage and the shares of the account of a request with a prompt; none if the
+    /// operators configured no token rate.
+    pub(super) fn account_share(
+        &mut self,
+        request: &PlacementRequest,
+        now: Mono,
+    ) -> Option<AccountShare> {
+        request.prompt?;
+        let account = short_id(request.account.as_deref()?);
+        let catalog = self.catalog.as_ref()?;
+        let rate = catalog.tables().limits.token_rate?;
+        let rate = self.remaining_rate(rate, &request.pool);
+        Some(self.demand.account_share(account, rate, now))
     }
 }
 
@@ -147,5 +150,6 @@
         retry_after: excess.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1),
         predicted,
         allowed,
+        share: None,
     })
 }
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -48,6 +48,7 @@
 use crate::cold::ColdBound;
 use crate::cost::CostState;
 use crate::crash::CrashTracker;
+use crate::demand::AccountShare;
 use crate::demand::Demand;
 use crate::digest::Digest;
 use crate::entry::BuildId;
@@ -143,6 +144,8 @@
     /// Whether the response states its length or is sent in chunks. Otherwise it ends with its
     /// connection, as it also would if the server crashed.
     pub end_certain: bool,
+    /// Usage and shares of the account at the decision; none of a retry on another server.
+    pub share: Option<AccountShare>,
     /// Short id of the server's incarnation.
     short_id: ShortId,
     pool: PoolId,
@@ -232,6 +235,8 @@
     pub predicted: Duration,
     /// Longest wait that would have been admitted; zero if the reason is not a wait.
     pub allowed: Duration,
+    /// Usage and shares of the account at the decision; none if they did not matter.
+    pub share: Option<AccountShare>,
 }
 
 /// Decision on a request.
--- a/crates/fleet/src/fleet/placement.rs
+++ b/crates/fleet/src/fleet/placement.rs
@@ -70,11 +70,13 @@
         let Some(choice) = self.choose(request, &candidates, now) else {
             return refuse(RefusalReason::NoRoom, RETRY_AFTER_RANGE.0 * 2);
         };
+        let mut share = None;
         if is_first_attempt {
-            let refusal = self.admit(request, choice, account, service, now);
+            share = self.account_share(request, now);
+            let refusal = self.admit(request, choice, share, now);
             let refusal = refusal.filter(|_| !self.may_resume(request, choice, now));
             if let Some(refusal) = refusal {
-                return Decision::Refuse(refusal);
+                return Decision::Refuse(Refusal { share, ..refusal });
             }
             if let Some(account) = account {
                 if request.is_continuation() {
@@ -87,7 +89,7 @@
         let chosen = candidates[choice.index];
         let queued_tokens = chosen.load.reading + choice.uncached_tokens;
         match self.charge(request, chosen.short_id, choice, queued_tokens, now) {
-            Some(placement) => Decision::Send(placement),
+            Some(placement) => Decision::Send(Placement { share, ..placement }),
             None => refuse(RefusalReason::NoServer, RETRY_AFTER_NO_SERVER),
         }
     }
@@ -371,6 +373,7 @@
             expected_steps,
             events: 0,
             survived: false,
+            share: None,
         })
     }
 }
@@ -393,5 +396,6 @@
         retry_after,
         predicted: Duration::ZERO,
         allowed: Duration::ZERO,
+        share: None,
     })
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -1,8 +1,36 @@
 //! Log events of a gateway: one typed event for each decision about a request, and for each change
 //! of the gateway's view of the fleet.
 
+use primrose_fleet::demand::AccountShare;
 use serde::Serialize;
 
+/// Usage and shares of a client account at a decision, in tokens over the window of the shares.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct ShareRecord {
+    /// Tokens of the account's requests.
+    pub asked: u64,
+    /// Tokens of its requests that were sent to servers.
+    pub granted: u64,
+    /// Share of the configured token rate; none if the rate covers all demand.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub quota: Option<u64>,
+    /// Fair share of what servers process; none if that covers all demand.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub fair_share: Option<u64>,
+}
+
+impl From<AccountShare> for ShareRecord {
+    fn from(share: AccountShare) -> Self {
+        let limit = |tokens: u64| (tokens < u64::MAX).then_some(tokens);
+        Self {
+            asked: share.asked,
+            granted: share.granted,
+            quota: limit(share.quota),
+            fair_share: limit(share.fair_share),
+        }
+    }
+}
+
 /// A log event, written as one JSON line. The names of variants and fields are part of the log
 /// format.
 #[derive(Debug, Clone, Serialize)]
@@ -197,6 +225,9 @@
         list_version: u64,
         /// Number of gateways whose load was counted, including this one.
         fleet: usize,
+        /// Usage and shares of the account; none without a prompt or a token rate.
+        #[serde(flatten)]
+        share: Option<ShareRecord>,
     },
     /// A request was refused and has not run.
     Refused {
@@ -221,6 +252,9 @@
         retry_after_ms: u64,
         /// Time from the arrival of the request's head to the refusal, in milliseconds.
         waited_ms: u64,
+        /// Usage and shares of the account; none if they did not matter.
+        #[serde(flatten)]
+        share: Option<ShareRecord>,
         /// Age of the sums of the other gateways in milliseconds; zero if they arrive without a relay.
         view_age_ms: u64,
         /// Generation of the tables behind the decision.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -13,6 +13,7 @@
 use primrose_core::clock::Mono;
 use primrose_core::id::AccountId;
 use primrose_core::id::RouteId;
+use primrose_fleet::demand::AccountShare;
 use primrose_fleet::entry::BuildId;
 use primrose_fleet::origin::stream_id;
 use primrose_fleet::AttemptOutcome;
@@ -138,6 +139,7 @@
                     generation,
                     list_version,
                     fleet: size,
+                    share: placement.share.map(Into::into),
                 });
                 Ok(placement)
             }
@@ -202,6 +204,7 @@
                 reply: &reply,
                 predicted: refusal.predicted,
                 allowed: refusal.allowed,
+                share: refusal.share,
             },
         );
         reply.into_response(&self.shared, &self.request_head.id)
@@ -220,6 +223,7 @@
                 retry_after: RETRY_AFTER_NOT_RUN,
                 predicted: Duration::ZERO,
                 allowed: Duration::ZERO,
+                share: None,
             };
             return self.refuse(refusal);
         }
@@ -287,6 +291,7 @@
     pub(crate) reply: &'a Reply,
     pub(crate) predicted: Duration,
     pub(crate) allowed: Duration,
+    pub(crate) share: Option<AccountShare>,
 }
 
 /// Logs and counts a refusal.
@@ -306,6 +311,7 @@
         allowed_ms: millis(record.allowed),
         retry_after_ms: record.reply.retry_after.map_or(0, millis),
         waited_ms: millis(now.saturating_sub(record.arrived)),
+        share: record.share.map(Into::into),
         view_age_ms: millis(fleet.view_age(now)),
         generation: fleet.generation(),
         list_version: fleet.list_version(),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -111,6 +111,7 @@
             reply: &reply,
             predicted: Duration::ZERO,
             allowed: Duration::ZERO,
+            share: None,
         };
         log_refusal(self.shared, &record);
         reply.into_response(self.shared, &request_head.id)
