fleet: Divide what is left of an account's share between gateways by drawn positions

Cause: all gateways of a large fleet compare the same sums, 0.35 s late, with the share. As long as the sums are below it, each sends what comes; with 2,300 attempts a second that is more than the share of a whole window. Then all refuse until the burst leaves the window, four seconds later. The account at one gateway has sums of its own and never exceeds its share. Class: a feedback with a delay, on which many act at once without dividing among them what is left.

Why it works: below the share, the gateways together send what is left of it per window, each in proportion to the attempts that it sees, whatever their number; what an account got too much or too little is made good with a gain at which the delay does not make it swing. In a fleet without relays the sums are current and nothing changes.

--- a/crates/emulate/src/deployment.rs
+++ b/crates/emulate/src/deployment.rs
@@ -124,3 +124,14 @@
 pub(crate) fn host_ip(net: u8, number: usize) -> IpAddr {
     IpAddr::V4(Ipv4Addr::new(10, net, (number >> 8) as u8, number as u8))
 }
+
+/// Returns the number of the host with an address.
+pub(crate) fn host_number(ip: IpAddr) -> usize {
+    match ip {
+        IpAddr::V4(ip) => {
+            let [_, _, high, low] = ip.octets();
+            usize::from(high) << 8 | usize::from(low)
+        }
+        IpAddr::V6(_) => 0,
+    }
+}
--- a/crates/emulate/src/pattern.rs
+++ b/crates/emulate/src/pattern.rs
@@ -96,6 +96,12 @@
     pub load: f64,
     /// Number of gateways.
     pub gateways: usize,
+    /// Accounts whose callers all reach one gateway, each account another one; those of the others reach
+    /// all gateways.
+    pub single_gateway: Vec<usize>,
+    /// Time in which the gateways exchange digests before requests arrive. Many of them need it to choose
+    /// relays.
+    pub lead: Duration,
     /// Number of availability zones; gateways and servers are assigned to them round-robin.
     pub zones: usize,
     /// Number of backend servers.
@@ -138,6 +144,8 @@
             skew: 1.0,
             load: 1.1,
             gateways: 8,
+            single_gateway: Vec::new(),
+            lead: Duration::ZERO,
             zones: 3,
             servers: 9,
             token_rate: 340_000,
--- a/crates/emulate/src/simulation.rs
+++ b/crates/emulate/src/simulation.rs
@@ -13,6 +13,7 @@
 use primrose_fleet::AttemptOutcome;
 use primrose_fleet::Fleet;
 use primrose_fleet::FleetConfig;
+use primrose_fleet::Outgoing;
 use primrose_fleet::Placement;
 use primrose_fleet::PlacementRequest;
 use rand::rngs::StdRng;
@@ -20,6 +21,7 @@
 use rand::SeedableRng;
 
 use crate::deployment::host_ip;
+use crate::deployment::host_number;
 use crate::deployment::placement_request;
 use crate::deployment::server_entry;
 use crate::deployment::server_number;
@@ -39,8 +41,8 @@
 
 /// Step of simulated time.
 const TICK: Duration = Duration::from_millis(2);
-/// Interval at which a gateway publishes its digest.
-const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
+/// Start of the simulation.
+const FIRST_DIGESTS: Mono = Duration::from_secs(1);
 /// One-way network delay between gateway and server.
 const NETWORK_DELAY: Duration = Duration::from_millis(2);
 /// Delay after which an impatient caller retries.
@@ -55,6 +57,8 @@
     worth: f64,
     output_tokens: u64,
     request: PlacementRequest,
+    /// Time of the first attempt; a gateway knows only that of the latest.
+    arrived: Mono,
     objective: Duration,
     first_token: Option<Mono>,
     retries_left: u32,
@@ -79,6 +83,8 @@
     down: Vec<bool>,
     in_flight: HashMap<AttemptId, InFlight>,
     pending_retries: BTreeMap<(Mono, u64), Caller>,
+    /// Time of each gateway's next digests.
+    next_digests: Vec<Mono>,
     partitioned: bool,
     next_id: AttemptId,
     score: Score,
@@ -87,12 +93,13 @@
 /// Simulates a pattern of load; the same seed gives the same score.
 pub fn simulate(pattern: &Pattern, policy: Policy, seed: u64) -> Score {
     let mut simulation = Simulation::new(pattern.clone(), policy, seed);
-    let mut now = Duration::from_secs(1);
-    let end = now + pattern.duration;
+    let mut now = FIRST_DIGESTS;
+    let begin = now + pattern.lead;
+    let end = begin + pattern.duration;
     // Lets the requests that arrived last complete.
     let drained = end + Duration::from_secs(8);
     while now < drained {
-        simulation.tick(now, now < end);
+        simulation.tick(now, begin <= now && now < end);
         now += TICK;
     }
     simulation.into_score()
@@ -114,6 +121,9 @@
                 place_by_cost: false,
             });
             fleet.adopt_tables(tables.clone());
+            for other in 0..pattern.gateways {
+                fleet.add_contact(host_ip(0, other), FIRST_DIGESTS);
+            }
             for server in 0..pattern.servers {
                 fleet.upsert_server(server_entry(&pattern, server), TICK);
             }
@@ -128,6 +138,7 @@
             down: vec![false; pattern.servers],
             in_flight: HashMap::new(),
             pending_retries: BTreeMap::new(),
+            next_digests: vec![FIRST_DIGESTS; pattern.gateways],
             partitioned: false,
             next_id: 0,
             score: Score::default(),
@@ -138,14 +149,13 @@
     fn tick(&mut self, now: Mono, accept_arrivals: bool) {
         self.apply_disturbances(now);
         self.run_engines(now);
-        if now.as_nanos() % DIGEST_INTERVAL.as_nanos() == 0 {
-            self.publish_digests(now);
-        }
+        self.publish_digests(now);
         while let Some(entry) = self.pending_retries.first_entry() {
             if entry.key().0 > now {
                 break;
             }
-            let caller = entry.remove();
+            let mut caller = entry.remove();
+            caller.request.arrived = now;
             self.arrive(caller, now);
         }
         if accept_arrivals {
@@ -235,11 +245,11 @@
                 );
                 let caller = &in_flight.caller;
                 let first_token = caller.first_token.unwrap_or(at);
-                let time_to_first_token = first_token.saturating_sub(caller.request.arrived);
+                let time_to_first_token = first_token.saturating_sub(caller.arrived);
                 let outcome = if time_to_first_token <= caller.objective {
                     RequestOutcome::InTime
                 } else {
-                    let arrived = caller.request.arrived.as_secs();
+                    let arrived = caller.arrived.as_secs();
                     self.score
                         .tokens_mut(arrived, caller.labels.account)
                         .degraded = true;
@@ -252,12 +262,20 @@
 
     fn publish_digests(&mut self, now: Mono) {
         for from in 0..self.gateways.len() {
-            self.gateways[from].expire(now);
-            let digest = self.gateways[from].digest(now);
-            for to in 0..self.gateways.len() {
-                let separated = self.partitioned && self.zone_of(from) != self.zone_of(to);
-                if from != to && !separated {
-                    self.gateways[to].merge(digest.clone(), host_ip(0, from), now);
+            if now < self.next_digests[from] {
+                continue;
+            }
+            let gateway = &mut self.gateways[from];
+            gateway.expire(now);
+            let outgoing = gateway.outgoing(now);
+            self.next_digests[from] = now + gateway.send_interval(&outgoing);
+            for Outgoing { receivers, digest } in outgoing {
+                for receiver in receivers {
+                    let to = host_number(receiver);
+                    let separated = self.partitioned && self.zone_of(from) != self.zone_of(to);
+                    if !separated {
+                        self.gateways[to].merge(digest.clone(), host_ip(0, from), now);
+                    }
                 }
             }
         }
@@ -348,6 +366,7 @@
             worth,
             output_tokens: scaled(class_config.output_tokens),
             request: placement_request(&class_config, account, prompt, self.rng.random(), now),
+            arrived: now,
             objective: class_config.objective,
             first_token: None,
             retries_left: retries,
@@ -355,16 +374,25 @@
         }
     }
 
-    /// Sends a request through a random gateway of the zone in which it arrived.
+    /// Sends a request through the gateway of its account, or a random one of the zone in which it
+    /// arrived.
     fn arrive(&mut self, caller: Caller, now: Mono) {
-        let zone = caller.labels.zone;
+        let account = caller.labels.account;
+        let gateway = if self.pattern.single_gateway.contains(&account) {
+            account % self.pattern.gateways
+        } else {
+            self.draw_gateway(caller.labels.zone)
+        };
+        self.send(caller, gateway, now);
+    }
+
+    fn draw_gateway(&mut self, zone: usize) -> usize {
         let gateways_in_zone = self
             .pattern
             .gateways
             .saturating_sub(zone)
             .div_ceil(self.pattern.zones);
-        let gateway = zone + self.rng.random_range(0..gateways_in_zone) * self.pattern.zones;
-        self.send(caller, gateway, now);
+        zone + self.rng.random_range(0..gateways_in_zone) * self.pattern.zones
     }
 
     /// Sends a request to the server that the gateway picks, or to the next one while servers are
--- a/crates/emulate/tests/testsuite/main.rs
+++ b/crates/emulate/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod one_large_account;
 mod servers_lost;
 mod servers_slow;
+mod single_gateway;
 mod sudden_demand;
 mod uneven_demand;
 mod usual;
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -6,6 +6,13 @@
 //! the operators configured, which gives each account its quota, and the tokens that servers really
 //! process, which may be more and give each account its fair share. Tokens are counted as by
 //! [`Prompt::service`](crate::place::Prompt::service).
+//!
+//! While all gateways exchange digests directly, each compares the sums with the shares. In a larger
+//! fleet the sums are late, and gateways that acted on the same difference would send a multiple of it
+//! before they learn of one another. There, a request is within a share or not by a position that is drawn
+//! for it in the demand of its account, from zero to the tokens that the account requests: the requests
+//! below the share amount to the share. An account gains nothing by more attempts or at more gateways,
+//! since each attempt adds to its demand.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -15,6 +22,7 @@
 use serde::Serialize;
 
 use crate::entry::ShortId;
+use crate::place::share_key;
 use crate::window::Window;
 
 /// Time over which shares are computed; about the time in which callers notice a shortfall.
@@ -22,6 +30,12 @@
 /// Time by which the sums of the others are late in a large fleet. The token rate of this time is
 /// given out at once after the start.
 const SUMS_DELAY: Duration = Duration::from_millis(500);
+/// How much of what an account has not used of its share, or used beyond, is made good within a window.
+/// The sums are late by an eighth of it: from a gain of four on, the corrections would overshoot.
+const CORRECTION_GAIN: f64 = 2.0;
+/// Difference of two successive positions, as a fraction of 2^32: the golden ratio spreads any number of
+/// them evenly.
+const POSITION_STEP: u32 = 0x9E37_79B9;
 
 /// Tokens of one account over the last [`WINDOW`].
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,21 +69,32 @@
     asked: Window,
     granted: Window,
     resumed: Window,
+    /// Position of the last request, as a fraction of 2^32.
+    position: u32,
 }
 
 impl Account {
-    fn new() -> Self {
+    fn new(position: u32) -> Self {
         Self {
             asked: Window::new(WINDOW),
             granted: Window::new(WINDOW),
             resumed: Window::new(WINDOW),
+            position,
         }
     }
+
+    /// Returns the position of the next request in `[0, 1)`.
+    fn next_position(&mut self) -> f64 {
+        self.position = self.position.wrapping_add(POSITION_STEP);
+        f64::from(self.position) / 2.0_f64.powi(32)
+    }
 }
 
 /// Recent demand of all accounts.
 #[derive(Debug, Default)]
 pub struct Demand {
+    /// Distinguishes the positions that this gateway draws from those of the others.
+    seed: u64,
     local: HashMap<ShortId, Account>,
     /// Totals of the sums that other gateways sent.
     remote: HashMap<ShortId, TokenSums>,
@@ -82,23 +107,40 @@
 }
 
 impl Demand {
+    /// Creates the state of a gateway; `seed` differs between gateways.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            ..Self::default()
+        }
+    }
+
+    fn local(&mut self, account: ShortId, now: Mono) -> &mut Account {
+        let seed = self.seed;
+        self.local.entry(account).or_insert_with(|| {
+            let time = u64::try_from(now.as_nanos()).unwrap_or(u64::MAX);
+            let hash = share_key([seed, u64::from(account), time]);
+            Account::new((hash >> 32) as u32)
+        })
+    }
+
     /// Records a request of an account.
     pub fn record_request(&mut self, account: ShortId, tokens: u64, now: Mono) {
         self.first_request.get_or_insert(now);
-        let account = self.local.entry(account).or_insert_with(Account::new);
+        let account = self.local(account, now);
         account.asked.add(tokens, now);
     }
 
     /// Records that a request of an account was sent to a server.
     pub fn record_sent(&mut self, account: ShortId, tokens: u64, now: Mono) {
-        let account = self.local.entry(account).or_insert_with(Account::new);
+        let account = self.local(account, now);
         account.granted.add(tokens, now);
     }
 
     /// Records that a stream of an account was sent to a server which its caller resumed.
     pub fn record_resumed(&mut self, account: ShortId, tokens: u64, now: Mono) {
         self.record_sent(account, tokens, now);
-        let account = self.local.entry(account).or_insert_with(Account::new);
+        let account = self.local(account, now);
         account.resumed.add(tokens, now);
     }
 
@@ -199,9 +241,15 @@
         (since + SUMS_DELAY).min(WINDOW)
     }
 
-    /// Returns the usage of an account over the fleet and its shares, where all accounts share `rate`
-    /// tokens a second.
-    pub fn account_share(&mut self, account: ShortId, rate: u64, now: Mono) -> AccountShare {
+    /// Returns the usage of an account over the fleet, and its shares where all accounts share `rate`
+    /// tokens a second. If the sums of the other gateways are late, a position is drawn for the request.
+    pub fn account_share(
+        &mut self,
+        account: ShortId,
+        rate: u64,
+        are_late: bool,
+        now: Mono,
+    ) -> AccountShare {
         let totals = self.fleet_sums(now);
         let demands: Vec<u64> = totals.values().map(|sums| sums.asked).collect();
         let TokenSums { asked, granted, .. } = totals.get(&account).copied().unwrap_or_default();
@@ -209,9 +257,14 @@
         // What was sent may be more than servers process: it would raise the share while they fall
         // behind.
         let begun = self.local_begun(now) + self.remote_begun;
+        let position = are_late.then(|| {
+            let fraction = self.local(account, now).next_position();
+            (asked as f64 * fraction) as u64
+        });
         AccountShare {
             asked,
             granted,
+            position,
             quota: max_min_share(capacity, demands.clone()),
             fair_share: max_min_share(begun.max(capacity), demands),
         }
@@ -225,6 +278,8 @@
     pub asked: u64,
     /// Tokens of its requests that were sent to servers.
     pub granted: u64,
+    /// Position of the request in `asked`; none if the sums are current.
+    pub position: Option<u64>,
     /// Share of the configured token rate; `u64::MAX` if the rate covers all demand.
     pub quota: u64,
     /// Fair share of what servers process; `u64::MAX` if that covers all demand.
@@ -232,8 +287,16 @@
 }
 
 impl AccountShare {
-    /// Classifies the usage of the account if `tokens` more are sent for it.
+    /// Classifies the request of `tokens`.
     pub fn usage(&self, tokens: u64) -> ShareUsage {
+        match self.position {
+            Some(position) => self.usage_at(position as f64),
+            None => self.usage_with(tokens),
+        }
+    }
+
+    /// Classifies the usage of the account if `tokens` more are sent for it.
+    fn usage_with(&self, tokens: u64) -> ShareUsage {
         let used = self.granted + tokens;
         if used <= self.quota {
             ShareUsage::WithinQuota
@@ -247,9 +310,29 @@
             }
         }
     }
+
+    fn usage_at(&self, position: f64) -> ShareUsage {
+        if position < self.corrected(self.quota) {
+            return ShareUsage::WithinQuota;
+        }
+        let distance = position - self.corrected(self.fair_share);
+        if distance < 0.0 {
+            ShareUsage::WithinFairShare
+        } else {
+            ShareUsage::OverFairShare {
+                excess: distance / self.fair_share.max(1) as f64,
+            }
+        }
+    }
+
+    /// Returns a share, more by what the account has not used of it and less by what it has used beyond.
+    fn corrected(&self, share: u64) -> f64 {
+        let unused = share as f64 - self.granted as f64;
+        (share as f64 + CORRECTION_GAIN * unused).max(0.0)
+    }
 }
 
-/// Recent usage of an account, relative to its shares.
+/// Usage of an account, or position of a request in its demand, relative to the shares of the account.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum ShareUsage {
     /// At or under its share of the configured token rate.
@@ -258,7 +341,7 @@
     WithinFairShare,
     /// Over its fair share of what servers process.
     OverFairShare {
-        /// Usage over the fair share, as a fraction of the fair share.
+        /// Usage or position over the fair share, as a fraction of it.
         excess: f64,
     },
 }
--- a/crates/fleet/src/fleet/admission.rs
+++ b/crates/fleet/src/fleet/admission.rs
@@ -5,6 +5,7 @@
 use primrose_core::clock::Mono;
 
 use super::placement::RETRY_AFTER_RANGE;
+use super::roles::Role;
 use super::Fleet;
 use super::PlacementRequest;
 use super::Refusal;
@@ -130,7 +131,8 @@
         let catalog = self.catalog.as_ref()?;
         let rate = catalog.tables().limits.token_rate?;
         let rate = self.remaining_rate(rate, &request.pool);
-        Some(self.demand.account_share(account, rate, now))
+        let are_late = self.role != Role::Mesh;
+        Some(self.demand.account_share(account, rate, are_late, now))
     }
 }
 
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -315,6 +315,7 @@
     /// Creates the state of a gateway that knows no tables, servers or other gateways yet.
     pub fn new(config: FleetConfig) -> Self {
         Self {
+            demand: Demand::new(config.incarnation),
             config,
             catalog: None,
             servers: Servers::default(),
@@ -324,7 +325,6 @@
             list_unreadable_since: None,
             pools: HashMap::new(),
             prefix_cache: PrefixCache::default(),
-            demand: Demand::default(),
             crashes: CrashTracker::default(),
             poison: PoisonTracker::default(),
             limits: ServerLimits::default(),
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -11,6 +11,9 @@
     pub asked: u64,
     /// Tokens of its requests that were sent to servers.
     pub granted: u64,
+    /// Position of the request in `asked`, by which it is within a share or not; none in a small fleet.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub position: Option<u64>,
     /// Share of the configured token rate; none if the rate covers all demand.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub quota: Option<u64>,
@@ -25,6 +28,7 @@
         Self {
             asked: share.asked,
             granted: share.granted,
+            position: share.position,
             quota: limit(share.quota),
             fair_share: limit(share.fair_share),
         }
