fleet: Let requests that are late on any server wait as long for others as small ones

Cause: a large request was let wait for a fifth of its objective for those ahead of it, a small one for 0.85. A request that takes more than its objective itself gains nothing by being refused: it is late on any server, and comes back behind the same queues. Class: a bound that serves its purpose only for some of what it is applied to.

--- a/crates/fleet/src/fleet/admission.rs
+++ b/crates/fleet/src/fleet/admission.rs
@@ -28,8 +28,10 @@
 /// While the others get all they ask for, the fair share is what the largest account gets, so that
 /// its excess stays near zero and spare capacity is used.
 const MAX_EXCESS: f64 = 1.25;
-/// Fraction of the objective that a request of an account within its quota may wait for those ahead
-/// of it, however large it is itself.
+/// Fraction of the objective that a large request of an account within its quota may wait for those ahead
+/// of it, however much of the objective it takes itself. One that takes more than that is late on any
+/// server: the objective then bounds only the wait for the others, as it does for a small request, since
+/// it would not be served sooner if it came back.
 const QUEUE_FRACTION_LARGE: f64 = 0.2;
 /// Fraction of the whole objective that a request may wait if its objective has already passed.
 /// When many callers retry late, a longer wait fills the servers with late requests until all are
@@ -80,10 +82,13 @@
         };
         let mut allowed = objective.mul_f64(wait_fraction);
         if share_usage == ShareUsage::WithinQuota {
-            // A large request takes long on any server, and would not be served sooner if it came
-            // back: only its wait for others counts.
             let own_wait = choice.wait.saturating_sub(choice.queue_wait);
-            allowed = allowed.max(own_wait + objective.mul_f64(QUEUE_FRACTION_LARGE));
+            let queue_fraction = if own_wait > allowed {
+                wait_fraction
+            } else {
+                QUEUE_FRACTION_LARGE
+            };
+            allowed = allowed.max(own_wait + objective.mul_f64(queue_fraction));
         }
         check_wait(reason, choice.wait, allowed)
     }
