conn: Begin callers' connections with small receive buffers, and enlarge some of them

Seen: a gateway told 160 MB held up to 301 MB for 2,800 callers, 199 MB of them in the kernel; on some hosts bytes that were received and not read count as memory.

Cause: each connection had 64 KiB, of which the kernel makes up to 124 kB, and their number was bounded by descriptors; the connections in the backlog had the same. Class: a bound for each, and none for the sum.

A connection begins with 8 KiB (12 kB in the kernel), in the backlog too. Accepted ones get 32 KiB (49 kB) as long as all of these fit a sixteenth of the memory (gateway) or an eighth of the memory for bodies (router). More callers are served with small buffers.

--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -15,6 +15,8 @@
 pub use end::is_final_status;
 pub use end::END_PROBE_DELAY;
 pub use listen::listen;
+pub use listen::BufferLease;
+pub use listen::ReceiveBuffers;
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
--- a/crates/front/src/listen.rs
+++ b/crates/front/src/listen.rs
@@ -13,6 +13,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use primrose_conn::BufferLease;
+use primrose_conn::ReceiveBuffers;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -26,6 +28,8 @@
 
 /// Minimum read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Part of the memory for bodies and answers that is added to it for enlarged receive buffers.
+const RECEIVE_DIVISOR: usize = 8;
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -37,6 +41,7 @@
     drain: watch::Receiver<bool>,
 ) {
     let capacity = Arc::new(Semaphore::new(limits.connections));
+    let buffers = ReceiveBuffers::within(limits.buffered_bytes / RECEIVE_DIVISOR);
     let newcomers = Arc::new(Newcomers::new(service.clock()));
     let mut stop = drain.clone();
     loop {
@@ -52,6 +57,7 @@
                     () = wait_until_set(&mut stop) => return,
                 };
                 let connection = Connection {
+                    _buffer: buffers.enlarge(&stream),
                     stream,
                     peer,
                     service: Arc::clone(&service),
@@ -78,6 +84,7 @@
     peer: SocketAddr,
     service: Arc<Service>,
     limits: Arc<Limits>,
+    _buffer: Option<BufferLease>,
 }
 
 impl Connection {
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -9,6 +9,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use primrose_conn::BufferLease;
 use primrose_core::memory::MemoryKind;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -83,10 +84,11 @@
     shared: Rc<Shared>,
     /// Number of the connection among those of callers.
     id: u64,
+    _buffer: Option<BufferLease>,
 }
 
 impl ConnectionGuard {
-    fn new(shared: &Rc<Shared>, caller: &Rc<CallerConnection>) -> Self {
+    fn new(shared: &Rc<Shared>, caller: &Rc<CallerConnection>, stream: &TcpStream) -> Self {
         shared
             .caller_connections
             .set(shared.caller_connections.get() + 1);
@@ -95,6 +97,7 @@
         Self {
             shared: Rc::clone(shared),
             id: shared.callers.open(caller, shared.now()),
+            _buffer: shared.receive_buffers.enlarge(stream),
         }
     }
 }
@@ -115,7 +118,7 @@
 /// the task runs.
 fn spawn_connection(shared: &Rc<Shared>, stream: TcpStream) {
     let caller = Rc::new(CallerConnection::new(&shared.idle));
-    let guard = ConnectionGuard::new(shared, &caller);
+    let guard = ConnectionGuard::new(shared, &caller, &stream);
     tokio::task::spawn_local(async move {
         tokio::select! {
             () = serve_connection(&guard.shared, &caller, stream) => {}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use primrose_conn::ConnectionPool;
+use primrose_conn::ReceiveBuffers;
 use primrose_core::clock::Clock;
 use primrose_core::id::HostId;
 use primrose_core::memory::MemoryBounds;
@@ -71,6 +72,8 @@
 /// longer than the rest of the period. The load balancer has checked readiness twice by then, and three
 /// quarters of the period let a long stream end.
 const REFUSE_FRACTION: f64 = 0.25;
+/// Part of the process's memory for enlarged receive buffers of callers.
+const RECEIVE_MEMORY_DIVISOR: usize = 16;
 /// Part of the process's memory in which answers are buffered.
 const ANSWER_MEMORY_DIVISOR: usize = 8;
 /// How long before the end of the grace period the process exits.
@@ -250,6 +253,7 @@
         answer_memory: AnswerMemory::within(&memory, config.memory / ANSWER_MEMORY_DIVISOR),
         memory,
         callers: Callers::new(callers),
+        receive_buffers: ReceiveBuffers::within(config.memory / RECEIVE_MEMORY_DIVISOR),
         bounded: BoundedCounts::default(),
         running: Cell::new(0),
         draining: Cell::new(false),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use primrose_conn::ConnectionPool;
+use primrose_conn::ReceiveBuffers;
 use primrose_core::clock::Clock;
 use primrose_core::clock::Mono;
 use primrose_core::memory::MemoryBudget;
@@ -48,6 +49,8 @@
     /// The part of `memory` that answers use.
     pub(crate) answer_memory: Arc<AnswerMemory>,
     pub(crate) callers: Callers,
+    /// Enlarged kernel buffers of callers' connections.
+    pub(crate) receive_buffers: Arc<ReceiveBuffers>,
     /// What the limits on callers refused.
     pub(crate) bounded: BoundedCounts,
     /// Requests in progress.
--- a/crates/primrosed/tests/hostile/hostile_callers/crowd.rs
+++ b/crates/primrosed/tests/hostile/hostile_callers/crowd.rs
@@ -33,6 +33,14 @@
 }
 
 impl Script {
+    /// Returns the script without what follows the head.
+    pub(super) fn head_only(&self) -> Self {
+        Self {
+            repeats: 0,
+            ..self.clone()
+        }
+    }
+
     fn len(&self) -> usize {
         self.head.len() + self.block.len() * self.repeats
     }
--- a/crates/primrosed/tests/hostile/hostile_callers/gateway.rs
+++ b/crates/primrosed/tests/hostile/hostile_callers/gateway.rs
@@ -16,6 +16,8 @@
 use super::only;
 use super::oversize_bodies;
 use super::run_alone;
+use super::stopped::Stop;
+use super::stopped::STOPPED_CALLERS;
 use super::unfinished_heads;
 use super::BodyCase;
 use super::Bounds;
@@ -43,6 +45,8 @@
 
 /// Memory of a gateway under test, in megabytes.
 const MEMORY_MB: u32 = 64;
+/// Descriptors of a gateway that suffice for callers that send while it is stopped.
+const STOPPED_FDS: u32 = 1_024;
 /// Time limit of the routes. No request of a crowd may end by it while a slow machine still sends.
 const TIME_LIMIT_MS: u64 = 120_000;
 /// Entries in the store for each simulated server, so that the slots suffice for all callers.
@@ -182,17 +186,39 @@
 }
 
 fn check_bodies(cases: Vec<BodyCase>) {
-    let cases = cases.into_iter().map(|body| {
-        let script = Script {
-            head: (head("again", "") + &body.framing).into_bytes(),
-            block: body.block,
-            repeats: body.repeats,
-            piece: body.piece,
-            one_by_one: false,
-        };
-        case(body.name, LARGE_CALLERS, script)
-    });
-    check(AMPLE_FDS, cases);
+    let cases = cases.into_iter();
+    check(AMPLE_FDS, cases.map(|body| body_case(body, LARGE_CALLERS)));
+}
+
+/// Returns a case in which each caller sends a body.
+fn body_case(body: BodyCase, callers: usize) -> Case {
+    let script = Script {
+        head: (head("again", "") + &body.framing).into_bytes(),
+        block: body.block,
+        repeats: body.repeats,
+        piece: body.piece,
+        one_by_one: false,
+    };
+    case(body.name, callers, script)
+}
+
+/// Guards against the sum of what the kernel holds for a gateway that reads too slowly.
+#[test]
+fn a_gateway_withstands_bodies_that_it_has_not_read() {
+    let _alone = run_alone();
+    let cases = || {
+        let bodies = large_bodies().into_iter().chain(chunked_bodies());
+        let bodies = bodies.chain(oversize_bodies());
+        bodies.map(|body| body_case(body, STOPPED_CALLERS))
+    };
+    let after = cases().map(|case| (case, Stop::AfterHeads));
+    let before = cases().take(1).map(|case| (case, Stop::BeforeConnecting));
+    let run = |(case, stop): (Case, Stop)| {
+        let gateway = Gateway::start(STOPPED_FDS);
+        gateway.subject(STOPPED_FDS).check_stopped(&case, stop)
+    };
+    let faults: Vec<String> = after.chain(before).flat_map(run).collect();
+    assert_none(&faults);
 }
 
 /// Guards against the sum of unfinished bodies with a length.
--- a/crates/primrosed/tests/hostile/hostile_callers/mod.rs
+++ b/crates/primrosed/tests/hostile/hostile_callers/mod.rs
@@ -11,6 +11,7 @@
 mod crowd;
 mod gateway;
 mod router;
+mod stopped;
 
 use std::io::BufReader;
 use std::io::Write;
--- a/crates/primrosed/tests/hostile/hostile_callers/router.rs
+++ b/crates/primrosed/tests/hostile/hostile_callers/router.rs
@@ -21,6 +21,7 @@
 use super::only;
 use super::oversize_bodies;
 use super::run_alone;
+use super::stopped::Stop;
 use super::unfinished_heads;
 use super::BodyCase;
 use super::Bounds;
@@ -48,6 +49,8 @@
 /// Descriptors that a router may have open: one for each caller, one for the server of each, and some
 /// for the platform, its peers and the process itself.
 const MAX_DESCRIPTORS: usize = 2 * MAX_CONNECTIONS + 64;
+/// Callers that send while the router is stopped. It accepts [`MAX_CONNECTIONS`] of them.
+const STOPPED_CALLERS: usize = 720;
 /// Size of a large answer, below the largest that the router holds back.
 const LARGE_ANSWER_BYTES: usize = 7 << 20;
 
@@ -220,17 +223,36 @@
     assert_none(&faults);
 }
 
+/// Returns a case in which each caller sends a body.
+fn body_case(body: BodyCase, callers: usize) -> Case {
+    let script = Script {
+        head: (head() + &body.framing).into_bytes(),
+        block: body.block,
+        repeats: body.repeats,
+        piece: body.piece,
+        one_by_one: false,
+    };
+    case(body.name, callers, script)
+}
+
 fn check_bodies(cases: Vec<BodyCase>) {
-    check(cases.into_iter().map(|body| {
-        let script = Script {
-            head: (head() + &body.framing).into_bytes(),
-            block: body.block,
-            repeats: body.repeats,
-            piece: body.piece,
-            one_by_one: false,
-        };
-        case(body.name, LARGE_CALLERS, script)
-    }));
+    let cases = cases.into_iter();
+    check(cases.map(|body| body_case(body, LARGE_CALLERS)));
+}
+
+/// Guards against the sum of what the kernel holds for a router that reads too slowly, in connections
+/// that it has accepted and in those that wait in the backlog.
+#[test]
+fn a_router_withstands_bodies_that_it_has_not_read() {
+    let _alone = run_alone();
+    let run = |stop| {
+        let body = large_bodies().remove(0);
+        let case = body_case(body, STOPPED_CALLERS);
+        Router::start().subject().check_stopped(&case, stop)
+    };
+    let stops = [Stop::AfterHeads, Stop::BeforeConnecting].into_iter();
+    let faults: Vec<String> = stops.flat_map(run).collect();
+    assert_none(&faults);
 }
 
 /// Guards against the sum of unfinished bodies with a length.
