gateway: Count the read buffer of a connection that receives a body

A connection that receives a body holds a second buffer of the size of a head, which the budget did not count.

--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -1,5 +1,6 @@
 //! Receives the body of a request, within the memory budget of the process.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -8,6 +9,8 @@
 use hyper::body::Incoming;
 use primrose_conn::BodyBuffer;
 use primrose_conn::RequestBody;
+use primrose_core::memory::MemoryBudget;
+use primrose_core::memory::MemoryKind;
 use primrose_core::memory::PROGRESS_BYTES;
 
 use crate::callers::BoundReason;
@@ -30,9 +33,13 @@
     Refused(Reply),
 }
 
+/// Buffer from which the body of a connection is read, beside those that each connection has.
+const READ_BUFFER_BYTES: usize = 16 << 10;
+
 /// Marks a connection as receiving a body until dropped.
 struct ReceivingGuard<'a> {
     connection: &'a CallerConnection,
+    memory: Arc<MemoryBudget>,
     /// Bytes received at the last progress.
     progress_bytes: usize,
 }
@@ -41,8 +48,11 @@
     fn new(connection: &'a CallerConnection, shared: &Shared) -> Self {
         let state = connection.state.get();
         connection.state.set(state.receiving(shared.now()));
+        let memory = Arc::clone(&shared.memory);
+        memory.replace(MemoryKind::Connection, 0, READ_BUFFER_BYTES);
         Self {
             connection,
+            memory,
             progress_bytes: 0,
         }
     }
@@ -61,6 +71,8 @@
     fn drop(&mut self) {
         let state = self.connection.state.get();
         self.connection.state.set(state.body_ended());
+        let memory = &self.memory;
+        memory.replace(MemoryKind::Connection, READ_BUFFER_BYTES, 0);
     }
 }
 
