--- a/crates/gateway/tests/testsuite/log.rs
+++ b/crates/gateway/tests/testsuite/log.rs
@@ -141,6 +141,7 @@
         generation: 117,
         list_version: 1_000_022,
         fleet: 380,
+        share: None,
     };
     let answered = Event::Answered {
         request: id,
