--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -320,8 +320,7 @@
         /// Usage over the fair share, as a fraction of the fair share.
         excess: f64,
     },
-    /// The account requests many times its fair share, and the request is not among those of which it is
-    /// made up.
+    /// The position of the request is beyond the part of the account's demand that is considered.
     NotConsidered,
 }
 
