emulate, fleet, conn, docs: Changes from a review of the issue's diff

What stopped a new reader: constants whose comments left open what they bound, accounts and seconds as bare numbers in a test, and a simulation of 492 lines; arrivals and digests are modules of it now, moved without a change.

--- a/crates/conn/src/listen.rs
+++ b/crates/conn/src/listen.rs
@@ -15,13 +15,12 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
-/// Size of the receive buffer with which a connection begins. The kernel holds up to one and a half times
-/// as much.
+/// Receive buffer of a new connection. Linux keeps up to 12 KiB of unread data in it.
 const SMALL_RECEIVE_BYTES: u32 = 8 << 10;
-/// Size of an enlarged receive buffer. At round trips of a few milliseconds, it allows several megabytes a
-/// second.
+/// Receive buffer of an enlarged connection, which allows several megabytes a second at round trips of a few
+/// milliseconds. Linux keeps up to 56 KiB of unread data in it.
 const LARGE_RECEIVE_BYTES: usize = 32 << 10;
-/// What an enlarged receive buffer counts for. The kernel holds up to twice its size.
+/// Memory that is charged for an enlarged receive buffer.
 const LARGE_CHARGE_BYTES: usize = 2 * LARGE_RECEIVE_BYTES;
 /// Size of the kernel's send buffer of a connection; the kernel takes up to twice as much. It would grow
 /// to megabytes for each caller that does not read.
--- a/crates/emulate/src/simulation.rs
+++ b/crates/emulate/src/simulation.rs
@@ -4,16 +4,17 @@
 //! they are due, and places retried and new requests. All randomness comes from one seeded
 //! generator.
 
+mod arrivals;
+mod digests;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
 
 use primrose_core::clock::Mono;
-use primrose_fleet::place::Prompt;
 use primrose_fleet::AttemptOutcome;
 use primrose_fleet::Fleet;
 use primrose_fleet::FleetConfig;
-use primrose_fleet::Outgoing;
 use primrose_fleet::Placement;
 use primrose_fleet::PlacementRequest;
 use rand::rngs::StdRng;
@@ -21,8 +22,6 @@
 use rand::SeedableRng;
 
 use crate::deployment::host_ip;
-use crate::deployment::host_number;
-use crate::deployment::placement_request;
 use crate::deployment::server_entry;
 use crate::deployment::server_number;
 use crate::deployment::tables;
@@ -260,120 +259,6 @@
         }
     }
 
-    fn publish_digests(&mut self, now: Mono) {
-        for from in 0..self.gateways.len() {
-            if now < self.next_digests[from] {
-                continue;
-            }
-            let gateway = &mut self.gateways[from];
-            gateway.expire(now);
-            let outgoing = gateway.outgoing(now);
-            self.next_digests[from] = now + gateway.send_interval(&outgoing);
-            for Outgoing { receivers, digest } in outgoing {
-                for receiver in receivers {
-                    let to = host_number(receiver);
-                    let separated = self.partitioned && self.zone_of(from) != self.zone_of(to);
-                    if !separated {
-                        self.gateways[to].merge(digest.clone(), host_ip(0, from), now);
-                    }
-                }
-            }
-        }
-    }
-
-    fn draw_arrivals(&mut self, now: Mono) {
-        for class in 0..self.pattern.classes.len() {
-            let mut rate = self.pattern.classes[class].rate * self.pattern.load;
-            for disturbance in self.pattern.disturbances_at(now) {
-                match disturbance {
-                    Disturbance::Burst {
-                        class: affected,
-                        factor,
-                    } if affected == class => rate *= factor,
-                    _ => {}
-                }
-            }
-            for account in 0..self.pattern.accounts {
-                let rate = rate * self.account_share(account, now);
-                if self.rng.random_bool((rate * TICK.as_secs_f64()).min(1.0)) {
-                    let caller = self.draw_caller(class, account, now);
-                    let requested = caller.request.prompt.map_or(0, |prompt| prompt.service());
-                    self.score.largest_request = self.score.largest_request.max(requested);
-                    self.score.tokens_mut(now.as_secs(), account).requested += requested;
-                    self.arrive(caller, now);
-                }
-            }
-        }
-    }
-
-    fn account_share(&self, account: usize, now: Mono) -> f64 {
-        let weight = |account: usize| (account as f64 + 1.0).powf(-self.pattern.skew);
-        let total: f64 = (0..self.pattern.accounts).map(weight).sum();
-        let mut share = weight(account) / total;
-        for disturbance in self.pattern.disturbances_at(now) {
-            match disturbance {
-                Disturbance::AccountSurge {
-                    account: affected,
-                    factor,
-                } if affected == account => share *= factor,
-                _ => {}
-            }
-        }
-        share
-    }
-
-    fn draw_caller(&mut self, class: usize, account: usize, now: Mono) -> Caller {
-        let class_config = self.pattern.classes[class];
-        let mut prefix = self.rng.random_range(0..class_config.prefixes);
-        let mut impatient = false;
-        let mut retries = 1;
-        let disturbances: Vec<Disturbance> = self.pattern.disturbances_at(now).collect();
-        for disturbance in disturbances {
-            match disturbance {
-                Disturbance::HotPrefix {
-                    class: affected,
-                    share,
-                } if affected == class && self.rng.random_bool(share) => prefix = 0,
-                Disturbance::ImmediateRetries {
-                    share,
-                    retries: max_retries,
-                } => {
-                    impatient = self.rng.random_bool(share);
-                    if impatient {
-                        retries = max_retries;
-                    }
-                }
-                _ => {}
-            }
-        }
-        // Sizes vary from half to twice the mean.
-        let size = 2.0_f64.powf(self.rng.random_range(-1.0..1.0));
-        let scaled = |mean: u64| (mean as f64 * size) as u64;
-        let prompt = Prompt {
-            shared: (class as u64) << 32 | prefix,
-            shared_tokens: class_config.shared_tokens,
-            own_tokens: scaled(class_config.own_tokens),
-            output_tokens: scaled(class_config.output_tokens) * 2,
-        };
-        let worth = class_config.worth * (0.3 + 0.7 * size);
-        Caller {
-            labels: RequestLabels {
-                account,
-                class,
-                zone: self.rng.random_range(0..self.pattern.zones),
-                second: now.as_secs(),
-            },
-            worth,
-            output_tokens: scaled(class_config.output_tokens),
-            request: placement_request(&class_config, account, prompt, self.rng.random(), now),
-            arrived: now,
-            objective: class_config.objective,
-            first_token: None,
-            retries_left: retries,
-            impatient,
-        }
-    }
-
     /// Sends a request through the gateway of its account, or a random one of the zone in which it
     /// arrived.
     fn arrive(&mut self, caller: Caller, now: Mono) {
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -29,8 +29,8 @@
 /// Time by which the sums of the others are late in a large fleet. The token rate of this time is
 /// given out at once after the start.
 const SUMS_DELAY: Duration = Duration::from_millis(500);
-/// Position from which on a request is not considered, relative to the fair share of its account. The sums
-/// are late by an eighth of the window, in which the account is then sent a quarter of its share, unseen.
+/// Lowest position that is not considered, relative to the fair share of the account. Sums are late by up
+/// to an eighth of the window; in that time, gateways send at most a quarter of the account's share.
 const MAX_POSITION: f64 = 2.0;
 /// Difference of two successive positions, as a fraction of 2^32: the golden ratio spreads any number of
 /// them evenly.
--- a/crates/fleet/src/fleet/admission.rs
+++ b/crates/fleet/src/fleet/admission.rs
@@ -28,10 +28,9 @@
 /// While the others get all they ask for, the fair share is what the largest account gets, so that
 /// its excess stays near zero and spare capacity is used.
 const MAX_EXCESS: f64 = 1.25;
-/// Fraction of the objective that a large request of an account within its quota may wait for those ahead
-/// of it, however much of the objective it takes itself. One that takes more than that at a server of usual
-/// speed is late on any: the objective then bounds only the wait for the others, as it does for a small
-/// request, since it would not be served sooner if it came back.
+/// Fraction of the objective that a request of an account within its quota may wait for those ahead of it
+/// if its own prompt takes most of the objective. It does not apply to a request whose prompt alone takes
+/// longer than the allowed wait at a server of usual speed: refused, it would not be served sooner.
 const QUEUE_FRACTION_LARGE: f64 = 0.2;
 /// Fraction of the whole objective that a request may wait if its objective has already passed.
 /// When many callers retry late, a longer wait fills the servers with late requests until all are
@@ -86,7 +85,8 @@
             let own_wait = choice.wait.saturating_sub(choice.queue_wait);
             let pool = self.pools.get(&request.pool);
             let usual_wait = pool.map(|pool| pool.prefill.predict(choice.uncached_tokens));
-            let queue_fraction = if usual_wait.is_some_and(|wait| wait > allowed) {
+            let is_always_late = usual_wait.is_some_and(|wait| wait > allowed);
+            let queue_fraction = if is_always_late {
                 wait_fraction
             } else {
                 QUEUE_FRACTION_LARGE
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -33,7 +33,8 @@
     Refused(Reply),
 }
 
-/// Buffer from which the body of a connection is read, beside those that each connection has.
+/// Read buffer that a connection has while it receives a body, beside
+/// [`CONNECTION_BYTES`](crate::callers::CONNECTION_BYTES).
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
 /// Marks a connection as receiving a body until dropped.
--- a/crates/primrosed/tests/hostile/hostile_callers/stopped.rs
+++ b/crates/primrosed/tests/hostile/hostile_callers/stopped.rs
@@ -4,7 +4,7 @@
 //! 2,800 callers held 106 MB itself and the kernel 199 MB for it. Bytes that have been received and not yet
 //! read count as memory of the process on some hosts.
 //!
-//! A process that is stopped reads nothing on any machine, however fast it is.
+//! A process that is stopped reads nothing, however fast its host is.
 
 use rustix::process::kill_process;
 use rustix::process::Pid;
