fleet, gateway, docs: Log what limits leave of the servers for a request

Cause: a refusal as overload or over_share does not say that most servers were left out for their limits, nor which part of the limits the gateway has; and the fair share in the logs does not say whether servers or the configured rate determine it. So the hypotheses of even-parts could not be told apart.

Change: sent and refused have the number of servers that could run the request, of those with limits, of those among them that this gateway has a part of, and of those that are open at the decision, with the limits together and the gateway's part, while any server of the pool is limited; and the tokens that servers began to answer beside those of the configured rate. The same as metrics. No decision changes.

--- a/crates/fleet/src/cold.rs
+++ b/crates/fleet/src/cold.rs
@@ -338,6 +338,13 @@
         cold.is_limited(now).then_some(cold.rate)
     }
 
+    /// Returns the part of a cold server's rate that this gateway may use; zero if it is not limited.
+    pub fn own_rate(&self, server: ShortId, now: Mono) -> f64 {
+        let cold = self.by_server.get(&server);
+        let cold = cold.filter(|cold| cold.is_limited(now));
+        cold.map_or(0.0, |cold| cold.own_rate)
+    }
+
     /// Returns the weight that a server keeps after it became warm; one if it was never cold.
     pub fn ramp_weight(&self, server: ShortId, now: Mono) -> f64 {
         let Some(cold) = self.by_server.get(&server) else {
--- a/crates/fleet/src/fleet/admission.rs
+++ b/crates/fleet/src/fleet/admission.rs
@@ -161,5 +161,6 @@
         predicted,
         allowed,
         share: None,
+        limits: None,
     })
 }
--- a/crates/fleet/src/fleet/limits.rs
+++ b/crates/fleet/src/fleet/limits.rs
@@ -15,6 +15,7 @@
 use crate::entry::ShortId;
 use crate::limit::sharers;
 use crate::limit::Contention;
+use crate::limit::LimitCounts;
 use crate::limit::ServerLimits;
 use crate::limit::Sharing;
 use crate::place::share_key;
@@ -124,6 +125,29 @@
         }
     }
 
+    /// Returns what limits leave of the candidates for a request; none if no server is limited.
+    pub(super) fn limits_of(&self, candidates: &[Candidate], now: Mono) -> Option<LimitCounts> {
+        let mut counts = LimitCounts::default();
+        if self.limits.is_empty() {
+            return None;
+        }
+        for candidate in candidates {
+            let rates = self.limits.rates(candidate.short_id, now);
+            counts.add(candidate.within_limit, rates);
+        }
+        (counts.limited > 0).then_some(counts)
+    }
+
+    /// Returns the number of servers that named a limit or are cold, and what this gateway may use of
+    /// their limits; none of them counts as open.
+    pub fn limit_counts(&self, now: Mono) -> LimitCounts {
+        let mut counts = LimitCounts::default();
+        for server in self.servers.iter() {
+            counts.add(false, self.limits.rates(server.short_id, now));
+        }
+        counts
+    }
+
     /// Returns the factor by which a request's account makes its admission less likely: accounts that
     /// had less than their fair share come first.
     fn limit_handicap(&mut self, request: &PlacementRequest, now: Mono) -> f64 {
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -55,6 +55,7 @@
 use crate::entry::ShortId;
 use crate::evacuation::Evacuations;
 use crate::health::AnswerCounts;
+use crate::limit::LimitCounts;
 use crate::limit::ServerLimits;
 use crate::origin::StreamOrigins;
 use crate::place::PartId;
@@ -146,6 +147,8 @@
     pub end_certain: bool,
     /// Usage and shares of the account at the decision; none of a retry on another server.
     pub share: Option<AccountShare>,
+    /// What limits left of the servers that could run the request; none if no server is limited.
+    pub limits: Option<LimitCounts>,
     /// Short id of the server's incarnation.
     short_id: ShortId,
     pool: PoolId,
@@ -237,6 +240,8 @@
     pub allowed: Duration,
     /// Usage and shares of the account at the decision; none if they did not matter.
     pub share: Option<AccountShare>,
+    /// What limits left of the servers that could run the request; none if no server is limited.
+    pub limits: Option<LimitCounts>,
 }
 
 /// Decision on a request.
--- a/crates/fleet/src/fleet/placement.rs
+++ b/crates/fleet/src/fleet/placement.rs
@@ -41,8 +41,7 @@
     /// then on.
     pub fn decide(&mut self, request: &PlacementRequest, now: Mono) -> Decision {
         let is_first_attempt = request.tried.is_empty();
-        let service = request.prompt.map_or(0, |prompt| prompt.service());
-        let account = request.account.as_deref().map(short_id);
+        let (account, service) = charged(request);
         if is_first_attempt {
             let pool = self.pool(&request.pool);
             pool.budget.record_attempt();
@@ -62,12 +61,30 @@
         if candidates.is_empty() {
             return self.refuse_without_candidates(request, now);
         }
+        let limits = self.limits_of(&candidates, now);
+        match self.decide_among(request, &candidates, now) {
+            Decision::Send(placement) => Decision::Send(Placement {
+                limits,
+                ..placement
+            }),
+            Decision::Refuse(refusal) => Decision::Refuse(Refusal { limits, ..refusal }),
+        }
+    }
+
+    /// Decides on a request that some servers could run.
+    fn decide_among(
+        &mut self,
+        request: &PlacementRequest,
+        candidates: &[Candidate],
+        now: Mono,
+    ) -> Decision {
+        let is_first_attempt = request.tried.is_empty();
         if !candidates.iter().any(|candidate| candidate.within_limit) {
-            let wait = self.wait_for_limits(&candidates, now);
+            let wait = self.wait_for_limits(candidates, now);
             let (least, most) = RETRY_AFTER_RANGE;
             return refuse(RefusalReason::ServerLimits, wait.clamp(least, most));
         }
-        let Some(choice) = self.choose(request, &candidates, now) else {
+        let Some(choice) = self.choose(request, candidates, now) else {
             return refuse(RefusalReason::NoRoom, RETRY_AFTER_RANGE.0 * 2);
         };
         let mut share = None;
@@ -78,6 +95,7 @@
             if let Some(refusal) = refusal {
                 return Decision::Refuse(Refusal { share, ..refusal });
             }
+            let (account, service) = charged(request);
             if let Some(account) = account {
                 if request.is_continuation() {
                     self.demand.record_resumed(account, service, now);
@@ -374,10 +392,17 @@
             events: 0,
             survived: false,
             share: None,
+            limits: None,
         })
     }
 }
 
+/// Returns the account that is charged for a request, if callers have accounts, and the tokens.
+fn charged(request: &PlacementRequest) -> (Option<ShortId>, u64) {
+    let service = request.prompt.map_or(0, |prompt| prompt.service());
+    (request.account.as_deref().map(short_id), service)
+}
+
 /// Whether a server may run a request, apart from earlier attempts at it.
 fn is_eligible(server: &Server, request: &PlacementRequest, now: Mono) -> bool {
     may_run(server, request) && !server.health.is_paused(now)
@@ -397,5 +422,6 @@
         predicted: Duration::ZERO,
         allowed: Duration::ZERO,
         share: None,
+        limits: None,
     })
 }
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -73,6 +73,38 @@
     pub draw: f64,
 }
 
+/// What limits leave of the servers that could run a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LimitCounts {
+    /// Servers that could run the request.
+    pub candidates: u32,
+    /// Those that named a limit or are cold.
+    pub limited: u32,
+    /// Those of `limited` of whose limit this gateway may use a part.
+    pub shared: u32,
+    /// Those of `candidates` that may be sent the request now.
+    pub open: u32,
+    /// Limits of `limited` together, in requests per 1,000 seconds.
+    pub rate_milli: u64,
+    /// What this gateway may use of `rate_milli`.
+    pub own_rate_milli: u64,
+}
+
+impl LimitCounts {
+    /// Counts a server; `rates` are those of its limit and of the part that this gateway may use.
+    pub fn add(&mut self, is_open: bool, rates: Option<(f64, f64)>) {
+        let milli = |rate: f64| (rate * 1_000.0) as u64;
+        self.candidates += 1;
+        self.open += u32::from(is_open);
+        if let Some((rate, own)) = rates {
+            self.limited += 1;
+            self.shared += u32::from(own > 0.0);
+            self.rate_milli += milli(rate);
+            self.own_rate_milli += milli(own);
+        }
+    }
+}
+
 /// How a limit is kept.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Sharing {
@@ -231,6 +263,23 @@
         self.by_server.get(&server)?.rate
     }
 
+    /// Returns the rate of a server that named a limit or is cold, and the part of it that this gateway
+    /// may use, both in requests a second; none if the server is not limited.
+    pub fn rates(&self, server: ShortId, now: Mono) -> Option<(f64, f64)> {
+        let cold = self.cold.rate(server, now);
+        let limit = self.by_server.get(&server);
+        let named = limit.and_then(|limit| Some((limit.rate?.max(MIN_RATE), limit.sharing)));
+        match (named, cold) {
+            (Some((rate, Sharing::Counted)), None) => Some((rate, rate)),
+            (Some((rate, Sharing::Divided(share))), None) => Some((rate, rate * share)),
+            (named, Some(cold)) => {
+                let rate = lower(named.map(|(rate, _)| rate), Some(cold));
+                Some((rate.unwrap_or(cold), self.cold.own_rate(server, now)))
+            }
+            (None, None) => None,
+        }
+    }
+
     /// Whether no server named a limit or was cold of late.
     pub fn is_empty(&self) -> bool {
         self.by_server.is_empty() && self.cold.is_empty()
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -109,6 +109,11 @@
     let quarantined = fleet.quarantined_count(shared.now());
     let cold = fleet.cold_count(shared.now());
     metrics::gauge!("cold_servers").set(cold as f64);
+    let limits = fleet.limit_counts(shared.now());
+    metrics::gauge!("limited_servers").set(f64::from(limits.limited));
+    metrics::gauge!("limited_servers_shared").set(f64::from(limits.shared));
+    metrics::gauge!("limits_per_second").set(limits.rate_milli as f64 / 1e3);
+    metrics::gauge!("own_limits_per_second").set(limits.own_rate_milli as f64 / 1e3);
     metrics::gauge!("parts_quarantined").set(quarantined as f64);
     metrics::gauge!("zones_evacuated").set(fleet.evacuated_zones().len() as f64);
     metrics::gauge!("cost_aware_pools").set(fleet.cost_aware_pools() as f64);
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -2,6 +2,7 @@
 //! of the gateway's view of the fleet.
 
 use primrose_fleet::demand::AccountShare;
+use primrose_fleet::limit::LimitCounts;
 use serde::Serialize;
 
 /// Usage and shares of a client account at a decision, in tokens over the window of the shares.
@@ -14,6 +15,10 @@
     /// Position of the request in `asked`, by which it is considered or not; none in a small fleet.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub position: Option<u64>,
+    /// Tokens of all accounts that servers began to answer.
+    pub begun: u64,
+    /// Tokens of the configured rate, which is the least that accounts share.
+    pub capacity: u64,
     /// Share of the configured token rate; none if the rate covers all demand.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub quota: Option<u64>,
@@ -29,12 +34,44 @@
             asked: share.asked,
             granted: share.granted,
             position: share.position,
+            begun: share.begun,
+            capacity: share.capacity,
             quota: limit(share.quota),
             fair_share: limit(share.fair_share),
         }
     }
 }
 
+/// What limits of servers left of those that could run a request, at a decision.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct LimitRecord {
+    /// Servers that could run the request.
+    pub candidates: u32,
+    /// Those that named a limit or are cold.
+    pub limited: u32,
+    /// Those of `limited` of whose limit this gateway may use a part.
+    pub limits_shared: u32,
+    /// Those of `candidates` that may be sent the request now.
+    pub open: u32,
+    /// Limits of `limited` together, in requests per 1,000 seconds.
+    pub limits_milli: u64,
+    /// What this gateway may use of `limits_milli`.
+    pub own_limits_milli: u64,
+}
+
+impl From<LimitCounts> for LimitRecord {
+    fn from(counts: LimitCounts) -> Self {
+        Self {
+            candidates: counts.candidates,
+            limited: counts.limited,
+            limits_shared: counts.shared,
+            open: counts.open,
+            limits_milli: counts.rate_milli,
+            own_limits_milli: counts.own_rate_milli,
+        }
+    }
+}
+
 /// A log event, written as one JSON line. The names of variants and fields are part of the log
 /// format.
 #[derive(Debug, Clone, Serialize)]
@@ -232,6 +269,9 @@
         /// Usage and shares of the account; none without a prompt or a token rate.
         #[serde(flatten)]
         share: Option<ShareRecord>,
+        /// What limits left of the servers that could run the request; none if no server is limited.
+        #[serde(flatten)]
+        limits: Option<LimitRecord>,
     },
     /// A request was refused and has not run.
     Refused {
@@ -259,6 +299,9 @@
         /// Usage and shares of the account; none if they did not matter.
         #[serde(flatten)]
         share: Option<ShareRecord>,
+        /// What limits left of the servers that could run the request; none if no server is limited.
+        #[serde(flatten)]
+        limits: Option<LimitRecord>,
         /// Age of the sums of the other gateways in milliseconds; zero if they arrive without a relay.
         view_age_ms: u64,
         /// Generation of the tables behind the decision.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -15,6 +15,7 @@
 use primrose_core::id::RouteId;
 use primrose_fleet::demand::AccountShare;
 use primrose_fleet::entry::BuildId;
+use primrose_fleet::limit::LimitCounts;
 use primrose_fleet::origin::stream_id;
 use primrose_fleet::AttemptOutcome;
 use primrose_fleet::Decision;
@@ -140,6 +141,7 @@
                     list_version,
                     fleet: size,
                     share: placement.share.map(Into::into),
+                    limits: placement.limits.map(Into::into),
                 });
                 Ok(placement)
             }
@@ -205,6 +207,7 @@
                 predicted: refusal.predicted,
                 allowed: refusal.allowed,
                 share: refusal.share,
+                limits: refusal.limits,
             },
         );
         reply.into_response(&self.shared, &self.request_head.id)
@@ -224,6 +227,7 @@
                 predicted: Duration::ZERO,
                 allowed: Duration::ZERO,
                 share: None,
+                limits: None,
             };
             return self.refuse(refusal);
         }
@@ -292,6 +296,7 @@
     pub(crate) predicted: Duration,
     pub(crate) allowed: Duration,
     pub(crate) share: Option<AccountShare>,
+    pub(crate) limits: Option<LimitCounts>,
 }
 
 /// Logs and counts a refusal.
@@ -312,6 +317,7 @@
         retry_after_ms: record.reply.retry_after.map_or(0, millis),
         waited_ms: millis(now.saturating_sub(record.arrived)),
         share: record.share.map(Into::into),
+        limits: record.limits.map(Into::into),
         view_age_ms: millis(fleet.view_age(now)),
         generation: fleet.generation(),
         list_version: fleet.list_version(),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -112,6 +112,7 @@
             predicted: Duration::ZERO,
             allowed: Duration::ZERO,
             share: None,
+            limits: None,
         };
         log_refusal(self.shared, &record);
         reply.into_response(self.shared, &request_head.id)
