fleet, KNOWN-RED: Add a red test of limits that are divided without regard to demand

A limit is divided evenly among gateways of the server's zone, so that one with much of the demand has the part of any other.

Change: 24 simulated gateways in three zones, which exchange digests through relays; all 18 servers name limits, and one gateway has much of its zone's demand. It has to send most of what the limits allow, the others have to send theirs, and each server gets at most 1.5 times its limit and five in 4 s.

--- a/crates/fleet/tests/testsuite/main.rs
+++ b/crates/fleet/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod evacuation_spread;
 mod follow;
 mod gossip;
+mod limit_parts;
 mod limits;
 mod load_day;
 mod origins;
