fleet: Divide a server's limit by the demand that gateways of its zone see

Cause: in a fleet with relays a limit was divided evenly among some gateways of the server's zone.

Change: each gateway publishes its demand, the tokens that accounts request there, each account counted at most with its fair share over the fleet. Steps are of a factor of the square root of two and held for 0.6 s; relays pass them on with the contacts of the zone (one byte or two for each gateway, at the end of the digest). Sharers of a limit are drawn by demand (priority sampling), those that would be drawn anyway have parts in proportion to it, the others equal ones; a quarter of the zone's mean is added to each. A gateway uses its own demand as its relay returned it, so that all change over together. If a demand of the zone is not known, as with an older build, parts are even as before, at the same gateways. A gateway that loses its part drops what it saved up.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -240,6 +240,21 @@
         (since + SUMS_DELAY).min(WINDOW)
     }
 
+    /// Returns the tokens that accounts requested at this gateway, each account counted at most with its
+    /// fair share over the fleet, where all accounts share `rate` tokens a second.
+    pub fn local_demand(&mut self, rate: u64, now: Mono) -> u64 {
+        let totals = self.fleet_sums(now);
+        let asked = totals.values().map(|sums| sums.asked).collect();
+        let capacity = (rate as f64 * self.covered_time(now).as_secs_f64()) as u64;
+        let begun = self.local_begun(now) + self.remote_begun;
+        let fair_share = max_min_share(begun.max(capacity), asked);
+        let counted = self.local_sums(now).into_iter().map(|(account, sums)| {
+            let total = totals.get(&account).map_or(0, |sums| sums.asked).max(1);
+            sums.asked as f64 * (fair_share.min(total) as f64 / total as f64)
+        });
+        counted.sum::<f64>() as u64
+    }
+
     /// Returns the usage of an account over the fleet, and its shares where all accounts share `rate`
     /// tokens a second. If the sums of the other gateways are late, a position is drawn for the request.
     pub fn account_share(
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -33,6 +33,7 @@
 use crate::evacuation::EvacuationReport;
 use crate::evacuation::Version;
 use crate::health::AnswerCounts;
+use crate::limit::DemandLevel;
 use crate::limit::LimitReport;
 use crate::origin::OriginReport;
 use crate::place::PartId;
@@ -98,6 +99,8 @@
     pub zone: ShortId,
     /// Processor time that its host has, in thousandths of a core.
     pub capacity: u32,
+    /// Its demand. Older builds neither send nor read it.
+    pub demand: DemandLevel,
     /// Time since it was last heard of, in milliseconds. With it, gateways that name a dead one to
     /// each other do not keep it alive.
     pub age_ms: u32,
@@ -114,6 +117,8 @@
     pub wants_view: bool,
     /// Whether the writer refuses requests because it does not keep up.
     pub overloaded: bool,
+    /// Demand at the writer. Older builds neither send nor read it.
+    pub demand: DemandLevel,
     /// Number of gateways whose sums the digest holds.
     pub gateways: u32,
     /// Number of gateways in the writer's zone, and of those that do not keep up; in digests of
@@ -127,6 +132,23 @@
     pub sources: Vec<IpAddr>,
 }
 
+impl RelayInfo {
+    /// Returns the demands of the writer and of the contacts.
+    fn demands(&self) -> Vec<DemandLevel> {
+        let contacts = self.contacts.iter().map(|contact| contact.demand);
+        std::iter::once(self.demand).chain(contacts).collect()
+    }
+
+    fn with_demands(mut self, demands: Vec<DemandLevel>) -> Self {
+        let mut demands = demands.into_iter();
+        self.demand = demands.next().unwrap_or_default();
+        for (contact, demand) in self.contacts.iter_mut().zip(demands) {
+            contact.demand = demand;
+        }
+        self
+    }
+}
+
 /// State that one gateway publishes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Digest {
@@ -196,6 +218,8 @@
     #[serde(default)] (Version, Vec<ShortId>, Vec<ShortId>),
     #[serde(default)] WireCold,
     #[serde(default)] WireCost,
+    // Demands of the writer and of the gateways that `WireRelay` names, in the same order.
+    #[serde(default)] Vec<DemandLevel>,
 );
 
 /// Encoded form of [`PoisonReport`].
@@ -282,6 +306,7 @@
             ip,
             zone,
             capacity,
+            demand: 0,
             age_ms,
         });
         Self {
@@ -289,6 +314,7 @@
             capacity,
             wants_view,
             overloaded,
+            demand: 0,
             gateways,
             zone_load,
             contacts: contacts.collect(),
@@ -380,6 +406,7 @@
             ),
             WireCold::from(&self.cold),
             WireCost::from(self),
+            self.relay.demands(),
         );
         let mut bytes = Vec::with_capacity(MAX_BYTES);
         ciborium::into_writer(&wire, &mut bytes).context(EncodeSnafu)?;
@@ -413,6 +440,7 @@
             (version, zones, kept),
             cold,
             cost,
+            demands,
         ) = wire;
         let (writer, seq, generation) = head;
         let (list_version, members_version, zone, list_unreadable) = list;
@@ -463,7 +491,7 @@
             leaving,
             removed,
             peers,
-            relay: relay.into(),
+            relay: RelayInfo::from(relay).with_demands(demands),
             poison: poison.into(),
             limits: limits.collect(),
             origins,
--- a/crates/fleet/src/fleet/combine.rs
+++ b/crates/fleet/src/fleet/combine.rs
@@ -49,6 +49,7 @@
             scope,
             capacity: own.relay.capacity,
             overloaded: own.relay.overloaded,
+            demand: own.relay.demand,
             gateways: 1,
             zone_load: (1, u32::from(own.relay.overloaded)),
             ..RelayInfo::default()
@@ -163,6 +164,7 @@
         ip,
         zone: gateway.zone,
         capacity: gateway.capacity,
+        demand: gateway.demand,
         age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
     }
 }
--- a/crates/fleet/src/fleet/gossip.rs
+++ b/crates/fleet/src/fleet/gossip.rs
@@ -233,6 +233,7 @@
                 // A gateway that knows few others asks for what they know.
                 wants_view: self.role == Role::Mesh,
                 overloaded: self.overloaded,
+                demand: self.own_demand.level(),
                 gateways: 1,
                 ..RelayInfo::default()
             },
@@ -314,6 +315,7 @@
         self.limits.expire(now);
         self.expire_origins(now);
         self.evacuations.expire(now);
+        self.update_demand(now);
         self.divide_limits(now);
         self.divide_cold(now);
         self.review_deaths(now);
--- a/crates/fleet/src/fleet/limits.rs
+++ b/crates/fleet/src/fleet/limits.rs
@@ -13,10 +13,14 @@
 use super::PlacementRequest;
 use crate::entry::short_id;
 use crate::entry::ShortId;
+use crate::limit::part_of_limit;
 use crate::limit::sharers;
+use crate::limit::weights;
 use crate::limit::Contention;
+use crate::limit::DemandLevel;
 use crate::limit::LimitCounts;
 use crate::limit::ServerLimits;
+use crate::limit::Sharer;
 use crate::limit::Sharing;
 use crate::place::share_key;
 use crate::place::Candidate;
@@ -43,39 +47,58 @@
 
     /// Determines how the limits are kept.
     pub(super) fn divide_limits(&mut self, now: Mono) {
-        for (server, rate) in self.limits.limited() {
+        let limited = self.limits.limited();
+        if limited.is_empty() {
+            return;
+        }
+        let gateways = self.gateways_by_demand(now);
+        let own = short_id(&self.config.ip.to_string());
+        for (server, rate) in limited {
             let sharing = if self.role == Role::Mesh {
                 Sharing::Counted
+            } else if self.is_near(server) {
+                // Gateways of other zones are not all known here, so that they have no part.
+                let part = part_of_limit(server, &gateways, own, sharers(rate));
+                Sharing::Divided(part)
             } else {
-                Sharing::Divided(self.share_of_limit(server, rate, now))
+                Sharing::Divided(0.0)
             };
             self.limits.set_sharing(server, sharing, now);
         }
     }
 
-    /// Returns the part of a server's limit that this gateway may use. Rendezvous hashing picks the
-    /// gateways that share it, so that all of them agree.
-    fn share_of_limit(&self, server: ShortId, rate: f64, now: Mono) -> f64 {
-        let gateways = self.gateways_near(server, now);
-        let key =
-            |ip: &IpAddr| share_key([u64::from(server), u64::from(short_id(&ip.to_string()))]);
-        let own = key(&self.config.ip);
-        let before = gateways.iter().filter(|ip| key(ip) > own).count();
-        let sharers = sharers(rate).min(gateways.len());
-        if before < sharers && gateways.contains(&self.config.ip) {
-            1.0 / sharers as f64
-        } else {
-            0.0
-        }
+    /// Updates what this gateway publishes of its demand.
+    pub(super) fn update_demand(&mut self, now: Mono) {
+        let catalog = self.catalog.as_ref();
+        let rate = catalog.and_then(|catalog| catalog.tables().limits.token_rate);
+        let tokens = self.demand.local_demand(rate.unwrap_or_default(), now);
+        self.own_demand.update(tokens, now);
+    }
+
+    /// Returns the gateways of this zone, weighted by the demand that they publish.
+    fn gateways_by_demand(&self, now: Mono) -> Vec<Sharer> {
+        let gateways = self.ranked(self.own_zone(), RELAY_TIMEOUT, now);
+        let level = |ip: &IpAddr| match self.known.get(ip) {
+            Some(gateway) => gateway.demand,
+            // As the relay passed it on, so that all gateways change over at the same time.
+            None if self.role == Role::Relay => self.own_demand.level(),
+            None => self.returned_demand,
+        };
+        let levels: Vec<DemandLevel> = gateways.iter().map(level).collect();
+        let sharers = gateways.iter().zip(weights(&levels));
+        sharers
+            .map(|(ip, weight)| Sharer {
+                id: short_id(&ip.to_string()),
+                weight,
+            })
+            .collect()
     }
 
-    /// Returns the gateways of a server's zone: each gateway of a large fleet knows those of its own
-    /// zone only.
-    fn gateways_near(&self, server: ShortId, now: Mono) -> Vec<IpAddr> {
-        let mut servers = self.servers.iter();
-        let server = servers.find(|known| known.short_id == server);
-        let zone = server.map(|server| short_id(&server.entry.zone));
-        zone.map_or_else(Vec::new, |zone| self.ranked(zone, RELAY_TIMEOUT, now))
+    /// Whether a server is in this gateway's zone.
+    fn is_near(&mut self, server: ShortId) -> bool {
+        let own_zone = self.own_zone();
+        let server = self.servers.by_short_id_mut(server);
+        server.is_some_and(|server| short_id(&server.entry.zone) == own_zone)
     }
 
     /// Returns the shortest time until this gateway may send a request to one of the servers within
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -55,7 +55,9 @@
 use crate::entry::ShortId;
 use crate::evacuation::Evacuations;
 use crate::health::AnswerCounts;
+use crate::limit::DemandLevel;
 use crate::limit::LimitCounts;
+use crate::limit::OwnDemand;
 use crate::limit::ServerLimits;
 use crate::origin::StreamOrigins;
 use crate::place::PartId;
@@ -310,6 +312,9 @@
     role: Role,
     /// Gateways that were heard of.
     known: HashMap<IpAddr, KnownGateway>,
+    /// Demand that this gateway publishes, and its level as the relay of the zone passes it on.
+    own_demand: OwnDemand,
+    returned_demand: DemandLevel,
     /// Relay whose sums count, for each other zone.
     zone_writers: BTreeMap<ShortId, Incarnation>,
     /// Number of gateways among which the retry slack is divided.
@@ -345,6 +350,8 @@
             overloaded: false,
             role: Role::default(),
             known: HashMap::new(),
+            own_demand: OwnDemand::default(),
+            returned_demand: 0,
             zone_writers: BTreeMap::new(),
             slack_sharers: gossip::INITIAL_SHARERS,
         }
--- a/crates/fleet/src/fleet/roles.rs
+++ b/crates/fleet/src/fleet/roles.rs
@@ -23,6 +23,7 @@
 use crate::digest::DigestScope;
 use crate::entry::short_id;
 use crate::entry::ShortId;
+use crate::limit::DemandLevel;
 
 /// Largest fleet in which each gateway sends its digest to all others.
 pub const MAX_MESH: usize = 12;
@@ -58,6 +59,7 @@
 pub(super) struct KnownGateway {
     pub(super) zone: ShortId,
     pub(super) capacity: u32,
+    pub(super) demand: DemandLevel,
     pub(super) last_seen: Mono,
 }
 
@@ -83,15 +85,22 @@
         let writer = KnownGateway {
             zone: digest.zone,
             capacity: digest.relay.capacity,
+            demand: digest.relay.demand,
             last_seen: now,
         };
         self.known.insert(ip, writer);
         let own_ip = self.config.ip;
+        if digest.relay.scope == DigestScope::Fleet {
+            let mut contacts = digest.relay.contacts.iter();
+            let own = contacts.find(|contact| contact.ip == own_ip);
+            self.returned_demand = own.map_or(0, |contact| contact.demand);
+        }
         for contact in digest.relay.contacts.iter().filter(|c| c.ip != own_ip) {
             let age = Duration::from_millis(u64::from(contact.age_ms));
             let seen = KnownGateway {
                 zone: contact.zone,
                 capacity: contact.capacity,
+                demand: contact.demand,
                 last_seen: now.saturating_sub(age),
             };
             let known = self.known.entry(contact.ip).or_insert(seen);
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -9,9 +9,11 @@
 //! gateways see the same room at the same time: of the requests that compete for it, each is
 //! admitted with the probability with which they fill it.
 //!
-//! In a large fleet the sums would be too old. There the limit is divided evenly among some
-//! gateways: each of them may send at its share of the rate, and none of them may save up more than
-//! about one request. More gateways than [`sharers`] would send too much in a burst.
+//! In a large fleet the sums would be too old. There the limit is divided among some gateways of the
+//! server's zone, by the demand that they publish: each of them may send at its part of the rate, and
+//! none of them may save up more than about one request. More gateways than [`sharers`] would send too
+//! much in a burst. Demands are published in coarse steps and held for a while, since gateways that
+//! know different ones send more or less than the limit together.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -22,6 +24,7 @@
 use crate::bucket::TokenBucket;
 use crate::cold::ColdServers;
 use crate::entry::ShortId;
+use crate::place::share_key;
 use crate::window::Window;
 
 /// Least rate at which a server is asked, in requests a second, so that it can say that its limit has
@@ -48,6 +51,15 @@
 const END_PUBLISH_TIME: Duration = Duration::from_secs(5);
 /// Maximum number of statements in a digest; the newest are preferred.
 const MAX_PUBLISHED: usize = 40;
+/// Demand that is added to that of each gateway, relative to the mean of its zone: demand may come to
+/// any gateway at any time.
+const BASE_DEMAND: f64 = 0.25;
+/// Levels of demand in a factor of two.
+const LEVELS_PER_DOUBLING: f64 = 2.0;
+/// Levels by which demand has to differ from its published level for another one.
+const LEVEL_TOLERANCE: f64 = 0.75;
+/// Least time between two levels: about the time in which gateways learn of one.
+const LEVEL_HOLD_TIME: Duration = Duration::from_millis(600);
 
 /// A server's latest statement, as gateways publish it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -194,6 +206,77 @@
     (MIN_SHARERS + SHARERS_PER_RATE * rate.max(MIN_RATE)) as usize
 }
 
+/// Demand at a gateway as it is published, in steps of a factor of the square root of two; zero if it is
+/// not known, one for none.
+pub type DemandLevel = u8;
+
+/// The level of this gateway's demand.
+#[derive(Debug, Default)]
+pub struct OwnDemand {
+    level: DemandLevel,
+    changed: Mono,
+}
+
+impl OwnDemand {
+    /// Updates the level to a demand of `tokens`.
+    pub fn update(&mut self, tokens: u64, now: Mono) {
+        let exact = 1.0 + LEVELS_PER_DOUBLING * (tokens.max(1) as f64).log2();
+        let is_held = now.saturating_sub(self.changed) < LEVEL_HOLD_TIME;
+        let is_near = (exact - f64::from(self.level)).abs() < LEVEL_TOLERANCE;
+        if self.level == 0 || !(is_held || is_near) {
+            self.level = exact.round() as DemandLevel;
+            self.changed = now;
+        }
+    }
+
+    /// Returns the level; zero before the first update.
+    pub fn level(&self) -> DemandLevel {
+        self.level
+    }
+}
+
+/// A gateway that may share the limits of its zone.
+#[derive(Debug, Clone, Copy)]
+pub struct Sharer {
+    /// Short id of its address.
+    pub id: ShortId,
+    /// Its demand in relation to that of the others.
+    pub weight: f64,
+}
+
+/// Returns the weights of gateways by their demand; the same for all if one of them is not known.
+pub fn weights(levels: &[DemandLevel]) -> Vec<f64> {
+    if levels.contains(&0) {
+        return vec![1.0; levels.len()];
+    }
+    let demand = |level: &DemandLevel| (f64::from(*level) / LEVELS_PER_DOUBLING).exp2();
+    let demands: Vec<f64> = levels.iter().map(demand).collect();
+    let mean = demands.iter().sum::<f64>() / demands.len().max(1) as f64;
+    let weights = demands.into_iter();
+    weights.map(|demand| demand + BASE_DEMAND * mean).collect()
+}
+
+/// Returns the part of a server's limit that the gateway `own` may use, by priority sampling: `most`
+/// gateways are drawn by weight, and those among them that would be drawn anyway have parts in
+/// proportion to their weights, the others equal ones. So each gateway has a part in proportion to its
+/// weight on average over the servers. All gateways that know the same weights agree.
+pub fn part_of_limit(server: ShortId, gateways: &[Sharer], own: ShortId, most: usize) -> f64 {
+    let priority = |sharer: &Sharer| {
+        let key = share_key([u64::from(server), u64::from(sharer.id)]);
+        // Uniform in (0, 1]; the highest key comes first among equal weights.
+        let uniform = ((u64::MAX - key) as f64 + 1.0) / (u64::MAX as f64 + 1.0);
+        (sharer.weight / uniform, *sharer)
+    };
+    let mut drawn: Vec<(f64, Sharer)> = gateways.iter().map(priority).collect();
+    drawn.sort_unstable_by(|(one, a), (other, b)| other.total_cmp(one).then(a.id.cmp(&b.id)));
+    let threshold = drawn.get(most).map_or(0.0, |(priority, _)| *priority);
+    drawn.truncate(most);
+    let weight = |sharer: &Sharer| sharer.weight.max(threshold);
+    let total: f64 = drawn.iter().map(|(_, sharer)| weight(sharer)).sum();
+    let own = drawn.iter().find(|(_, sharer)| sharer.id == own);
+    own.map_or(0.0, |(_, sharer)| weight(sharer) / total)
+}
+
 impl ServerLimits {
     /// Records what an answer of a server said: its limit in requests a second, or none.
     pub fn record(&mut self, server: ShortId, rate: Option<f64>, stated: Mono, now: Mono) {
@@ -255,6 +338,10 @@
             limit.refill(now);
             limit.sharing = sharing;
             limit.bucket.skip_to(now);
+            if sharing == Sharing::Divided(0.0) {
+                // Another gateway has the part now.
+                limit.bucket.empty();
+            }
         }
     }
 
--- a/crates/fleet/tests/testsuite/limit_parts.rs
+++ b/crates/fleet/tests/testsuite/limit_parts.rs
@@ -2,6 +2,9 @@
 
 use std::collections::HashMap;
 
+use primrose_fleet::limit::part_of_limit;
+use primrose_fleet::limit::weights;
+use primrose_fleet::limit::Sharer;
 use primrose_fleet::AttemptOutcome;
 use primrose_fleet::Decision;
 use primrose_fleet::Fleet;
@@ -245,3 +248,65 @@
     let faults: Vec<String> = cases.iter().flat_map(faults).collect();
     assert!(faults.is_empty(), "{}", faults.join("\n"));
 }
+
+struct PartsCase {
+    name: &'static str,
+    levels: [u8; 6],
+    sharers: usize,
+    /// Least part of all servers' limits that the first gateway has, and most.
+    first: (f64, f64),
+}
+
+const PARTS_CASES: [PartsCase; 4] = [
+    PartsCase {
+        name: "same demand, all share",
+        levels: [20; 6],
+        sharers: 9,
+        first: (0.166, 0.167),
+    },
+    PartsCase {
+        name: "same demand, some share",
+        levels: [20; 6],
+        sharers: 3,
+        first: (0.12, 0.21),
+    },
+    PartsCase {
+        name: "four times the demand, some share",
+        levels: [24, 20, 20, 20, 20, 20],
+        sharers: 3,
+        first: (0.3, 0.45),
+    },
+    // A gateway of an older build does not publish its demand.
+    PartsCase {
+        name: "an unknown demand",
+        levels: [40, 20, 20, 0, 20, 20],
+        sharers: 3,
+        first: (0.12, 0.21),
+    },
+];
+
+/// Guards against parts that together are more than the limit, and against gateways without any part.
+#[test]
+fn parts_of_a_limit_are_all_of_it_and_fit_the_weights() {
+    const SERVERS: u32 = 400;
+    for case in &PARTS_CASES {
+        let sharers = weights(&case.levels).into_iter().zip(1_000..);
+        let sharers: Vec<Sharer> = sharers.map(|(weight, id)| Sharer { id, weight }).collect();
+        let mut sums = vec![0.0; sharers.len()];
+        for server in 0..SERVERS {
+            let part = |own: &Sharer| part_of_limit(server, &sharers, own.id, case.sharers);
+            let parts: Vec<f64> = sharers.iter().map(part).collect();
+            let total: f64 = parts.iter().sum();
+            assert!((total - 1.0).abs() < 1e-9, "{}: {total}", case.name);
+            let drawn = parts.iter().filter(|part| **part > 0.0).count();
+            assert_eq!(drawn, case.sharers.min(sharers.len()), "{}", case.name);
+            for (sum, part) in sums.iter_mut().zip(parts) {
+                *sum += part / f64::from(SERVERS);
+            }
+        }
+        let (least, most) = case.first;
+        let first = sums[0];
+        assert!(first >= least && first <= most, "{}: {first}", case.name);
+        assert!(sums.iter().all(|part| *part > 0.02), "{}", case.name);
+    }
+}
