gateway: Box the refusal that a decision returns

Cause: with the counts of limits, Refusal has 160 bytes, and clippy rejects it as the error of a result (result_large_err).

Change: Job::decide returns it boxed.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -71,7 +71,7 @@
         loop {
             let placement = match self.decide() {
                 Ok(placement) => placement,
-                Err(refusal) => return self.refuse(refusal),
+                Err(refusal) => return self.refuse(&refusal),
             };
             let mut guard = PlacementGuard::new(&self.shared, &self.request, placement);
             let failure = match attempt::run(&self, &mut guard).await {
@@ -118,7 +118,7 @@
     }
 
     /// Selects a server and logs the decision.
-    pub(crate) fn decide(&self) -> Result<Placement, Refusal> {
+    pub(crate) fn decide(&self) -> Result<Placement, Box<Refusal>> {
         let now = self.shared.now();
         let mut fleet = self.shared.fleet.borrow_mut();
         let decision = fleet.decide(&self.request, now);
@@ -145,7 +145,7 @@
                 });
                 Ok(placement)
             }
-            Decision::Refuse(refusal) => Err(refusal),
+            Decision::Refuse(refusal) => Err(Box::new(refusal)),
         }
     }
 
@@ -189,7 +189,7 @@
     }
 
     /// Responds to a request for which no server was selected.
-    fn refuse(&self, refusal: Refusal) -> Response<ResponseBody> {
+    fn refuse(&self, refusal: &Refusal) -> Response<ResponseBody> {
         let reason = refusal.reason.to_string();
         if self.runs > 0 {
             return self.reply_unknown_outcome(StatusCode::BAD_GATEWAY, &reason);
@@ -229,7 +229,7 @@
                 share: None,
                 limits: None,
             };
-            return self.refuse(refusal);
+            return self.refuse(&refusal);
         }
         let status = if self.remaining().is_zero() {
             StatusCode::GATEWAY_TIMEOUT
@@ -246,7 +246,7 @@
     }
 
     /// Logs why no server resumes a stream.
-    pub(crate) fn log_not_resumed(&self, refusal: Refusal) {
+    pub(crate) fn log_not_resumed(&self, refusal: &Refusal) {
         self.shared.log.event(&Event::NotResumed {
             request: self.request_head.id.clone(),
             reason: refusal.reason.to_string(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -248,7 +248,7 @@
         let new_placement = match job.decide() {
             Ok(new_placement) => new_placement,
             Err(refusal) => {
-                job.log_not_resumed(refusal);
+                job.log_not_resumed(&refusal);
                 return None;
             }
         };
