fleet: Let gateways send at once at a server whose limit is divided for the first time

Cause: what a gateway may send at a server with a limit begins at nothing, and a part of 0.3 requests a second lasts 3.4 s until the first request. The rule is there for gateways that restart, whose previous process may have sent already.

Change: when a limit is first divided, a gateway has a fraction of a request that a hash of server and gateway determines, so that the first requests of the sharers are spread over the time that one takes. A gateway whose own sums do not cover a whole window, as after a restart, begins at nothing as before. What sharers may save up together is as before.

--- a/crates/fleet/src/bucket.rs
+++ b/crates/fleet/src/bucket.rs
@@ -21,6 +21,11 @@
         }
     }
 
+    /// Adds a fraction of a token.
+    pub fn add(&mut self, fraction: f64) {
+        self.tokens += fraction;
+    }
+
     /// Adds what `rate` allowed since the last call, up to `capacity`.
     pub fn refill(&mut self, rate: f64, capacity: f64, now: Mono) {
         let elapsed = now.saturating_sub(self.refilled);
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -255,6 +255,11 @@
         counted.sum::<f64>() as u64
     }
 
+    /// Whether the sums of this gateway cover a whole window.
+    pub fn covers_window(&self, now: Mono) -> bool {
+        self.covered_time(now) >= WINDOW
+    }
+
     /// Returns the usage of an account over the fleet, and its shares where all accounts share `rate`
     /// tokens a second. If the sums of the other gateways are late, a position is drawn for the request.
     pub fn account_share(
--- a/crates/fleet/src/fleet/limits.rs
+++ b/crates/fleet/src/fleet/limits.rs
@@ -53,6 +53,8 @@
         }
         let gateways = self.gateways_by_demand(now);
         let own = short_id(&self.config.ip.to_string());
+        // After a restart, the previous process may already have sent the first requests.
+        let is_running = self.demand.covers_window(now);
         for (server, rate) in limited {
             let sharing = if self.role == Role::Mesh {
                 Sharing::Counted
@@ -63,7 +65,12 @@
             } else {
                 Sharing::Divided(0.0)
             };
-            self.limits.set_sharing(server, sharing, now);
+            let first = if is_running {
+                share_key([u64::from(own), u64::from(server)]) as f64 / u64::MAX as f64
+            } else {
+                0.0
+            };
+            self.limits.set_sharing(server, sharing, first, now);
         }
     }
 
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -139,6 +139,8 @@
     peers: HashMap<Incarnation, (u32, Mono)>,
     /// Requests that this gateway may send, if the rate is divided.
     bucket: TokenBucket,
+    /// Whether the rate has been divided since the first statement.
+    is_divided: bool,
 }
 
 impl Limit {
@@ -150,6 +152,7 @@
             sent: Window::new(WINDOW),
             peers: HashMap::new(),
             bucket: TokenBucket::new(now),
+            is_divided: false,
         }
     }
 
@@ -332,9 +335,14 @@
             .collect()
     }
 
-    /// Sets how the limit of a server is kept.
-    pub fn set_sharing(&mut self, server: ShortId, sharing: Sharing, now: Mono) {
+    /// Sets how the limit of a server is kept. If it is divided for the first time, this gateway may at
+    /// once send the fraction `first` of a request; in total, sharers may save up more than that.
+    pub fn set_sharing(&mut self, server: ShortId, sharing: Sharing, first: f64, now: Mono) {
         if let Some(limit) = self.by_server.get_mut(&server) {
+            if !limit.is_divided && sharing != Sharing::Counted {
+                limit.is_divided = true;
+                limit.bucket.add(first);
+            }
             limit.refill(now);
             limit.sharing = sharing;
             limit.bucket.skip_to(now);
--- a/crates/fleet/tests/testsuite/limit_parts.rs
+++ b/crates/fleet/tests/testsuite/limit_parts.rs
@@ -31,9 +31,9 @@
 const NEXT_BUSY: usize = 10;
 /// Time from which on all servers name limits, time at which the demand moves or the day ends, and the end
 /// of a day on which the demand moves.
-const FROM: u64 = 3_000;
-const MOVE: u64 = 12_000;
-const LONG_DAY: u64 = 19_000;
+const FROM: u64 = 5_000;
+const MOVE: u64 = 13_000;
+const LONG_DAY: u64 = 20_000;
 /// Time after the first limit, or after a move, from which on requests are counted.
 const STABLE: u64 = 3_000;
 /// Span in which the requests at a server are bounded.
@@ -310,3 +310,14 @@
         assert!(sums.iter().all(|part| *part > 0.02), "{}", case.name);
     }
 }
+
+/// Guards against limits that nobody uses for the time that one request takes at a part of the rate.
+#[test]
+fn limits_are_used_soon_after_they_are_named() {
+    let cases = cases();
+    let case = cases.iter().find(|case| case.name == "even demand");
+    let day = play(case.expect("the case"));
+    let all: Vec<usize> = (0..GATEWAYS).collect();
+    let (asked, sent) = day.counts(&all, FROM + 1_000, FROM + STABLE);
+    assert!(sent * 2 >= asked, "{sent} of {asked} requests were sent");
+}
