--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -240,6 +240,26 @@
         (since + SUMS_DELAY).min(WINDOW)
     }
 
+    /// Returns the tokens that accounts requested at this gateway, each account counted at most with its
+    /// fair share over the fleet, where all accounts share `rate` tokens a second.
+    pub fn local_demand(&mut self, rate: u64, now: Mono) -> u64 {
+        let totals = self.fleet_sums(now);
+        let asked = totals.values().map(|sums| sums.asked).collect();
+        let capacity = (rate as f64 * self.covered_time(now).as_secs_f64()) as u64;
+        let begun = self.local_begun(now) + self.remote_begun;
+        let fair_share = max_min_share(begun.max(capacity), asked);
+        let counted = self.local_sums(now).into_iter().map(|(account, sums)| {
+            let total = totals.get(&account).map_or(0, |sums| sums.asked).max(1);
+            sums.asked as f64 * (fair_share.min(total) as f64 / total as f64)
+        });
+        counted.sum::<f64>() as u64
+    }
+
+    /// Whether the sums of this gateway cover a whole window.
+    pub fn covers_window(&self, now: Mono) -> bool {
+        self.covered_time(now) >= WINDOW
+    }
+
     /// Returns the usage of an account over the fleet, and its shares where all accounts share `rate`
     /// tokens a second. If the sums of the other gateways are late, a position is drawn for the request.
     pub fn account_share(
@@ -264,6 +284,8 @@
             asked,
             granted,
             position,
+            begun,
+            capacity,
             quota: max_min_share(capacity, demands.clone()),
             fair_share: max_min_share(begun.max(capacity), demands),
         }
@@ -279,6 +301,10 @@
     pub granted: u64,
     /// Position of the request in `asked`; none if the sums are current.
     pub position: Option<u64>,
+    /// Tokens of all accounts that servers began to answer.
+    pub begun: u64,
+    /// Tokens of the configured rate, which is the least that accounts share.
+    pub capacity: u64,
     /// Share of the configured token rate; `u64::MAX` if the rate covers all demand.
     pub quota: u64,
     /// Fair share of what servers process; `u64::MAX` if that covers all demand.
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -55,6 +55,9 @@
 use crate::entry::ShortId;
 use crate::evacuation::Evacuations;
 use crate::health::AnswerCounts;
+use crate::limit::DemandLevel;
+use crate::limit::LimitCounts;
+use crate::limit::OwnDemand;
 use crate::limit::ServerLimits;
 use crate::origin::StreamOrigins;
 use crate::place::PartId;
@@ -146,6 +149,8 @@
     pub end_certain: bool,
     /// Usage and shares of the account at the decision; none of a retry on another server.
     pub share: Option<AccountShare>,
+    /// What limits left of the servers that could run the request; none if no server is limited.
+    pub limits: Option<LimitCounts>,
     /// Short id of the server's incarnation.
     short_id: ShortId,
     pool: PoolId,
@@ -237,6 +242,8 @@
     pub allowed: Duration,
     /// Usage and shares of the account at the decision; none if they did not matter.
     pub share: Option<AccountShare>,
+    /// What limits left of the servers that could run the request; none if no server is limited.
+    pub limits: Option<LimitCounts>,
 }
 
 /// Decision on a request.
@@ -305,6 +312,9 @@
     role: Role,
     /// Gateways that were heard of.
     known: HashMap<IpAddr, KnownGateway>,
+    /// Demand that this gateway publishes, and its level as the relay of the zone passes it on.
+    own_demand: OwnDemand,
+    returned_demand: DemandLevel,
     /// Relay whose sums count, for each other zone.
     zone_writers: BTreeMap<ShortId, Incarnation>,
     /// Number of gateways among which the retry slack is divided.
@@ -340,6 +350,8 @@
             overloaded: false,
             role: Role::default(),
             known: HashMap::new(),
+            own_demand: OwnDemand::default(),
+            returned_demand: 0,
             zone_writers: BTreeMap::new(),
             slack_sharers: gossip::INITIAL_SHARERS,
         }
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -9,9 +9,11 @@
 //! gateways see the same room at the same time: of the requests that compete for it, each is
 //! admitted with the probability with which they fill it.
 //!
-//! In a large fleet the sums would be too old. There the limit is divided evenly among some
-//! gateways: each of them may send at its share of the rate, and none of them may save up more than
-//! about one request. More gateways than [`sharers`] would send too much in a burst.
+//! In a large fleet the sums would be too old. There the limit is divided among some gateways of the
+//! server's zone, by the demand that they publish: each of them may send at its part of the rate, and
+//! none of them may save up more than about one request. More gateways than [`sharers`] would send too
+//! much in a burst. Demands are published in coarse steps and held for a while, since gateways that
+//! know different ones send more or less than the limit together.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -22,6 +24,7 @@
 use crate::bucket::TokenBucket;
 use crate::cold::ColdServers;
 use crate::entry::ShortId;
+use crate::place::share_key;
 use crate::window::Window;
 
 /// Least rate at which a server is asked, in requests a second, so that it can say that its limit has
@@ -48,6 +51,15 @@
 const END_PUBLISH_TIME: Duration = Duration::from_secs(5);
 /// Maximum number of statements in a digest; the newest are preferred.
 const MAX_PUBLISHED: usize = 40;
+/// Demand that is added to that of each gateway, relative to the mean of its zone: demand may come to
+/// any gateway at any time.
+const BASE_DEMAND: f64 = 0.25;
+/// Levels of demand in a factor of two.
+const LEVELS_PER_DOUBLING: f64 = 2.0;
+/// Levels by which demand has to differ from its published level for another one.
+const LEVEL_TOLERANCE: f64 = 0.75;
+/// Least time between two levels: about the time in which gateways learn of one.
+const LEVEL_HOLD_TIME: Duration = Duration::from_millis(600);
 
 /// A server's latest statement, as gateways publish it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -73,6 +85,38 @@
     pub draw: f64,
 }
 
+/// What limits leave of the servers that could run a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LimitCounts {
+    /// Servers that could run the request.
+    pub candidates: u32,
+    /// Those that named a limit or are cold.
+    pub limited: u32,
+    /// Those of `limited` of whose limit this gateway may use a part.
+    pub shared: u32,
+    /// Those of `candidates` that may be sent the request now.
+    pub open: u32,
+    /// Limits of `limited` together, in requests per 1,000 seconds.
+    pub rate_milli: u64,
+    /// What this gateway may use of `rate_milli`.
+    pub own_rate_milli: u64,
+}
+
+impl LimitCounts {
+    /// Counts a server; `rates` are those of its limit and of the part that this gateway may use.
+    pub fn add(&mut self, is_open: bool, rates: Option<(f64, f64)>) {
+        let milli = |rate: f64| (rate * 1_000.0) as u64;
+        self.candidates += 1;
+        self.open += u32::from(is_open);
+        if let Some((rate, own)) = rates {
+            self.limited += 1;
+            self.shared += u32::from(own > 0.0);
+            self.rate_milli += milli(rate);
+            self.own_rate_milli += milli(own);
+        }
+    }
+}
+
 /// How a limit is kept.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Sharing {
@@ -95,6 +139,8 @@
     peers: HashMap<Incarnation, (u32, Mono)>,
     /// Requests that this gateway may send, if the rate is divided.
     bucket: TokenBucket,
+    /// Whether the rate has been divided since the first statement.
+    is_divided: bool,
 }
 
 impl Limit {
@@ -106,6 +152,7 @@
             sent: Window::new(WINDOW),
             peers: HashMap::new(),
             bucket: TokenBucket::new(now),
+            is_divided: false,
         }
     }
 
@@ -162,6 +209,77 @@
     (MIN_SHARERS + SHARERS_PER_RATE * rate.max(MIN_RATE)) as usize
 }
 
+/// Demand at a gateway as it is published, in steps of a factor of the square root of two; zero if it is
+/// not known, one for none.
+pub type DemandLevel = u8;
+
+/// The level of this gateway's demand.
+#[derive(Debug, Default)]
+pub struct OwnDemand {
+    level: DemandLevel,
+    changed: Mono,
+}
+
+impl OwnDemand {
+    /// Updates the level to a demand of `tokens`.
+    pub fn update(&mut self, tokens: u64, now: Mono) {
+        let exact = 1.0 + LEVELS_PER_DOUBLING * (tokens.max(1) as f64).log2();
+        let is_held = now.saturating_sub(self.changed) < LEVEL_HOLD_TIME;
+        let is_near = (exact - f64::from(self.level)).abs() < LEVEL_TOLERANCE;
+        if self.level == 0 || !(is_held || is_near) {
+            self.level = exact.round() as DemandLevel;
+            self.changed = now;
+        }
+    }
+
+    /// Returns the level; zero before the first update.
+    pub fn level(&self) -> DemandLevel {
+        self.level
+    }
+}
+
+/// A gateway that may share the limits of its zone.
+#[derive(Debug, Clone, Copy)]
+pub struct Sharer {
+    /// Short id of its address.
+    pub id: ShortId,
+    /// Its demand in relation to that of the others.
+    pub weight: f64,
+}
+
+/// Returns the weights of gateways by their demand; the same for all if one of them is not known.
+pub fn weights(levels: &[DemandLevel]) -> Vec<f64> {
+    if levels.contains(&0) {
+        return vec![1.0; levels.len()];
+    }
+    let demand = |level: &DemandLevel| (f64::from(*level) / LEVELS_PER_DOUBLING).exp2();
+    let demands: Vec<f64> = levels.iter().map(demand).collect();
+    let mean = demands.iter().sum::<f64>() / demands.len().max(1) as f64;
+    let weights = demands.into_iter();
+    weights.map(|demand| demand + BASE_DEMAND * mean).collect()
+}
+
+/// Returns the part of a server's limit that the gateway `own` may use, by priority sampling: `most`
+/// gateways are drawn by weight, and those among them that would be drawn anyway have parts in
+/// proportion to their weights, the others equal ones. So each gateway has a part in proportion to its
+/// weight on average over the servers. All gateways that know the same weights agree.
+pub fn part_of_limit(server: ShortId, gateways: &[Sharer], own: ShortId, most: usize) -> f64 {
+    let priority = |sharer: &Sharer| {
+        let key = share_key([u64::from(server), u64::from(sharer.id)]);
+        // Uniform in (0, 1]; the highest key comes first among equal weights.
+        let uniform = ((u64::MAX - key) as f64 + 1.0) / (u64::MAX as f64 + 1.0);
+        (sharer.weight / uniform, *sharer)
+    };
+    let mut drawn: Vec<(f64, Sharer)> = gateways.iter().map(priority).collect();
+    drawn.sort_unstable_by(|(one, a), (other, b)| other.total_cmp(one).then(a.id.cmp(&b.id)));
+    let threshold = drawn.get(most).map_or(0.0, |(priority, _)| *priority);
+    drawn.truncate(most);
+    let weight = |sharer: &Sharer| sharer.weight.max(threshold);
+    let total: f64 = drawn.iter().map(|(_, sharer)| weight(sharer)).sum();
+    let own = drawn.iter().find(|(_, sharer)| sharer.id == own);
+    own.map_or(0.0, |(_, sharer)| weight(sharer) / total)
+}
+
 impl ServerLimits {
     /// Records what an answer of a server said: its limit in requests a second, or none.
     pub fn record(&mut self, server: ShortId, rate: Option<f64>, stated: Mono, now: Mono) {
@@ -217,12 +335,21 @@
             .collect()
     }
 
-    /// Sets how the limit of a server is kept.
-    pub fn set_sharing(&mut self, server: ShortId, sharing: Sharing, now: Mono) {
+    /// Sets how the limit of a server is kept. If it is divided for the first time, this gateway may at
+    /// once send the fraction `first` of a request; in total, sharers may save up more than that.
+    pub fn set_sharing(&mut self, server: ShortId, sharing: Sharing, first: f64, now: Mono) {
         if let Some(limit) = self.by_server.get_mut(&server) {
+            if !limit.is_divided && sharing != Sharing::Counted {
+                limit.is_divided = true;
+                limit.bucket.add(first);
+            }
             limit.refill(now);
             limit.sharing = sharing;
             limit.bucket.skip_to(now);
+            if sharing == Sharing::Divided(0.0) {
+                // Another gateway has the part now.
+                limit.bucket.empty();
+            }
         }
     }
 
@@ -231,6 +358,23 @@
         self.by_server.get(&server)?.rate
     }
 
+    /// Returns the rate of a server that named a limit or is cold, and the part of it that this gateway
+    /// may use, both in requests a second; none if the server is not limited.
+    pub fn rates(&self, server: ShortId, now: Mono) -> Option<(f64, f64)> {
+        let cold = self.cold.rate(server, now);
+        let limit = self.by_server.get(&server);
+        let named = limit.and_then(|limit| Some((limit.rate?.max(MIN_RATE), limit.sharing)));
+        match (named, cold) {
+            (Some((rate, Sharing::Counted)), None) => Some((rate, rate)),
+            (Some((rate, Sharing::Divided(share))), None) => Some((rate, rate * share)),
+            (named, Some(cold)) => {
+                let rate = lower(named.map(|(rate, _)| rate), Some(cold));
+                Some((rate.unwrap_or(cold), self.cold.own_rate(server, now)))
+            }
+            (None, None) => None,
+        }
+    }
+
     /// Whether no server named a limit or was cold of late.
     pub fn is_empty(&self) -> bool {
         self.by_server.is_empty() && self.cold.is_empty()
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -15,6 +15,7 @@
 use primrose_core::id::RouteId;
 use primrose_fleet::demand::AccountShare;
 use primrose_fleet::entry::BuildId;
+use primrose_fleet::limit::LimitCounts;
 use primrose_fleet::origin::stream_id;
 use primrose_fleet::AttemptOutcome;
 use primrose_fleet::Decision;
@@ -70,7 +71,7 @@
         loop {
             let placement = match self.decide() {
                 Ok(placement) => placement,
-                Err(refusal) => return self.refuse(refusal),
+                Err(refusal) => return self.refuse(&refusal),
             };
             let mut guard = PlacementGuard::new(&self.shared, &self.request, placement);
             let failure = match attempt::run(&self, &mut guard).await {
@@ -117,7 +118,7 @@
     }
 
     /// Selects a server and logs the decision.
-    pub(crate) fn decide(&self) -> Result<Placement, Refusal> {
+    pub(crate) fn decide(&self) -> Result<Placement, Box<Refusal>> {
         let now = self.shared.now();
         let mut fleet = self.shared.fleet.borrow_mut();
         let decision = fleet.decide(&self.request, now);
@@ -140,10 +141,11 @@
                     list_version,
                     fleet: size,
                     share: placement.share.map(Into::into),
+                    limits: placement.limits.map(Into::into),
                 });
                 Ok(placement)
             }
-            Decision::Refuse(refusal) => Err(refusal),
+            Decision::Refuse(refusal) => Err(Box::new(refusal)),
         }
     }
 
@@ -187,7 +189,7 @@
     }
 
     /// Responds to a request for which no server was selected.
-    fn refuse(&self, refusal: Refusal) -> Response<ResponseBody> {
+    fn refuse(&self, refusal: &Refusal) -> Response<ResponseBody> {
         let reason = refusal.reason.to_string();
         if self.runs > 0 {
             return self.reply_unknown_outcome(StatusCode::BAD_GATEWAY, &reason);
@@ -205,6 +207,7 @@
                 predicted: refusal.predicted,
                 allowed: refusal.allowed,
                 share: refusal.share,
+                limits: refusal.limits,
             },
         );
         reply.into_response(&self.shared, &self.request_head.id)
@@ -224,8 +227,9 @@
                 predicted: Duration::ZERO,
                 allowed: Duration::ZERO,
                 share: None,
+                limits: None,
             };
-            return self.refuse(refusal);
+            return self.refuse(&refusal);
         }
         let status = if self.remaining().is_zero() {
             StatusCode::GATEWAY_TIMEOUT
@@ -242,7 +246,7 @@
     }
 
     /// Logs why no server resumes a stream.
-    pub(crate) fn log_not_resumed(&self, refusal: Refusal) {
+    pub(crate) fn log_not_resumed(&self, refusal: &Refusal) {
         self.shared.log.event(&Event::NotResumed {
             request: self.request_head.id.clone(),
             reason: refusal.reason.to_string(),
@@ -292,6 +296,7 @@
     pub(crate) predicted: Duration,
     pub(crate) allowed: Duration,
     pub(crate) share: Option<AccountShare>,
+    pub(crate) limits: Option<LimitCounts>,
 }
 
 /// Logs and counts a refusal.
@@ -312,6 +317,7 @@
         retry_after_ms: record.reply.retry_after.map_or(0, millis),
         waited_ms: millis(now.saturating_sub(record.arrived)),
         share: record.share.map(Into::into),
+        limits: record.limits.map(Into::into),
         view_age_ms: millis(fleet.view_age(now)),
         generation: fleet.generation(),
         list_version: fleet.list_version(),
