--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -264,6 +264,8 @@
             asked,
             granted,
             position,
+            begun,
+            capacity,
             quota: max_min_share(capacity, demands.clone()),
             fair_share: max_min_share(begun.max(capacity), demands),
         }
@@ -279,6 +281,10 @@
     pub granted: u64,
     /// Position of the request in `asked`; none if the sums are current.
     pub position: Option<u64>,
+    /// Tokens of all accounts that servers began to answer.
+    pub begun: u64,
+    /// Tokens of the configured rate.
+    pub capacity: u64,
     /// Share of the configured token rate; `u64::MAX` if the rate covers all demand.
     pub quota: u64,
     /// Fair share of what servers process; `u64::MAX` if that covers all demand.
--- a/crates/fleet/tests/testsuite/account_share.rs
+++ b/crates/fleet/tests/testsuite/account_share.rs
@@ -84,6 +84,8 @@
             asked: 1_000,
             granted: case.granted,
             position: case.position,
+            begun: 2_000,
+            capacity: 1_000,
             quota: 100,
             fair_share: 200,
         };
@@ -98,6 +100,8 @@
         asked: 1_000,
         granted: 1_000,
         position: Some(999),
+        begun: 2_000,
+        capacity: 1_000,
         quota: u64::MAX,
         fair_share: u64::MAX,
     };
--- a/crates/gateway/examples/logcost.rs
+++ b/crates/gateway/examples/logcost.rs
@@ -36,6 +36,7 @@
                 list_version: 1_000_022,
                 fleet: 380,
                 share: None,
+                view_age_ms: 0,
             });
         }
         elapsed += began.elapsed();
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -7,6 +7,8 @@
 /// Usage and shares of a client account at a decision, in tokens over the window of the shares.
 #[derive(Debug, Clone, Copy, Serialize)]
 pub struct ShareRecord {
+    /// Tokens of the request.
+    pub tokens: u64,
     /// Tokens of the account's requests.
     pub asked: u64,
     /// Tokens of its requests that were sent to servers.
@@ -14,6 +16,10 @@
     /// Position of the request in `asked`, by which it is considered or not; none in a small fleet.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub position: Option<u64>,
+    /// Tokens of all accounts that servers began to answer.
+    pub begun: u64,
+    /// Tokens of the configured rate; the fair share is computed of these if they exceed `begun`.
+    pub capacity: u64,
     /// Share of the configured token rate; none if the rate covers all demand.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub quota: Option<u64>,
@@ -22,13 +28,17 @@
     pub fair_share: Option<u64>,
 }
 
-impl From<AccountShare> for ShareRecord {
-    fn from(share: AccountShare) -> Self {
+impl ShareRecord {
+    /// Creates the record of a decision on a request of `tokens`.
+    pub fn new(tokens: u64, share: AccountShare) -> Self {
         let limit = |tokens: u64| (tokens < u64::MAX).then_some(tokens);
         Self {
+            tokens,
             asked: share.asked,
             granted: share.granted,
             position: share.position,
+            begun: share.begun,
+            capacity: share.capacity,
             quota: limit(share.quota),
             fair_share: limit(share.fair_share),
         }
@@ -232,6 +242,8 @@
         /// Usage and shares of the account; none without a prompt or a token rate.
         #[serde(flatten)]
         share: Option<ShareRecord>,
+        /// Age of the sums of the other gateways in milliseconds; zero if they arrive without a relay.
+        view_age_ms: u64,
     },
     /// A request was refused and has not run.
     Refused {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -28,6 +28,7 @@
 use crate::attempt::ServerResponse;
 use crate::body::ResponseBody;
 use crate::event::Event;
+use crate::event::ShareRecord;
 use crate::guard::PlacementGuard;
 use crate::reply::Reply;
 use crate::shared::millis;
@@ -124,6 +125,7 @@
         let generation = fleet.generation();
         let list_version = fleet.list_version();
         let size = fleet.gateway_count();
+        let view_age = fleet.view_age(now);
         drop(fleet);
         match decision {
             Decision::Send(placement) => {
@@ -139,7 +141,8 @@
                     generation,
                     list_version,
                     fleet: size,
-                    share: placement.share.map(Into::into),
+                    share: self.share_record(placement.share),
+                    view_age_ms: millis(view_age),
                 });
                 Ok(placement)
             }
@@ -147,6 +150,12 @@
         }
     }
 
+    /// Returns the usage and the shares of the account as they are logged.
+    fn share_record(&self, share: Option<AccountShare>) -> Option<ShareRecord> {
+        let tokens = self.request.prompt.map_or(0, |prompt| prompt.service());
+        share.map(|share| ShareRecord::new(tokens, share))
+    }
+
     /// Records a failed attempt; returns whether another server may be tried.
     pub(crate) fn record_failure(&mut self, placement: &Placement, failure: &Failure) -> bool {
         if failure.may_have_run {
@@ -204,7 +213,7 @@
                 reply: &reply,
                 predicted: refusal.predicted,
                 allowed: refusal.allowed,
-                share: refusal.share,
+                share: self.share_record(refusal.share),
             },
         );
         reply.into_response(&self.shared, &self.request_head.id)
@@ -291,7 +300,7 @@
     pub(crate) reply: &'a Reply,
     pub(crate) predicted: Duration,
     pub(crate) allowed: Duration,
-    pub(crate) share: Option<AccountShare>,
+    pub(crate) share: Option<ShareRecord>,
 }
 
 /// Logs and counts a refusal.
@@ -311,7 +320,7 @@
         allowed_ms: millis(record.allowed),
         retry_after_ms: record.reply.retry_after.map_or(0, millis),
         waited_ms: millis(now.saturating_sub(record.arrived)),
-        share: record.share.map(Into::into),
+        share: record.share,
         view_age_ms: millis(fleet.view_age(now)),
         generation: fleet.generation(),
         list_version: fleet.list_version(),
--- a/crates/gateway/tests/testsuite/log.rs
+++ b/crates/gateway/tests/testsuite/log.rs
@@ -142,6 +142,7 @@
         list_version: 1_000_022,
         fleet: 380,
         share: None,
+        view_age_ms: 0,
     };
     let answered = Event::Answered {
         request: id,
