emulate, fleet: Tests that fail since past usage counts as a debt and an empty window as a credit

The model's patterns surged against an idle fleet, and none used spare capacity before a loss of servers. Two new modules do: spare_capacity (model: one account at one gateway, a quarter of the servers lost and another account's surge at once, 16 gateways with relays, 6 without) and past_usage (fleet crate, through decide and exchanged digests).

--- a/crates/emulate/tests/testsuite/main.rs
+++ b/crates/emulate/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod servers_lost;
 mod servers_slow;
 mod single_gateway;
+mod spare_capacity;
 mod sudden_demand;
 mod uneven_demand;
 mod usual;
--- a/crates/fleet/tests/testsuite/main.rs
+++ b/crates/fleet/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod limits;
 mod load_day;
 mod origins;
+mod past_usage;
 mod placement;
 mod poison;
 mod poison_days;
