--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -303,7 +303,7 @@
     pub position: Option<u64>,
     /// Tokens of all accounts that servers began to answer.
     pub begun: u64,
-    /// Tokens of the configured rate, which is the least that accounts share.
+    /// Tokens of the configured rate.
     pub capacity: u64,
     /// Share of the configured token rate; `u64::MAX` if the rate covers all demand.
     pub quota: u64,
--- a/crates/fleet/tests/testsuite/main.rs
+++ b/crates/fleet/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod limits;
 mod load_day;
 mod origins;
+mod past_usage;
 mod placement;
 mod poison;
 mod poison_days;
--- a/crates/gateway/examples/logcost.rs
+++ b/crates/gateway/examples/logcost.rs
@@ -37,6 +37,7 @@
                 fleet: 380,
                 share: None,
                 limits: None,
+                view_age_ms: 0,
             });
         }
         elapsed += began.elapsed();
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -8,6 +8,8 @@
 /// Usage and shares of a client account at a decision, in tokens over the window of the shares.
 #[derive(Debug, Clone, Copy, Serialize)]
 pub struct ShareRecord {
+    /// Tokens of the request.
+    pub tokens: u64,
     /// Tokens of the account's requests.
     pub asked: u64,
     /// Tokens of its requests that were sent to servers.
@@ -17,7 +19,7 @@
     pub position: Option<u64>,
     /// Tokens of all accounts that servers began to answer.
     pub begun: u64,
-    /// Tokens of the configured rate, which is the least that accounts share.
+    /// Tokens of the configured rate; the fair share is computed of these if they exceed `begun`.
     pub capacity: u64,
     /// Share of the configured token rate; none if the rate covers all demand.
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -27,10 +29,12 @@
     pub fair_share: Option<u64>,
 }
 
-impl From<AccountShare> for ShareRecord {
-    fn from(share: AccountShare) -> Self {
+impl ShareRecord {
+    /// Creates the record of a decision on a request of `tokens`.
+    pub fn new(tokens: u64, share: AccountShare) -> Self {
         let limit = |tokens: u64| (tokens < u64::MAX).then_some(tokens);
         Self {
+            tokens,
             asked: share.asked,
             granted: share.granted,
             position: share.position,
@@ -272,6 +276,8 @@
         /// What limits left of the servers that could run the request; none if no server is limited.
         #[serde(flatten)]
         limits: Option<LimitRecord>,
+        /// Age of the sums of the other gateways in milliseconds; zero if they arrive without a relay.
+        view_age_ms: u64,
     },
     /// A request was refused and has not run.
     Refused {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -29,6 +29,7 @@
 use crate::attempt::ServerResponse;
 use crate::body::ResponseBody;
 use crate::event::Event;
+use crate::event::ShareRecord;
 use crate::guard::PlacementGuard;
 use crate::reply::Reply;
 use crate::shared::millis;
@@ -125,6 +126,7 @@
         let generation = fleet.generation();
         let list_version = fleet.list_version();
         let size = fleet.gateway_count();
+        let view_age = fleet.view_age(now);
         drop(fleet);
         match decision {
             Decision::Send(placement) => {
@@ -140,7 +142,8 @@
                     generation,
                     list_version,
                     fleet: size,
-                    share: placement.share.map(Into::into),
+                    share: self.share_record(placement.share),
+                    view_age_ms: millis(view_age),
                     limits: placement.limits.map(Into::into),
                 });
                 Ok(placement)
@@ -149,6 +152,12 @@
         }
     }
 
+    /// Returns the usage and the shares of the account as they are logged.
+    fn share_record(&self, share: Option<AccountShare>) -> Option<ShareRecord> {
+        let tokens = self.request.prompt.map_or(0, |prompt| prompt.service());
+        share.map(|share| ShareRecord::new(tokens, share))
+    }
+
     /// Records a failed attempt; returns whether another server may be tried.
     pub(crate) fn record_failure(&mut self, placement: &Placement, failure: &Failure) -> bool {
         if failure.may_have_run {
@@ -206,7 +215,7 @@
                 reply: &reply,
                 predicted: refusal.predicted,
                 allowed: refusal.allowed,
-                share: refusal.share,
+                share: self.share_record(refusal.share),
                 limits: refusal.limits,
             },
         );
@@ -295,7 +304,7 @@
     pub(crate) reply: &'a Reply,
     pub(crate) predicted: Duration,
     pub(crate) allowed: Duration,
-    pub(crate) share: Option<AccountShare>,
+    pub(crate) share: Option<ShareRecord>,
     pub(crate) limits: Option<LimitCounts>,
 }
 
@@ -316,7 +325,7 @@
         allowed_ms: millis(record.allowed),
         retry_after_ms: record.reply.retry_after.map_or(0, millis),
         waited_ms: millis(now.saturating_sub(record.arrived)),
-        share: record.share.map(Into::into),
+        share: record.share,
         limits: record.limits.map(Into::into),
         view_age_ms: millis(fleet.view_age(now)),
         generation: fleet.generation(),
--- a/crates/gateway/tests/testsuite/log.rs
+++ b/crates/gateway/tests/testsuite/log.rs
@@ -143,6 +143,7 @@
         fleet: 380,
         share: None,
         limits: None,
+        view_age_ms: 0,
     };
     let answered = Event::Answered {
         request: id,
