fleet: Count the usage of accounts in fair shares of its time, decaying steadily

Cause: usage was the sum of a window of four seconds, compared with the share of now. So a smaller share made a debt of what was spare before, an empty window was a credit of a whole share, and what left the window at once came back at once.

Change: a request counts its tokens in relation to the share when it is sent, in a sum that decays with a time constant of a second. Shares are those that an account could use at most, so that use of spare capacity counts, but never as more than one share. Demand and begun tokens are rates of the same time constant. Windows stay for resumed streams. Digests carry the rates in new fields; for a build that sends none they are estimated from its sums. Rows of accounts take the place of servers' rows, so that digests stay within their bound.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -1,11 +1,15 @@
 //! Tokens that each client account requested and was granted, over the whole fleet.
 //!
-//! Each gateway counts its own requests over a sliding window of a few seconds and sends the sums
-//! in its digests. Shares are max-min fair: an account that requests less than an equal share gets
-//! all of it, and the others get the same amount each. Two amounts are shared: the token rate that
-//! the operators configured, which gives each account its quota, and the tokens that servers really
-//! process, which may be more and give each account its fair share. Tokens are counted as by
-//! [`Prompt::service`](crate::place::Prompt::service).
+//! Each gateway counts its own requests and sends the sums in its digests. Shares are max-min fair: an
+//! account that requests less than an equal share gets all of it, and the others get the same amount each.
+//! Two rates are shared: the token rate that the operators configured, which gives each account its quota,
+//! and the rate at which servers really begin to answer, which may be more and gives each account its fair
+//! share. Tokens are counted as by [`Prompt::service`](crate::place::Prompt::service).
+//!
+//! Usage is counted in fair shares: the tokens of a request are divided by the fair share at the time when
+//! it is sent, and the sum decays steadily. So what an account used while others left room does not count
+//! as more when capacity falls or others begin to request, an account that begins gets ahead of the others
+//! by no more than the time that the sum covers, and no burst leaves the sum all at once.
 //!
 //! In a large fleet the sums are late, and gateways that act on the same difference would together send a
 //! multiple of it before they learn of one another, for an account whose callers reach many of them. There,
@@ -20,31 +24,45 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::decay::DecayingSum;
 use crate::entry::ShortId;
 use crate::place::share_key;
 use crate::window::Window;
 
-/// Time over which shares are computed; about the time in which callers notice a shortfall.
+/// Time over which resumed streams are compared with begun ones.
 pub const WINDOW: Duration = Duration::from_secs(4);
-/// Time by which the sums of the others are late in a large fleet. The token rate of this time is
-/// given out at once after the start.
+/// Time constant of rates and usage. A shorter one would not cover the delay of the sums of other
+/// gateways, which is about half a second in a large fleet.
+const RATE_TIME: Duration = Duration::from_millis(1_000);
+/// Time by which the sums of the others are late in a large fleet. The share of this time is given out
+/// at once after the start.
 const SUMS_DELAY: Duration = Duration::from_millis(500);
-/// Lowest position that is not considered, relative to the fair share of the account. Sums are late by up
-/// to an eighth of the window; in that time, gateways send at most a quarter of the account's share.
+/// Part of their steady weight from which on sums tell whether the demand of an account is covered.
+const MIN_COVERED: f64 = 0.9;
+/// Unit of published rates of accounts, in tokens a second.
+pub(crate) const RATE_UNIT: u64 = 64;
+/// Published usage of an account that gets exactly its fair share.
+pub const USAGE_UNIT: f64 = 1_000.0;
+/// Lowest position that is not considered, relative to the fair share of the account. While sums are
+/// late, gateways send at most so many times the share.
 const MAX_POSITION: f64 = 2.0;
 /// Difference of two successive positions, as a fraction of 2^32: the golden ratio spreads any number of
 /// them evenly.
 const POSITION_STEP: u32 = 0x9E37_79B9;
 
-/// Tokens of one account over the last [`WINDOW`].
+/// Tokens of one account.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TokenSums {
-    /// Tokens of all requests.
+    /// Tokens of all requests over the last [`WINDOW`].
     pub asked: u64,
-    /// Tokens of requests that were sent to servers.
+    /// Tokens of requests that were sent to servers over the last [`WINDOW`].
     pub granted: u64,
     /// Those of `granted` that belong to streams which callers resumed.
     pub resumed: u64,
+    /// Tokens of all requests a second.
+    pub asked_rate: u64,
+    /// Fair shares in use, times [`USAGE_UNIT`].
+    pub used: u64,
 }
 
 impl TokenSums {
@@ -53,6 +71,8 @@
         self.asked += other.asked;
         self.granted += other.granted;
         self.resumed += other.resumed;
+        self.asked_rate += other.asked_rate;
+        self.used += other.used;
     }
 
     /// Subtracts sums that were added before.
@@ -60,6 +80,8 @@
         self.asked = self.asked.saturating_sub(other.asked);
         self.granted = self.granted.saturating_sub(other.granted);
         self.resumed = self.resumed.saturating_sub(other.resumed);
+        self.asked_rate = self.asked_rate.saturating_sub(other.asked_rate);
+        self.used = self.used.saturating_sub(other.used);
     }
 }
 
@@ -68,6 +90,9 @@
     asked: Window,
     granted: Window,
     resumed: Window,
+    asked_rate: DecayingSum,
+    /// Fair shares in use.
+    used: DecayingSum,
     /// Position of the last request, as a fraction of 2^32.
     position: u32,
 }
@@ -78,6 +103,8 @@
             asked: Window::new(WINDOW),
             granted: Window::new(WINDOW),
             resumed: Window::new(WINDOW),
+            asked_rate: DecayingSum::new(RATE_TIME),
+            used: DecayingSum::new(RATE_TIME),
             position,
         }
     }
@@ -89,6 +116,38 @@
     }
 }
 
+/// Tokens of requests that servers began to answer.
+#[derive(Debug)]
+struct Begun {
+    /// Over the last [`WINDOW`], for gateways of the build before rates.
+    window: Window,
+    rate: DecayingSum,
+}
+
+/// Tokens a second of the whole fleet, or of one gateway.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FlowRates {
+    /// Of requests that servers begin to answer.
+    pub begun: u64,
+}
+
+impl FlowRates {
+    /// Adds other rates.
+    pub fn add(&mut self, other: Self) {
+        self.begun = self.begun.saturating_add(other.begun);
+    }
+
+    /// Subtracts rates that were added before.
+    pub fn remove(&mut self, other: Self) {
+        self.begun = self.begun.saturating_sub(other.begun);
+    }
+
+    /// Returns the rate that accounts share where the operators configured `rate`.
+    fn capacity(self, rate: u64) -> u64 {
+        self.begun.max(rate)
+    }
+}
+
 /// Recent demand of all accounts.
 #[derive(Debug, Default)]
 pub struct Demand {
@@ -97,12 +156,14 @@
     local: HashMap<ShortId, Account>,
     /// Totals of the sums that other gateways sent.
     remote: HashMap<ShortId, TokenSums>,
-    /// Tokens of this gateway's requests that servers began to answer.
-    begun: Option<Window>,
-    /// Total of the tokens that servers began to answer for other gateways.
-    remote_begun: u64,
-    /// Time of this gateway's first request.
-    first_request: Option<Mono>,
+    /// Requests of this gateway.
+    begun: Option<Begun>,
+    /// Totals of the other gateways.
+    remote_flow: FlowRates,
+    /// Fair share at the last decision, in tokens a second.
+    fair_rate: u64,
+    /// When this gateway began to count.
+    counted_since: Option<Mono>,
 }
 
 impl Demand {
@@ -125,38 +186,84 @@
 
     /// Records a request of an account.
     pub fn record_request(&mut self, account: ShortId, tokens: u64, now: Mono) {
-        self.first_request.get_or_insert(now);
+        // After a restart among others, their sums hold what was before.
+        let began = if self.remote.is_empty() {
+            now
+        } else {
+            Mono::ZERO
+        };
+        self.counted_since.get_or_insert(began);
         let account = self.local(account, now);
         account.asked.add(tokens, now);
+        account.asked_rate.add(tokens as f64, now);
     }
 
-    /// Records that a request of an account was sent to a server.
-    pub fn record_sent(&mut self, account: ShortId, tokens: u64, now: Mono) {
+    /// Records that a request of an account was sent to a server; `share` is that of the decision.
+    pub fn record_sent(
+        &mut self,
+        account: ShortId,
+        tokens: u64,
+        share: Option<AccountShare>,
+        now: Mono,
+    ) {
         let account = self.local(account, now);
         account.granted.add(tokens, now);
+        if let Some(share) = share {
+            account.used.add(share.shares_of(tokens), now);
+        }
     }
 
     /// Records that a stream of an account was sent to a server which its caller resumed.
-    pub fn record_resumed(&mut self, account: ShortId, tokens: u64, now: Mono) {
-        self.record_sent(account, tokens, now);
+    pub fn record_resumed(
+        &mut self,
+        account: ShortId,
+        tokens: u64,
+        share: Option<AccountShare>,
+        now: Mono,
+    ) {
+        self.record_sent(account, tokens, share, now);
         let account = self.local(account, now);
         account.resumed.add(tokens, now);
     }
 
     /// Records that a server began to answer a request.
     pub fn record_begun(&mut self, tokens: u64, now: Mono) {
-        let begun = self.begun.get_or_insert_with(|| Window::new(WINDOW));
-        begun.add(tokens, now);
+        let begun = self.begun.get_or_insert_with(|| Begun {
+            window: Window::new(WINDOW),
+            rate: DecayingSum::new(RATE_TIME),
+        });
+        begun.window.add(tokens, now);
+        begun.rate.add(tokens as f64, now);
     }
 
-    /// Returns the tokens of this gateway's requests that servers recently began to answer.
+    /// Returns the tokens of this gateway's requests that servers began to answer over the last
+    /// [`WINDOW`].
     pub fn local_begun(&mut self, now: Mono) -> u64 {
-        self.begun.as_mut().map_or(0, |begun| begun.sum(now))
+        self.begun.as_mut().map_or(0, |begun| begun.window.sum(now))
+    }
+
+    /// Returns the present rates of this gateway.
+    pub fn local_flow(&self, now: Mono) -> FlowRates {
+        let begun = self.begun.as_ref();
+        FlowRates {
+            begun: begun.map_or(0, |begun| begun.rate.rate(now) as u64),
+        }
     }
 
-    /// Replaces the previous begun tokens of another gateway by its current ones.
-    pub fn merge_begun(&mut self, previous: u64, current: u64) {
-        self.remote_begun = self.remote_begun.saturating_sub(previous) + current;
+    /// Replaces the previous rates of another gateway by its current ones.
+    pub fn merge_flow(&mut self, previous: FlowRates, current: FlowRates) {
+        self.remote_flow.remove(previous);
+        self.remote_flow.add(current);
+    }
+
+    /// Fills in the rates and the usage of an account from sums over the window, for a digest of a build
+    /// that sends nothing else.
+    pub fn estimate_present(&self, sums: &mut TokenSums) {
+        sums.asked_rate = per_second(sums.asked);
+        if (1..u64::MAX).contains(&self.fair_rate) {
+            let shares = per_second(sums.granted) as f64 / self.fair_rate as f64;
+            sums.used = (shares * USAGE_UNIT).round() as u64;
+        }
     }
 
     /// Returns the sums of the accounts that recently sent requests to this gateway.
@@ -171,6 +278,8 @@
                     asked,
                     granted,
                     resumed,
+                    asked_rate: rounded(windows.asked_rate.rate(now)),
+                    used: (windows.used.sum(now) * USAGE_UNIT).round() as u64,
                 };
                 sums.push((*account, tokens));
             }
@@ -195,7 +304,7 @@
     /// Drops the sums of all other gateways.
     pub fn clear_remote(&mut self) {
         self.remote.clear();
-        self.remote_begun = 0;
+        self.remote_flow = FlowRates::default();
     }
 
     /// Returns the sums of all accounts over the fleet.
@@ -230,34 +339,41 @@
         sums.resumed + tokens <= began.max(max_min_share(capacity, asked))
     }
 
-    /// Returns the time that the sums cover, which is short after the start. With the tokens of a whole
-    /// window, every account would be within its share at first, however much it requests. After a
-    /// restart among others, whose sums cover a whole window, the fair share goes by those.
-    fn covered_time(&self, now: Mono) -> Duration {
+    /// Returns the part of their weight in the steady state that decaying sums have reached. Without it,
+    /// every account would be within its share at first, however much it requests.
+    fn covered(&self, now: Mono) -> f64 {
         let since = self
-            .first_request
+            .counted_since
             .map_or(Duration::ZERO, |at| now.saturating_sub(at));
-        (since + SUMS_DELAY).min(WINDOW)
+        let time = since + SUMS_DELAY;
+        1.0 - (-time.as_secs_f64() / RATE_TIME.as_secs_f64()).exp()
     }
 
     /// Returns the tokens that accounts requested at this gateway, each account counted at most with its
     /// fair share over the fleet, where all accounts share `rate` tokens a second.
     pub fn local_demand(&mut self, rate: u64, now: Mono) -> u64 {
         let totals = self.fleet_sums(now);
-        let asked = totals.values().map(|sums| sums.asked).collect();
-        let capacity = (rate as f64 * self.covered_time(now).as_secs_f64()) as u64;
-        let begun = self.local_begun(now) + self.remote_begun;
-        let fair_share = max_min_share(begun.max(capacity), asked);
+        let asked = totals.values().map(|sums| sums.asked_rate).collect();
+        let fair_rate = max_min_share(self.flow(now).capacity(rate), asked);
         let counted = self.local_sums(now).into_iter().map(|(account, sums)| {
-            let total = totals.get(&account).map_or(0, |sums| sums.asked).max(1);
-            sums.asked as f64 * (fair_share.min(total) as f64 / total as f64)
+            let total = totals.get(&account).map_or(0, |sums| sums.asked_rate);
+            let total = total.max(1);
+            sums.asked_rate as f64 * (fair_rate.min(total) as f64 / total as f64)
         });
         counted.sum::<f64>() as u64
     }
 
-    /// Whether the sums of this gateway cover a whole window.
+    /// Whether this gateway has counted for a whole window.
     pub fn covers_window(&self, now: Mono) -> bool {
-        self.covered_time(now) >= WINDOW
+        let since = self.counted_since;
+        since.is_some_and(|at| now.saturating_sub(at) >= WINDOW)
+    }
+
+    /// Returns the present rates of the whole fleet.
+    fn flow(&self, now: Mono) -> FlowRates {
+        let mut flow = self.local_flow(now);
+        flow.add(self.remote_flow);
+        flow
     }
 
     /// Returns the usage of an account over the fleet, and its shares where all accounts share `rate`
@@ -270,65 +386,92 @@
         now: Mono,
     ) -> AccountShare {
         let totals = self.fleet_sums(now);
-        let demands: Vec<u64> = totals.values().map(|sums| sums.asked).collect();
-        let TokenSums { asked, granted, .. } = totals.get(&account).copied().unwrap_or_default();
-        let capacity = (rate as f64 * self.covered_time(now).as_secs_f64()) as u64;
+        let covered = self.covered(now);
+        let steady = |rate: u64| (rate as f64 / covered) as u64;
+        // An account below its share may use more, up to what the others leave.
+        let demands = totals.iter().filter(|(other, _)| **other != account);
+        let demands = demands.map(|(_, sums)| steady(sums.asked_rate));
+        let demands: Vec<u64> = demands.chain([u64::MAX]).collect();
+        let sums = totals.get(&account).copied().unwrap_or_default();
         // What was sent may be more than servers process: it would raise the share while they fall
         // behind.
-        let begun = self.local_begun(now) + self.remote_begun;
+        let flow = self.flow(now);
+        let flow = FlowRates {
+            begun: steady(flow.begun),
+        };
+        let capacity = flow.capacity(rate);
         let position = are_late.then(|| {
             let fraction = self.local(account, now).next_position();
-            (asked as f64 * fraction) as u64
+            (steady(sums.asked_rate) as f64 * fraction) as u64
         });
+        self.fair_rate = max_min_share(capacity, demands.clone());
+        let asked_rate = steady(sums.asked_rate);
+        // At the start, a gateway knows little of what the others are asked for.
+        let is_covered = covered >= MIN_COVERED && asked_rate <= self.fair_rate;
+        let used = if is_covered {
+            0.0
+        } else {
+            sums.used as f64 / USAGE_UNIT / covered
+        };
         AccountShare {
-            asked,
-            granted,
+            asked: sums.asked,
+            granted: sums.granted,
+            asked_rate,
+            used,
             position,
-            begun,
-            capacity,
-            quota: max_min_share(capacity, demands.clone()),
-            fair_share: max_min_share(begun.max(capacity), demands),
+            begun_rate: flow.begun,
+            configured_rate: rate,
+            quota_rate: max_min_share(capacity.min(rate), demands),
+            fair_rate: self.fair_rate,
         }
     }
 }
 
-/// Tokens of an account over the fleet and the last [`WINDOW`], and what it may use of them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Usage of an account over the fleet, and what it may use.
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AccountShare {
-    /// Tokens of all its requests.
+    /// Tokens of all its requests over the last [`WINDOW`].
     pub asked: u64,
-    /// Tokens of its requests that were sent to servers.
+    /// Tokens of its requests that were sent to servers over the last [`WINDOW`].
     pub granted: u64,
-    /// Position of the request in `asked`; none if the sums are current.
+    /// Tokens of all its requests a second.
+    pub asked_rate: u64,
+    /// Fair shares in use: one if it gets exactly its share, zero if that covers its demand.
+    pub used: f64,
+    /// Position of the request in `asked_rate`; none if the sums are current.
     pub position: Option<u64>,
-    /// Tokens of all accounts that servers began to answer.
-    pub begun: u64,
-    /// Tokens of the configured rate.
-    pub capacity: u64,
-    /// Share of the configured token rate; `u64::MAX` if the rate covers all demand.
-    pub quota: u64,
-    /// Fair share of what servers process; `u64::MAX` if that covers all demand.
-    pub fair_share: u64,
+    /// Tokens a second of all accounts that servers begin to answer.
+    pub begun_rate: u64,
+    /// Configured token rate.
+    pub configured_rate: u64,
+    /// Share of the configured token rate, in tokens a second: what the account may request and get.
+    pub quota_rate: u64,
+    /// Fair share of what servers process, in tokens a second.
+    pub fair_rate: u64,
 }
 
 impl AccountShare {
+    /// Returns the fair shares that a request of `tokens` uses.
+    fn shares_of(&self, tokens: u64) -> f64 {
+        tokens as f64 / (self.fair_rate.max(1) as f64 * RATE_TIME.as_secs_f64())
+    }
+
     /// Classifies the usage of the account if `tokens` more are sent for it.
     pub fn usage(&self, tokens: u64) -> ShareUsage {
-        let fair_share = self.fair_share.max(1) as f64;
+        let fair_rate = self.fair_rate.max(1) as f64;
         let position = self.position.map_or(0.0, |position| position as f64);
-        if position >= MAX_POSITION * fair_share {
+        if position >= MAX_POSITION * fair_rate {
             return ShareUsage::NotConsidered;
         }
-        let used = self.granted + tokens;
-        if used <= self.quota {
+        let used = self.used + self.shares_of(tokens);
+        if used <= self.quota_rate as f64 / fair_rate {
             ShareUsage::WithinQuota
-        } else if used <= self.fair_share {
+        } else if used <= 1.0 {
             ShareUsage::WithinFairShare
         } else {
             // The size of the request itself does not make an account exceed its share by more.
-            let excess = self.granted as f64 / fair_share - 1.0;
             ShareUsage::OverFairShare {
-                excess: excess.max(0.0),
+                excess: (self.used - 1.0).max(0.0),
             }
         }
     }
@@ -350,6 +493,16 @@
     NotConsidered,
 }
 
+/// Rounds a rate as digests hold it.
+fn rounded(rate: f64) -> u64 {
+    (rate / RATE_UNIT as f64).round() as u64 * RATE_UNIT
+}
+
+/// Returns the mean amount a second of a sum over the last [`WINDOW`].
+pub fn per_second(sum: u64) -> u64 {
+    (sum as f64 / WINDOW.as_secs_f64()) as u64
+}
+
 /// Returns the largest amount that any one demand gets when `amount` is shared max-min fairly;
 /// `u64::MAX` if `amount` covers all demands.
 pub fn max_min_share(amount: u64, mut demands: Vec<u64>) -> u64 {
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -28,7 +28,9 @@
 use self::cost::WireCost;
 pub(crate) use self::cost::STEPS_UNIT;
 use crate::cost::WorkReport;
+use crate::demand::FlowRates;
 use crate::demand::TokenSums;
+use crate::demand::RATE_UNIT;
 use crate::entry::ShortId;
 use crate::evacuation::EvacuationReport;
 use crate::evacuation::Version;
@@ -53,6 +55,8 @@
 const ZONES_PER_SERVER: usize = 4;
 /// Maximum number of accounts in a digest; those with the most demand are preferred.
 const MAX_ACCOUNTS: usize = 30;
+/// Accounts whose rates take as many bytes as a server.
+const ACCOUNTS_PER_SERVER: usize = 3;
 /// Maximum number of servers in a combined digest: with the other rows, it stays well below the
 /// largest datagram.
 const MAX_COMBINED_SERVERS: usize = 800;
@@ -181,6 +185,11 @@
     pub origins: OriginReport,
     /// Tokens of recent requests that servers began to answer. Older builds neither send nor read it.
     pub begun: u64,
+    /// Tokens a second that servers begin to answer. Older builds neither send nor
+    /// read them.
+    pub flow: FlowRates,
+    /// Whether rates and usages are known; older builds send sums over a window only.
+    pub has_rates: bool,
     /// Short ids of pools whose servers report how long work takes. Older builds neither send nor
     /// read it.
     pub cost_pools: Vec<ShortId>,
@@ -220,8 +229,26 @@
     #[serde(default)] WireCost,
     // Demands of the writer and of the gateways that `WireRelay` names, in the same order.
     #[serde(default)] Vec<DemandLevel>,
+    #[serde(default)] Option<WireRates>,
 );
 
+/// Tokens a second, and the requested tokens a second and the usage of each account, in the order of the
+/// accounts.
+#[derive(Default, Serialize, Deserialize)]
+struct WireRates((u64,), Vec<u64>, Vec<u64>);
+
+impl From<&Digest> for WireRates {
+    fn from(digest: &Digest) -> Self {
+        let FlowRates { begun } = digest.flow;
+        let accounts = digest.accounts.iter();
+        let asked = accounts
+            .clone()
+            .map(|(_, sums)| sums.asked_rate / RATE_UNIT);
+        let used = accounts.map(|(_, sums)| sums.used);
+        Self((begun,), asked.collect(), used.collect())
+    }
+}
+
 /// Encoded form of [`PoisonReport`].
 #[derive(Default, Serialize, Deserialize)]
 struct WirePoison(
@@ -355,7 +382,12 @@
         // A row of a loaded server takes the place of two or three of cold ones, which carry little
         // load.
         let cold = (self.cold.servers.len() / 2).min(servers / 2);
-        let displaced = cold + zones.div_ceil(ZONES_PER_SERVER);
+        let rates = self
+            .accounts
+            .len()
+            .min(accounts)
+            .div_ceil(ACCOUNTS_PER_SERVER);
+        let displaced = cold + zones.div_ceil(ZONES_PER_SERVER) + rates;
         self.servers.truncate(servers.saturating_sub(displaced));
         self.accounts
             .sort_by_key(|(_, sums)| std::cmp::Reverse(sums.asked));
@@ -407,6 +439,7 @@
             WireCold::from(&self.cold),
             WireCost::from(self),
             self.relay.demands(),
+            self.has_rates.then(|| WireRates::from(self)),
         );
         let mut bytes = Vec::with_capacity(MAX_BYTES);
         ciborium::into_writer(&wire, &mut bytes).context(EncodeSnafu)?;
@@ -441,6 +474,7 @@
             cold,
             cost,
             demands,
+            rates,
         ) = wire;
         let (writer, seq, generation) = head;
         let (list_version, members_version, zone, list_unreadable) = list;
@@ -467,11 +501,18 @@
             },
         );
         let resumed: HashMap<ShortId, u64> = resumed.into_iter().collect();
-        let accounts = accounts.into_iter().map(|(id, asked, granted)| {
+        let has_rates = rates.is_some();
+        let WireRates((begun_rate,), asked_rates, usages) = rates.unwrap_or_default();
+        let flow = FlowRates { begun: begun_rate };
+        let accounts = accounts.into_iter().enumerate();
+        let accounts = accounts.map(|(index, (id, asked, granted))| {
+            let asked_rate = asked_rates.get(index).copied().unwrap_or_default();
             let tokens = TokenSums {
                 asked,
                 granted,
                 resumed: resumed.get(&id).copied().unwrap_or_default(),
+                asked_rate: asked_rate.saturating_mul(RATE_UNIT),
+                used: usages.get(index).copied().unwrap_or_default(),
             };
             (id, tokens)
         });
@@ -496,6 +537,8 @@
             limits: limits.collect(),
             origins,
             begun,
+            flow,
+            has_rates,
             evacuations: EvacuationReport {
                 version,
                 zones,
--- a/crates/fleet/src/fleet/combine.rs
+++ b/crates/fleet/src/fleet/combine.rs
@@ -14,6 +14,7 @@
 use crate::cold::MAX_COMBINED;
 use crate::cost::WorkReport;
 use crate::cost::MAX_PUBLISHED_POOLS;
+use crate::demand::FlowRates;
 use crate::demand::TokenSums;
 use crate::digest::Contact;
 use crate::digest::Digest;
@@ -55,9 +56,11 @@
             ..RelayInfo::default()
         };
         let mut begun = 0;
+        let mut flow = FlowRates::default();
         let mut cost_pools = BTreeSet::new();
         for (digest, received) in counted.chain([(own, now)]) {
             begun += digest.begun;
+            flow.add(digest.flow);
             cost_pools.extend(&digest.cost_pools);
             for row in &digest.servers {
                 let sum = sums.entry(row.server).or_insert(ServerRow {
@@ -101,6 +104,7 @@
             servers: sums.into_values().collect(),
             accounts: accounts.into_iter().collect(),
             begun,
+            flow,
             cold: self.cold_digest(MAX_COMBINED, now),
             cost_pools: cost_pools.into_iter().take(MAX_PUBLISHED_POOLS).collect(),
             peers: Vec::new(),
@@ -189,6 +193,7 @@
         }
     }
     digest.begun = digest.begun.saturating_sub(writer.begun);
+    digest.flow.remove(writer.flow);
     digest.relay.gateways = digest.relay.gateways.saturating_sub(1);
     digest
         .relay
--- a/crates/fleet/src/fleet/gossip.rs
+++ b/crates/fleet/src/fleet/gossip.rs
@@ -21,6 +21,7 @@
 use crate::catalog::Catalog;
 use crate::catalog::Tables;
 use crate::cold::MAX_PUBLISHED;
+use crate::demand::per_second;
 use crate::digest::Digest;
 use crate::digest::DigestScope;
 use crate::digest::RelayInfo;
@@ -217,6 +218,8 @@
             servers,
             accounts: self.demand.local_sums(now),
             begun: self.demand.local_begun(now),
+            flow: self.demand.local_flow(now),
+            has_rates: true,
             cost_pools: self.cost.pools_to_publish(now),
             broken_runs: self.crashes.to_publish(now),
             poison: self.poison.report(now),
@@ -243,7 +246,7 @@
     }
 
     /// Merges a digest; returns the changes of servers that it caused.
-    pub fn merge(&mut self, digest: Digest, ip: IpAddr, now: Mono) -> Vec<ServerChange> {
+    pub fn merge(&mut self, mut digest: Digest, ip: IpAddr, now: Mono) -> Vec<ServerChange> {
         if digest.writer == self.config.incarnation {
             return Vec::new();
         }
@@ -281,6 +284,9 @@
         self.evacuations.merge(&digest.evacuations, now);
         self.merge_cost(&digest, now);
         self.adopt_joins_version(&digest);
+        if !digest.has_rates {
+            self.estimate_rates(&mut digest);
+        }
         let previous = self.peers.remove(&digest.writer).map(|peer| peer.digest);
         let previous = previous.filter(|digest| self.counts(digest));
         let current = Some(&digest).filter(|digest| self.counts(digest));
@@ -295,6 +301,15 @@
         changes
     }
 
+    /// Fills in what a digest of an older build does not hold.
+    fn estimate_rates(&self, digest: &mut Digest) {
+        digest.flow.begun = per_second(digest.begun);
+        for (_, sums) in &mut digest.accounts {
+            self.demand.estimate_present(sums);
+        }
+        digest.has_rates = true;
+    }
+
     /// Drops expired state; returns the changes of servers that this caused.
     pub fn expire(&mut self, now: Mono) -> Vec<ServerChange> {
         let timed_out: Vec<_> = self
@@ -433,8 +448,9 @@
         self.demand.merge(&accounts(previous), &accounts(current));
         let rows = |digest: Option<&'a Digest>| digest.map_or(&[][..], |digest| &digest.servers);
         self.cost.speeds.replace(rows(previous), rows(current));
-        let begun = |digest: Option<&Digest>| digest.map_or(0, |digest| digest.begun);
-        self.demand.merge_begun(begun(previous), begun(current));
+        let flow = |digest: Option<&Digest>| digest.map(|digest| digest.flow);
+        let flow = |digest| flow(digest).unwrap_or_default();
+        self.demand.merge_flow(flow(previous), flow(current));
         for row in previous.into_iter().flat_map(|digest| &digest.servers) {
             if let Some((load, counts)) = self.peer_sums.get_mut(&row.server) {
                 load.remove(row.load);
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -230,7 +230,7 @@
 }
 
 /// Refusal of a request, which has not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Refusal {
     /// Reason of the refusal.
     pub reason: RefusalReason,
--- a/crates/fleet/src/fleet/placement.rs
+++ b/crates/fleet/src/fleet/placement.rs
@@ -98,9 +98,9 @@
             let (account, service) = charged(request);
             if let Some(account) = account {
                 if request.is_continuation() {
-                    self.demand.record_resumed(account, service, now);
+                    self.demand.record_resumed(account, service, share, now);
                 } else {
-                    self.demand.record_sent(account, service, now);
+                    self.demand.record_sent(account, service, share, now);
                 }
             }
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod cold;
 pub mod cost;
 pub mod crash;
+pub mod decay;
 pub mod demand;
 pub mod digest;
 pub mod entry;
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -5,43 +5,46 @@
 use primrose_fleet::limit::LimitCounts;
 use serde::Serialize;
 
-/// Usage and shares of a client account at a decision, in tokens over the window of the shares.
+/// Usage and shares of a client account at a decision.
 #[derive(Debug, Clone, Copy, Serialize)]
 pub struct ShareRecord {
     /// Tokens of the request.
     pub tokens: u64,
-    /// Tokens of the account's requests.
+    /// Tokens of the account's requests over four seconds.
     pub asked: u64,
-    /// Tokens of its requests that were sent to servers.
+    /// Tokens of its requests that were sent to servers over four seconds.
     pub granted: u64,
-    /// Position of the request in `asked`, by which it is considered or not; none in a small fleet.
+    /// Tokens of its requests a second.
+    pub asked_rate: u64,
+    /// Fair shares in use, in thousandths.
+    pub used_permille: u64,
+    /// Position of the request in `asked_rate`, by which it is considered or not; none in a small fleet.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub position: Option<u64>,
-    /// Tokens of all accounts that servers began to answer.
-    pub begun: u64,
-    /// Tokens of the configured rate; the fair share is computed of these if they exceed `begun`.
-    pub capacity: u64,
-    /// Share of the configured token rate; none if the rate covers all demand.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub quota: Option<u64>,
-    /// Fair share of what servers process; none if that covers all demand.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub fair_share: Option<u64>,
+    /// Tokens a second of all accounts that servers begin to answer.
+    pub begun_rate: u64,
+    /// Configured token rate.
+    pub configured_rate: u64,
+    /// Share of the configured token rate, in tokens a second.
+    pub quota_rate: u64,
+    /// Fair share of what servers process, in tokens a second.
+    pub fair_rate: u64,
 }
 
 impl ShareRecord {
     /// Creates the record of a decision on a request of `tokens`.
     pub fn new(tokens: u64, share: AccountShare) -> Self {
-        let limit = |tokens: u64| (tokens < u64::MAX).then_some(tokens);
         Self {
             tokens,
             asked: share.asked,
             granted: share.granted,
+            asked_rate: share.asked_rate,
+            used_permille: (share.used * 1_000.0) as u64,
             position: share.position,
-            begun: share.begun,
-            capacity: share.capacity,
-            quota: limit(share.quota),
-            fair_share: limit(share.fair_share),
+            begun_rate: share.begun_rate,
+            configured_rate: share.configured_rate,
+            quota_rate: share.quota_rate,
+            fair_rate: share.fair_rate,
         }
     }
 }
