fleet: Let accounts share the configured rate only while servers are not full

Callers saw: while most servers name limits, accounts whose callers reach many gateways get several times as much as one at a single gateway.

Cause: the configured token rate was the least that accounts share.

Change: tokens that accounts within their quota miss since servers are full (over the fleet, in digests) are taken off the configured rate; what servers begin to answer stays the least. Quotas follow.

Result: full_servers fails without it (2,000,000 tokens a second for each of two accounts while servers begin nothing) and passes with it.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -129,22 +129,27 @@
 pub struct FlowRates {
     /// Of requests that servers begin to answer.
     pub begun: u64,
+    /// Of requests of accounts within their quota that are refused since servers are full.
+    pub missed: u64,
 }
 
 impl FlowRates {
     /// Adds other rates.
     pub fn add(&mut self, other: Self) {
         self.begun = self.begun.saturating_add(other.begun);
+        self.missed = self.missed.saturating_add(other.missed);
     }
 
     /// Subtracts rates that were added before.
     pub fn remove(&mut self, other: Self) {
         self.begun = self.begun.saturating_sub(other.begun);
+        self.missed = self.missed.saturating_sub(other.missed);
     }
 
-    /// Returns the rate that accounts share where the operators configured `rate`.
+    /// Returns the rate that accounts share where the operators configured `rate`. Servers that are full
+    /// process less than that, whatever was configured.
     fn capacity(self, rate: u64) -> u64 {
-        self.begun.max(rate)
+        self.begun.max(rate.saturating_sub(self.missed))
     }
 }
 
@@ -158,6 +163,8 @@
     remote: HashMap<ShortId, TokenSums>,
     /// Requests of this gateway.
     begun: Option<Begun>,
+    /// Tokens of this gateway's requests of accounts within their quota that were refused.
+    missed: Option<DecayingSum>,
     /// Totals of the other gateways.
     remote_flow: FlowRates,
     /// Fair share at the last decision, in tokens a second.
@@ -236,6 +243,13 @@
         begun.rate.add(tokens as f64, now);
     }
 
+    /// Records that a request of an account within its quota was refused since servers are full.
+    pub fn record_missed(&mut self, tokens: u64, now: Mono) {
+        let missed = &mut self.missed;
+        let missed = missed.get_or_insert_with(|| DecayingSum::new(RATE_TIME));
+        missed.add(tokens as f64, now);
+    }
+
     /// Returns the tokens of this gateway's requests that servers began to answer over the last
     /// [`WINDOW`].
     pub fn local_begun(&mut self, now: Mono) -> u64 {
@@ -247,6 +261,7 @@
         let begun = self.begun.as_ref();
         FlowRates {
             begun: begun.map_or(0, |begun| begun.rate.rate(now) as u64),
+            missed: self.missed.map_or(0, |missed| missed.rate(now) as u64),
         }
     }
 
@@ -398,6 +413,7 @@
         let flow = self.flow(now);
         let flow = FlowRates {
             begun: steady(flow.begun),
+            missed: steady(flow.missed),
         };
         let capacity = flow.capacity(rate);
         let position = are_late.then(|| {
@@ -420,6 +436,7 @@
             used,
             position,
             begun_rate: flow.begun,
+            missed_rate: flow.missed,
             configured_rate: rate,
             quota_rate: max_min_share(capacity.min(rate), demands),
             fair_rate: self.fair_rate,
@@ -442,6 +459,8 @@
     pub position: Option<u64>,
     /// Tokens a second of all accounts that servers begin to answer.
     pub begun_rate: u64,
+    /// Tokens a second that accounts within their quota miss since servers are full.
+    pub missed_rate: u64,
     /// Configured token rate.
     pub configured_rate: u64,
     /// Share of the configured token rate, in tokens a second: what the account may request and get.
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -185,7 +185,7 @@
     pub origins: OriginReport,
     /// Tokens of recent requests that servers began to answer. Older builds neither send nor read it.
     pub begun: u64,
-    /// Tokens a second that servers begin to answer. Older builds neither send nor
+    /// Tokens a second that servers begin to answer, and that are missed. Older builds neither send nor
     /// read them.
     pub flow: FlowRates,
     /// Whether rates and usages are known; older builds send sums over a window only.
@@ -235,17 +235,17 @@
 /// Tokens a second, and the requested tokens a second and the usage of each account, in the order of the
 /// accounts.
 #[derive(Default, Serialize, Deserialize)]
-struct WireRates((u64,), Vec<u64>, Vec<u64>);
+struct WireRates((u64, u64), Vec<u64>, Vec<u64>);
 
 impl From<&Digest> for WireRates {
     fn from(digest: &Digest) -> Self {
-        let FlowRates { begun } = digest.flow;
+        let FlowRates { begun, missed } = digest.flow;
         let accounts = digest.accounts.iter();
         let asked = accounts
             .clone()
             .map(|(_, sums)| sums.asked_rate / RATE_UNIT);
         let used = accounts.map(|(_, sums)| sums.used);
-        Self((begun,), asked.collect(), used.collect())
+        Self((begun, missed), asked.collect(), used.collect())
     }
 }
 
@@ -502,8 +502,11 @@
         );
         let resumed: HashMap<ShortId, u64> = resumed.into_iter().collect();
         let has_rates = rates.is_some();
-        let WireRates((begun_rate,), asked_rates, usages) = rates.unwrap_or_default();
-        let flow = FlowRates { begun: begun_rate };
+        let WireRates((begun_rate, missed), asked_rates, usages) = rates.unwrap_or_default();
+        let flow = FlowRates {
+            begun: begun_rate,
+            missed,
+        };
         let accounts = accounts.into_iter().enumerate();
         let accounts = accounts.map(|(index, (id, asked, granted))| {
             let asked_rate = asked_rates.get(index).copied().unwrap_or_default();
--- a/crates/fleet/src/fleet/admission.rs
+++ b/crates/fleet/src/fleet/admission.rs
@@ -127,6 +127,27 @@
         }
     }
 
+    /// Records a refusal for lack of capacity that an account within its quota got.
+    pub(super) fn record_missed(
+        &mut self,
+        request: &PlacementRequest,
+        share: Option<AccountShare>,
+        reason: RefusalReason,
+        now: Mono,
+    ) {
+        let (Some(prompt), Some(share)) = (request.prompt, share) else {
+            return;
+        };
+        let is_full = matches!(
+            reason,
+            RefusalReason::Overload | RefusalReason::ServerLimits | RefusalReason::NoRoom
+        );
+        let tokens = prompt.service();
+        if is_full && share.usage(tokens) == ShareUsage::WithinQuota {
+            self.demand.record_missed(tokens, now);
+        }
+    }
+
     /// Returns the usage and the shares of the account of a request with a prompt; none if the
     /// operators configured no token rate.
     pub(super) fn account_share(
--- a/crates/fleet/src/fleet/placement.rs
+++ b/crates/fleet/src/fleet/placement.rs
@@ -82,6 +82,10 @@
         if !candidates.iter().any(|candidate| candidate.within_limit) {
             let wait = self.wait_for_limits(candidates, now);
             let (least, most) = RETRY_AFTER_RANGE;
+            if is_first_attempt {
+                let share = self.account_share(request, now);
+                self.record_missed(request, share, RefusalReason::ServerLimits, now);
+            }
             return refuse(RefusalReason::ServerLimits, wait.clamp(least, most));
         }
         let Some(choice) = self.choose(request, candidates, now) else {
@@ -93,6 +97,7 @@
             let refusal = self.admit(request, choice, share, now);
             let refusal = refusal.filter(|_| !self.may_resume(request, choice, now));
             if let Some(refusal) = refusal {
+                self.record_missed(request, share, refusal.reason, now);
                 return Decision::Refuse(Refusal { share, ..refusal });
             }
             let (account, service) = charged(request);
--- a/crates/fleet/tests/testsuite/account_share.rs
+++ b/crates/fleet/tests/testsuite/account_share.rs
@@ -85,6 +85,7 @@
     used: 0.0,
     position: None,
     begun_rate: 2_000,
+    missed_rate: 0,
     configured_rate: 1_000,
     quota_rate: 100,
     fair_rate: 200,
--- a/crates/fleet/tests/testsuite/main.rs
+++ b/crates/fleet/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod evacuation_sets;
 mod evacuation_spread;
 mod follow;
+mod full_servers;
 mod gossip;
 mod limit_parts;
 mod limits;
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -23,6 +23,8 @@
     pub position: Option<u64>,
     /// Tokens a second of all accounts that servers begin to answer.
     pub begun_rate: u64,
+    /// Tokens a second that accounts within their quota miss since servers are full.
+    pub missed_rate: u64,
     /// Configured token rate.
     pub configured_rate: u64,
     /// Share of the configured token rate, in tokens a second.
@@ -42,6 +44,7 @@
             used_permille: (share.used * 1_000.0) as u64,
             position: share.position,
             begun_rate: share.begun_rate,
+            missed_rate: share.missed_rate,
             configured_rate: share.configured_rate,
             quota_rate: share.quota_rate,
             fair_rate: share.fair_rate,
