fleet: Count refusals for lack of room as missed capacity

The arm for them in record_missed was never reached, since the refusal returned before. Both refusals that precede a choice now take one way.

--- a/crates/fleet/src/fleet/placement.rs
+++ b/crates/fleet/src/fleet/placement.rs
@@ -82,14 +82,12 @@
         if !candidates.iter().any(|candidate| candidate.within_limit) {
             let wait = self.wait_for_limits(candidates, now);
             let (least, most) = RETRY_AFTER_RANGE;
-            if is_first_attempt {
-                let share = self.account_share(request, now);
-                self.record_missed(request, share, RefusalReason::ServerLimits, now);
-            }
-            return refuse(RefusalReason::ServerLimits, wait.clamp(least, most));
+            let wait = wait.clamp(least, most);
+            return self.refuse_full(request, RefusalReason::ServerLimits, wait, now);
         }
         let Some(choice) = self.choose(request, candidates, now) else {
-            return refuse(RefusalReason::NoRoom, RETRY_AFTER_RANGE.0 * 2);
+            let wait = RETRY_AFTER_RANGE.0 * 2;
+            return self.refuse_full(request, RefusalReason::NoRoom, wait, now);
         };
         let mut share = None;
         if is_first_attempt {
@@ -117,6 +115,21 @@
         }
     }
 
+    /// Refuses a request because no server can take it now.
+    fn refuse_full(
+        &mut self,
+        request: &PlacementRequest,
+        reason: RefusalReason,
+        retry_after: Duration,
+        now: Mono,
+    ) -> Decision {
+        if request.tried.is_empty() {
+            let share = self.account_share(request, now);
+            self.record_missed(request, share, reason, now);
+        }
+        refuse(reason, retry_after)
+    }
+
     /// Takes a retry from the budget of the request's pool; returns whether there was one left.
     pub fn try_retry(&mut self, request: &PlacementRequest) -> bool {
         self.pool(&request.pool).budget.try_retry()
