--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -37,8 +37,9 @@
 /// Time by which the sums of the others are late in a large fleet. The share of this time is given out
 /// at once after the start.
 const SUMS_DELAY: Duration = Duration::from_millis(500);
-/// Part of their steady weight from which on sums tell whether the demand of an account is covered.
-const MIN_COVERED: f64 = 0.9;
+/// Most that usage counts, relative to the tokens that an account is sent at present. Shares of the past
+/// may be smaller, also because servers had not begun to answer.
+const MAX_USED_NOW: f64 = 1.4;
 /// Unit of published rates of accounts, in tokens a second.
 pub(crate) const RATE_UNIT: u64 = 64;
 /// Published usage of an account that gets exactly its fair share.
@@ -61,6 +62,8 @@
     pub resumed: u64,
     /// Tokens of all requests a second.
     pub asked_rate: u64,
+    /// Tokens of requests that are sent to servers a second.
+    pub granted_rate: u64,
     /// Fair shares in use, times [`USAGE_UNIT`].
     pub used: u64,
 }
@@ -71,8 +74,9 @@
         self.asked += other.asked;
         self.granted += other.granted;
         self.resumed += other.resumed;
-        self.asked_rate += other.asked_rate;
-        self.used += other.used;
+        self.asked_rate = self.asked_rate.saturating_add(other.asked_rate);
+        self.granted_rate = self.granted_rate.saturating_add(other.granted_rate);
+        self.used = self.used.saturating_add(other.used);
     }
 
     /// Subtracts sums that were added before.
@@ -81,6 +85,7 @@
         self.granted = self.granted.saturating_sub(other.granted);
         self.resumed = self.resumed.saturating_sub(other.resumed);
         self.asked_rate = self.asked_rate.saturating_sub(other.asked_rate);
+        self.granted_rate = self.granted_rate.saturating_sub(other.granted_rate);
         self.used = self.used.saturating_sub(other.used);
     }
 }
@@ -91,6 +96,7 @@
     granted: Window,
     resumed: Window,
     asked_rate: DecayingSum,
+    granted_rate: DecayingSum,
     /// Fair shares in use.
     used: DecayingSum,
     /// Position of the last request, as a fraction of 2^32.
@@ -104,6 +110,7 @@
             granted: Window::new(WINDOW),
             resumed: Window::new(WINDOW),
             asked_rate: DecayingSum::new(RATE_TIME),
+            granted_rate: DecayingSum::new(RATE_TIME),
             used: DecayingSum::new(RATE_TIME),
             position,
         }
@@ -215,6 +222,7 @@
     ) {
         let account = self.local(account, now);
         account.granted.add(tokens, now);
+        account.granted_rate.add(tokens as f64, now);
         if let Some(share) = share {
             account.used.add(share.shares_of(tokens), now);
         }
@@ -275,6 +283,7 @@
     /// that sends nothing else.
     pub fn estimate_present(&self, sums: &mut TokenSums) {
         sums.asked_rate = per_second(sums.asked);
+        sums.granted_rate = per_second(sums.granted);
         if (1..u64::MAX).contains(&self.fair_rate) {
             let shares = per_second(sums.granted) as f64 / self.fair_rate as f64;
             sums.used = (shares * USAGE_UNIT).round() as u64;
@@ -294,6 +303,7 @@
                     granted,
                     resumed,
                     asked_rate: rounded(windows.asked_rate.rate(now)),
+                    granted_rate: rounded(windows.granted_rate.rate(now)),
                     used: (windows.used.sum(now) * USAGE_UNIT).round() as u64,
                 };
                 sums.push((*account, tokens));
@@ -356,7 +366,7 @@
 
     /// Returns the part of their weight in the steady state that decaying sums have reached. Without it,
     /// every account would be within its share at first, however much it requests.
-    fn covered(&self, now: Mono) -> f64 {
+    fn weight_reached(&self, now: Mono) -> f64 {
         let since = self
             .counted_since
             .map_or(Duration::ZERO, |at| now.saturating_sub(at));
@@ -401,8 +411,8 @@
         now: Mono,
     ) -> AccountShare {
         let totals = self.fleet_sums(now);
-        let covered = self.covered(now);
-        let steady = |rate: u64| (rate as f64 / covered) as u64;
+        let weight = self.weight_reached(now);
+        let steady = |rate: u64| (rate as f64 / weight) as u64;
         // An account below its share may use more, up to what the others leave.
         let demands = totals.iter().filter(|(other, _)| **other != account);
         let demands = demands.map(|(_, sums)| steady(sums.asked_rate));
@@ -422,12 +432,13 @@
         });
         self.fair_rate = max_min_share(capacity, demands.clone());
         let asked_rate = steady(sums.asked_rate);
-        // At the start, a gateway knows little of what the others are asked for.
-        let is_covered = covered >= MIN_COVERED && asked_rate <= self.fair_rate;
-        let used = if is_covered {
-            0.0
+        let used_then = sums.used as f64 / USAGE_UNIT / weight;
+        let used_now = steady(sums.granted_rate) as f64 / self.fair_rate.max(1) as f64;
+        // What was used of a smaller share is no debt once there is more.
+        let used = if asked_rate <= self.fair_rate {
+            used_then.min(used_now)
         } else {
-            sums.used as f64 / USAGE_UNIT / covered
+            used_then.min(MAX_USED_NOW * used_now)
         };
         AccountShare {
             asked: sums.asked,
@@ -453,7 +464,7 @@
     pub granted: u64,
     /// Tokens of all its requests a second.
     pub asked_rate: u64,
-    /// Fair shares in use: one if it gets exactly its share, zero if that covers its demand.
+    /// Fair shares in use, of the time when they were used or of now: one if it gets exactly its share.
     pub used: f64,
     /// Position of the request in `asked_rate`; none if the sums are current.
     pub position: Option<u64>,
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -56,7 +56,7 @@
 /// Maximum number of accounts in a digest; those with the most demand are preferred.
 const MAX_ACCOUNTS: usize = 30;
 /// Accounts whose rates take as many bytes as a server.
-const ACCOUNTS_PER_SERVER: usize = 3;
+const ACCOUNTS_PER_SERVER: usize = 2;
 /// Maximum number of servers in a combined digest: with the other rows, it stays well below the
 /// largest datagram.
 const MAX_COMBINED_SERVERS: usize = 800;
@@ -232,10 +232,10 @@
     #[serde(default)] Option<WireRates>,
 );
 
-/// Tokens a second, and the requested tokens a second and the usage of each account, in the order of the
-/// accounts.
+/// Tokens a second; and the requested and granted tokens a second and the usage of each account, in the
+/// order of the accounts.
 #[derive(Default, Serialize, Deserialize)]
-struct WireRates((u64, u64), Vec<u64>, Vec<u64>);
+struct WireRates((u64, u64), Vec<u64>, Vec<u64>, Vec<u64>);
 
 impl From<&Digest> for WireRates {
     fn from(digest: &Digest) -> Self {
@@ -244,8 +244,16 @@
         let asked = accounts
             .clone()
             .map(|(_, sums)| sums.asked_rate / RATE_UNIT);
+        let granted = accounts
+            .clone()
+            .map(|(_, sums)| sums.granted_rate / RATE_UNIT);
         let used = accounts.map(|(_, sums)| sums.used);
-        Self((begun, missed), asked.collect(), used.collect())
+        Self(
+            (begun, missed),
+            asked.collect(),
+            granted.collect(),
+            used.collect(),
+        )
     }
 }
 
@@ -502,19 +510,24 @@
         );
         let resumed: HashMap<ShortId, u64> = resumed.into_iter().collect();
         let has_rates = rates.is_some();
-        let WireRates((begun_rate, missed), asked_rates, usages) = rates.unwrap_or_default();
+        let WireRates((begun_rate, missed), asked_rates, granted_rates, usages) =
+            rates.unwrap_or_default();
         let flow = FlowRates {
             begun: begun_rate,
             missed,
         };
         let accounts = accounts.into_iter().enumerate();
         let accounts = accounts.map(|(index, (id, asked, granted))| {
-            let asked_rate = asked_rates.get(index).copied().unwrap_or_default();
+            let rate = |rates: &[u64]| {
+                let units = rates.get(index).copied().unwrap_or_default();
+                units.saturating_mul(RATE_UNIT)
+            };
             let tokens = TokenSums {
                 asked,
                 granted,
                 resumed: resumed.get(&id).copied().unwrap_or_default(),
-                asked_rate: asked_rate.saturating_mul(RATE_UNIT),
+                asked_rate: rate(&asked_rates),
+                granted_rate: rate(&granted_rates),
                 used: usages.get(index).copied().unwrap_or_default(),
             };
             (id, tokens)
--- a/crates/fleet/tests/testsuite/account_share.rs
+++ b/crates/fleet/tests/testsuite/account_share.rs
@@ -152,6 +152,7 @@
             granted: FAIR_SHARE - GATEWAYS * REQUEST_TOKENS,
             resumed: 0,
             asked_rate: 20 * FAIR_RATE,
+            granted_rate: FAIR_RATE * 9 / 10,
             used: (0.9 * USAGE_UNIT) as u64,
         };
         (account as ShortId, tokens)
