fleet: Take the sums of others as they are after a restart among them

The start of its clock stood for a time long ago, but the clock starts with the process. The gateway now remembers whether others had counted before its first request. If its first request comes before the first digest, it still counts as one of those that begin.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -178,6 +178,8 @@
     fair_rate: u64,
     /// When this gateway began to count.
     counted_since: Option<Mono>,
+    /// Whether others had counted before.
+    joined_others: bool,
 }
 
 impl Demand {
@@ -200,13 +202,11 @@
 
     /// Records a request of an account.
     pub fn record_request(&mut self, account: ShortId, tokens: u64, now: Mono) {
-        // After a restart among others, their sums hold what was before.
-        let began = if self.remote.is_empty() {
-            now
-        } else {
-            Mono::ZERO
-        };
-        self.counted_since.get_or_insert(began);
+        if self.counted_since.is_none() {
+            self.counted_since = Some(now);
+            // After a restart among others, their sums hold what was before.
+            self.joined_others = !self.remote.is_empty();
+        }
         let account = self.local(account, now);
         account.asked.add(tokens, now);
         account.asked_rate.add(tokens as f64, now);
@@ -367,6 +367,9 @@
     /// Returns the part of their weight in the steady state that decaying sums have reached. Without it,
     /// every account would be within its share at first, however much it requests.
     fn weight_reached(&self, now: Mono) -> f64 {
+        if self.joined_others {
+            return 1.0;
+        }
         let since = self
             .counted_since
             .map_or(Duration::ZERO, |at| now.saturating_sub(at));
