--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -4,7 +4,7 @@
 //! account that requests less than an equal share gets all of it, and the others get the same amount each.
 //! Two rates are shared: the token rate that the operators configured, which gives each account its quota,
 //! and the rate at which servers really begin to answer, which may be more and gives each account its fair
-//! share. Tokens are counted as by [`Prompt::service`](crate::place::Prompt::service).
+//! share. While servers are full, the configured rate is reduced by what they refuse. Tokens are counted as by [`Prompt::service`](crate::place::Prompt::service).
 //!
 //! Usage is counted in fair shares: the tokens of a request are divided by the fair share at the time when
 //! it is sent, and the sum decays steadily. So what an account used while others left room does not count
@@ -29,7 +29,7 @@
 use crate::place::share_key;
 use crate::window::Window;
 
-/// Time over which resumed streams are compared with begun ones.
+/// Time over which sums are kept for resumed streams, for limits and for older builds.
 pub const WINDOW: Duration = Duration::from_secs(4);
 /// Time constant of rates and usage. A shorter one would not cover the delay of the sums of other
 /// gateways, which is about half a second in a large fleet.
@@ -37,8 +37,7 @@
 /// Time by which the sums of the others are late in a large fleet. The share of this time is given out
 /// at once after the start.
 const SUMS_DELAY: Duration = Duration::from_millis(500);
-/// Most that usage counts, relative to the tokens that an account is sent at present. Shares of the past
-/// may be smaller, also because servers had not begun to answer.
+/// Most that usage counts, relative to the tokens that an account over its share is sent at present.
 const MAX_USED_NOW: f64 = 1.4;
 /// Unit of published rates of accounts, in tokens a second.
 pub(crate) const RATE_UNIT: u64 = 64;
@@ -153,8 +152,9 @@
         self.missed = self.missed.saturating_sub(other.missed);
     }
 
-    /// Returns the rate that accounts share where the operators configured `rate`. Servers that are full
-    /// process less than that, whatever was configured.
+    /// Returns the rate that accounts share where the operators configured `rate`: what is missed of that is
+    /// not there. What was sent does not count, since it may be more than servers process and would raise the
+    /// share while they fall behind.
     fn capacity(self, rate: u64) -> u64 {
         self.begun.max(rate.saturating_sub(self.missed))
     }
@@ -174,7 +174,7 @@
     missed: Option<DecayingSum>,
     /// Totals of the other gateways.
     remote_flow: FlowRates,
-    /// Fair share at the last decision, in tokens a second.
+    /// Fair share at the last decision, in tokens a second, for digests without usage.
     fair_rate: u64,
     /// When this gateway began to count.
     counted_since: Option<Mono>,
@@ -416,48 +416,54 @@
         let totals = self.fleet_sums(now);
         let weight = self.weight_reached(now);
         let steady = |rate: u64| (rate as f64 / weight) as u64;
-        // An account below its share may use more, up to what the others leave.
-        let demands = totals.iter().filter(|(other, _)| **other != account);
-        let demands = demands.map(|(_, sums)| steady(sums.asked_rate));
-        let demands: Vec<u64> = demands.chain([u64::MAX]).collect();
-        let sums = totals.get(&account).copied().unwrap_or_default();
-        // What was sent may be more than servers process: it would raise the share while they fall
-        // behind.
         let flow = self.flow(now);
         let flow = FlowRates {
             begun: steady(flow.begun),
             missed: steady(flow.missed),
         };
         let capacity = flow.capacity(rate);
+        // With any demand, the account may use its equal share, or what the others leave of theirs.
+        let others = totals.iter().filter(|(other, _)| **other != account);
+        let others = others.map(|(_, sums)| steady(sums.asked_rate));
+        let demands: Vec<u64> = others.chain([u64::MAX]).collect();
+        let quota_rate = max_min_share(capacity.min(rate), demands.clone());
+        let fair_rate = max_min_share(capacity, demands);
+        self.fair_rate = fair_rate;
+        let sums = totals.get(&account).copied().unwrap_or_default();
+        let asked_rate = steady(sums.asked_rate);
         let position = are_late.then(|| {
             let fraction = self.local(account, now).next_position();
-            (steady(sums.asked_rate) as f64 * fraction) as u64
+            (asked_rate as f64 * fraction) as u64
         });
-        self.fair_rate = max_min_share(capacity, demands.clone());
-        let asked_rate = steady(sums.asked_rate);
-        let used_then = sums.used as f64 / USAGE_UNIT / weight;
-        let used_now = steady(sums.granted_rate) as f64 / self.fair_rate.max(1) as f64;
-        // What was used of a smaller share is no debt once there is more.
-        let used = if asked_rate <= self.fair_rate {
-            used_then.min(used_now)
-        } else {
-            used_then.min(MAX_USED_NOW * used_now)
-        };
         AccountShare {
             asked: sums.asked,
             granted: sums.granted,
             asked_rate,
-            used,
+            used: shares_in_use(sums, weight, fair_rate),
             position,
             begun_rate: flow.begun,
             missed_rate: flow.missed,
             configured_rate: rate,
-            quota_rate: max_min_share(capacity.min(rate), demands),
-            fair_rate: self.fair_rate,
+            quota_rate,
+            fair_rate,
         }
     }
 }
 
+/// Returns the fair shares that an account uses, of the time when it used them. If its share has grown
+/// since, the usage is bounded by what it is sent now: a share that was small, or known too low since servers
+/// had not begun to answer, leaves no debt. `weight` is that of [`Demand::weight_reached`].
+fn shares_in_use(sums: TokenSums, weight: f64, fair_rate: u64) -> f64 {
+    let used_then = sums.used as f64 / USAGE_UNIT / weight;
+    let fair_rate = fair_rate.max(1) as f64;
+    let used_now = sums.granted_rate as f64 / weight / fair_rate;
+    if sums.asked_rate as f64 / weight <= fair_rate {
+        used_then.min(used_now)
+    } else {
+        used_then.min(MAX_USED_NOW * used_now)
+    }
+}
+
 /// Usage of an account over the fleet, and what it may use.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AccountShare {
