--- a/crates/fleet/src/fleet/admission.rs
+++ b/crates/fleet/src/fleet/admission.rs
@@ -25,8 +25,8 @@
 /// at once. Up to there the allowed wait decreases linearly to nothing. With a single step, all
 /// accounts over their fair share would get capacity in proportion to their demand; with a lower
 /// bound of the wait, an account with many requests would always find a server with a short queue.
-/// While the others get all they ask for, the fair share is what the largest account gets, so that
-/// its excess stays near zero and spare capacity is used.
+/// While the others get all they ask for, the fair share of the largest account is what they leave, so
+/// that its excess stays near zero and spare capacity is used.
 const MAX_EXCESS: f64 = 0.5;
 /// Fraction of the objective that a request of an account within its quota may wait for those ahead of it
 /// if its own prompt takes most of the objective. It does not apply to a request whose prompt alone takes
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -247,7 +247,8 @@
     pub weight: f64,
 }
 
-/// Returns the weights of gateways by their demand; the same for all if one of them is not known.
+/// Returns the weights of gateways by their published demand levels. If the level of one gateway is not
+/// known, all weights are equal.
 pub fn weights(levels: &[DemandLevel]) -> Vec<f64> {
     if levels.contains(&0) {
         return vec![1.0; levels.len()];
@@ -335,8 +336,9 @@
             .collect()
     }
 
-    /// Sets how the limit of a server is kept. If it is divided for the first time, this gateway may at
-    /// once send the fraction `first` of a request; in total, sharers may save up more than that.
+    /// Sets how the limit of a server is kept. When it is divided for the first time, the bucket of this
+    /// gateway starts with the fraction `first` of a request instead of empty. That is less than the
+    /// request that each sharer may save up anyway.
     pub fn set_sharing(&mut self, server: ShortId, sharing: Sharing, first: f64, now: Mono) {
         if let Some(limit) = self.by_server.get_mut(&server) {
             if !limit.is_divided && sharing != Sharing::Counted {
