fleet: A test of a restart among other gateways

With the condition taken out again, the new test fails with 2.5 fair shares for an account that uses one; it passes on this code.

--- a/crates/fleet/tests/testsuite/account_share.rs
+++ b/crates/fleet/tests/testsuite/account_share.rs
@@ -173,3 +173,33 @@
     }
     assert!(sent > 0 && sent < FAIR_SHARE / 2, "{sent} tokens");
 }
+
+/// Guards against a fault in which a gateway that restarted among others counted accounts at their share as
+/// far over it for two seconds: it scaled complete sums as if they had just begun.
+#[test]
+fn a_restart_among_others_does_not_scale_their_sums() {
+    let sums = |account: ShortId| {
+        let tokens = TokenSums {
+            asked: 20 * FAIR_SHARE,
+            granted: FAIR_SHARE,
+            resumed: 0,
+            asked_rate: 20 * FAIR_RATE,
+            granted_rate: FAIR_RATE,
+            used: USAGE_UNIT as u64,
+        };
+        (account, tokens)
+    };
+    let sums: Vec<_> = (0..10).map(sums).collect();
+    // The clock starts with the process.
+    for millis in [10, 300, 1_000, 2_000] {
+        let mut demand = Demand::new(1);
+        demand.merge(&[], &sums);
+        let now = Duration::from_millis(millis);
+        demand.record_request(0, 0, now);
+        let used = demand.account_share(0, RATE, true, now).used;
+        assert!(
+            (0.9..1.1).contains(&used),
+            "{millis} ms: {used} fair shares"
+        );
+    }
+}
